--- /dev/null
+++ b/Makefile
@@ -0,0 +1,54 @@
+# Targets: setup, run, test, check, generate, bench, bench-cluster, slopes, binary.
+PYTHON ?= python3
+VENV ?= .venv
+PY := $(VENV)/bin/python
+SCHEMA := src/nutmegknot/_internal/schema
+export PYTHONPATH := src
+export PYTHONHASHSEED := 0
+
+.PHONY: setup run test check generate check-generated format bench bench-cluster slopes binary model
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.txt
+	@$(PYTHON) -c 'import sys; sys.exit(sys.version_info < (3, 11))' || { echo 'nutmegknot needs Python 3.11 or later; set PYTHON=/path/to/python3.11' >&2; exit 3; }
+	$(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install --quiet --requirement requirements.txt
+	touch $@
+
+run: setup
+	$(PY) -m nutmegknot local --demo
+
+test: setup
+	$(PY) -m pytest tests
+
+# Formatter, linter, import rule and types.
+check: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(PY) tools/imports.py
+	$(VENV)/bin/mypy src tests benchmarks tools
+
+format: setup
+	$(VENV)/bin/ruff check --fix --quiet . || true
+	$(VENV)/bin/ruff format .
+
+# Writes the generated code beside the schema files.
+generate: setup
+	PATH="$(VENV)/bin:$$PATH" $(PY) -m grpc_tools.protoc -I src --python_out=src --pyi_out=src --grpclib_python_out=src $(SCHEMA)/*.proto
+
+check-generated: generate
+	git diff --exit-code -- $(SCHEMA)
+	test -z "$$(git ls-files --others --exclude-standard -- $(SCHEMA))"
+
+bench: setup
+	$(PY) benchmarks/decisions.py
+
+bench-cluster: setup
+	$(PY) benchmarks/cluster.py
+
+slopes: setup
+	$(PY) benchmarks/slopes.py
+
+binary: setup
+	tools/binary.sh $(PY)
--- /dev/null
+++ b/src/nutmegknot/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of nutmegknot; nothing in here is a public interface."""
--- /dev/null
+++ b/src/nutmegknot/_internal/audit/__init__.py
@@ -0,0 +1,1 @@
+"""Audit records and their verification."""
--- /dev/null
+++ b/src/nutmegknot/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: parsing, exit codes and error output."""
--- /dev/null
+++ b/src/nutmegknot/_internal/codec/__init__.py
@@ -0,0 +1,1 @@
+"""Conversion between schema messages and core types."""
--- /dev/null
+++ b/src/nutmegknot/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/src/nutmegknot/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The cell's configuration: teams, keys, queues, services, domains."""
--- /dev/null
+++ b/src/nutmegknot/_internal/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Placement, order, shares, limits and admission as plain functions."""
--- /dev/null
+++ b/src/nutmegknot/_internal/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet partitions: worker sessions, starts and adoption."""
--- /dev/null
+++ b/src/nutmegknot/_internal/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Ledger partitions: accepted requests, their journal and recovery."""
--- /dev/null
+++ b/src/nutmegknot/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, ownership, authority and digests."""
--- /dev/null
+++ b/src/nutmegknot/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Core types: slotted dataclasses that know nothing of encodings."""
--- /dev/null
+++ b/src/nutmegknot/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""Servers, clients and peer links."""
--- /dev/null
+++ b/src/nutmegknot/_internal/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Schema files and the code generated from them."""
--- /dev/null
+++ b/src/nutmegknot/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: reading TOML and checking it against the schema."""
--- /dev/null
+++ b/src/nutmegknot/_internal/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and state dumps."""
--- /dev/null
+++ b/src/nutmegknot/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, retry, identifiers and tasks."""
--- /dev/null
+++ b/src/nutmegknot/_internal/utils/clock.py
@@ -0,0 +1,58 @@
+"""Clock in milliseconds.
+
+All durations and instants in nutmegknot are integers in milliseconds.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import time
+
+MS_PER_S = 1000
+NS_PER_MS = 1_000_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Clock:
+    """Source of time.
+
+    Attributes:
+      now_ms: Returns monotonic time in ms; comparable within one process only.
+      wall_ms: Returns time since the Unix epoch in ms.
+    """
+
+    now_ms: Callable[[], int]
+    wall_ms: Callable[[], int]
+
+
+def make_system_clock() -> Clock:
+    """Returns a clock that reads the operating system.
+
+    The monotonic reading is CLOCK_BOOTTIME where it exists, so that a suspended
+    machine does not stretch its leases.
+    """
+    source = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
+    return Clock(
+        now_ms=lambda: time.clock_gettime_ns(source) // NS_PER_MS,
+        wall_ms=lambda: time.time_ns() // NS_PER_MS,
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class ManualTime:
+    """Time that tests and benchmarks move by hand.
+
+    Attributes:
+      at_ms: The current instant in ms.
+    """
+
+    at_ms: int = 0
+
+
+def make_manual_clock(manual: ManualTime) -> Clock:
+    """Returns a clock that reads manual for both kinds of time."""
+    return Clock(now_ms=lambda: manual.at_ms, wall_ms=lambda: manual.at_ms)
+
+
+def to_seconds(duration_ms: int) -> float:
+    """Converts a duration in ms into the seconds that asyncio expects."""
+    return duration_ms / MS_PER_S
--- /dev/null
+++ b/src/nutmegknot_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, for local use and tests."""
