--- /dev/null
+++ b/src/nutmegknot/_internal/codec/configurations.py
@@ -0,0 +1,113 @@
+"""Conversion between configurations and schema messages."""
+
+from nutmegknot._internal.codec import values
+from nutmegknot._internal.models import cells
+from nutmegknot._internal.models import requests
+from nutmegknot._internal.models import workers
+from nutmegknot._internal.schema import operator_pb2
+
+_STATES = {
+    workers.DomainState.OPEN: operator_pb2.DOMAIN_STATE_OPEN,
+    workers.DomainState.CLOSED: operator_pb2.DOMAIN_STATE_CLOSED,
+}
+_STATES_BACK = {int(number): state for state, number in _STATES.items()}
+
+
+def encode_configuration(
+    config: cells.Configuration,
+) -> operator_pb2.Configuration:
+    """Returns the message of a configuration, sorted by name."""
+    pb = operator_pb2
+    message = pb.Configuration(revision=config.revision)
+    for _, team in sorted(config.teams.items()):
+        limit = values.encode_resources(team.limit)
+        message.teams.append(
+            pb.Team(name=team.name, share=team.share, limit=limit)
+        )
+    for _, key in sorted(config.keys.items()):
+        message.keys.append(
+            pb.Key(
+                id=key.id,
+                team=key.team,
+                digest=key.digest,
+                withdrawn=key.withdrawn,
+            )
+        )
+    for _, queue in sorted(config.queues.items()):
+        message.queues.append(
+            pb.Queue(
+                name=queue.name,
+                open_team=queue.open_team,
+                max_waiting=queue.max_waiting,
+                priority=values.PRIORITIES[queue.priority],
+            )
+        )
+    for _, service in sorted(config.services.items()):
+        message.services.append(
+            pb.Service(
+                name=service.name,
+                team=service.team,
+                size=values.encode_resources(service.size),
+                replicas=service.replicas,
+                payload=service.payload,
+            )
+        )
+    for _, domain in sorted(config.domains.items()):
+        state = _STATES[domain.state]
+        message.domains.append(
+            pb.Domain(name=domain.name, region=domain.region, state=state)
+        )
+    return message
+
+
+def decode_configuration(
+    message: operator_pb2.Configuration,
+) -> cells.Configuration:
+    """Returns the configuration of a message.
+
+    Raises:
+      ValueError: If an enumeration has an unknown value.
+    """
+    return cells.Configuration(
+        revision=message.revision,
+        teams={
+            t.name: cells.Team(
+                t.name, t.share, values.decode_resources(t.limit)
+            )
+            for t in message.teams
+        },
+        keys={
+            k.id: cells.Key(k.id, k.team, k.digest, k.withdrawn)
+            for k in message.keys
+        },
+        queues={q.name: _decode_queue(q) for q in message.queues},
+        services={
+            s.name: cells.Service(
+                s.name,
+                s.team,
+                values.decode_resources(s.size),
+                s.replicas,
+                s.payload,
+            )
+            for s in message.services
+        },
+        domains={
+            d.name: cells.Domain(d.name, d.region, _decode_state(d.state))
+            for d in message.domains
+        },
+    )
+
+
+def _decode_queue(message: operator_pb2.Queue) -> cells.Queue:
+    return cells.Queue(
+        message.name,
+        message.open_team,
+        message.max_waiting,
+        requests.PriorityClass(message.priority),
+    )
+
+
+def _decode_state(number: int) -> workers.DomainState:
+    if number not in _STATES_BACK:
+        raise ValueError(f'unknown failure domain state {number}')
+    return _STATES_BACK[number]
--- /dev/null
+++ b/src/nutmegknot/_internal/codec/records.py
@@ -0,0 +1,72 @@
+"""Conversion between journal records and schema messages."""
+
+from nutmegknot._internal.codec import values
+from nutmegknot._internal.models import outcomes
+from nutmegknot._internal.models import records
+from nutmegknot._internal.schema import journal_pb2
+
+
+def encode_record(record: records.Record) -> journal_pb2.Record:
+    """Returns the message of a record."""
+    message = journal_pb2.Record(
+        request_key=record.request_key, at_ms=record.at_ms
+    )
+    match record.step:
+        case records.Accept(req, fleet, fleet_epoch):
+            message.accept.request.CopyFrom(values.encode_request(req))
+            message.accept.fleet = fleet
+            message.accept.fleet_epoch = fleet_epoch
+        case records.Assign(fleet, fleet_epoch, attempt, reason):
+            message.assign.fleet = fleet
+            message.assign.fleet_epoch = fleet_epoch
+            message.assign.attempt = attempt
+            message.assign.reason = reason
+        case records.Start(attempt, workers):
+            message.start.attempt = attempt
+            message.start.workers.extend(workers)
+        case records.End(outcome):
+            message.end.outcome.CopyFrom(values.encode_outcome(outcome))
+        case records.Cancel():
+            message.cancel.SetInParent()
+        case records.Forget():
+            message.forget.SetInParent()
+    return message
+
+
+def decode_record(message: journal_pb2.Record) -> records.Record:
+    """Returns the record of a message.
+
+    Raises:
+      ValueError: If the message holds no known step.
+    """
+    return records.Record(
+        message.request_key, message.at_ms, _decode_step(message)
+    )
+
+
+def _decode_step(message: journal_pb2.Record) -> records.Step:
+    match message.WhichOneof('kind'):
+        case 'accept':
+            accept = message.accept
+            req = values.decode_request(accept.request)
+            return records.Accept(req, accept.fleet, accept.fleet_epoch)
+        case 'assign':
+            assign = message.assign
+            return records.Assign(
+                assign.fleet, assign.fleet_epoch, assign.attempt, assign.reason
+            )
+        case 'start':
+            return records.Start(
+                message.start.attempt, tuple(message.start.workers)
+            )
+        case 'end':
+            outcome = values.decode_outcome(message.end.outcome)
+            if not isinstance(outcome, outcomes.Final):
+                raise ValueError('an end record holds no final outcome')
+            return records.End(outcome)
+        case 'cancel':
+            return records.Cancel()
+        case 'forget':
+            return records.Forget()
+        case _:
+            raise ValueError('the record holds no known step')
--- /dev/null
+++ b/src/nutmegknot/_internal/commands/serve.py
@@ -0,0 +1,48 @@
+"""Command serve: runs one instance."""
+
+import asyncio
+import signal
+
+from nutmegknot._internal.cli import errors
+from nutmegknot._internal.cli import exit_codes
+from nutmegknot._internal.commands import registry
+from nutmegknot._internal.instance import running
+from nutmegknot._internal.settings import reader
+from nutmegknot._internal.telemetry import logs
+
+
+async def run_instance(command: registry.Serve) -> errors.CommandError | None:
+    """Runs an instance until SIGTERM or SIGINT."""
+    settings = reader.read_file(command.config)
+    if isinstance(settings, reader.BadSettings):
+        return errors.CommandError(
+            exit_codes.ExitCode.BAD_SETTINGS,
+            settings.detail,
+            'docs/OPERATIONS.md lists every key with its unit and bounds',
+        )
+    logs.set_up(settings.telemetry.level)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    return make_error(await running.run(settings, stopped))
+
+
+def make_error(
+    ended: running.PortTaken | running.PlatformUnreached | None,
+) -> errors.CommandError | None:
+    """Returns the error of an instance that could not run."""
+    match ended:
+        case running.PortTaken(detail):
+            return errors.CommandError(
+                exit_codes.ExitCode.PORT_TAKEN,
+                detail,
+                'end the process that listens there, or change the settings',
+            )
+        case running.PlatformUnreached(detail):
+            return errors.CommandError(
+                exit_codes.ExitCode.PLATFORM_UNREACHED,
+                detail,
+                'check platform.table_url and that the service runs',
+            )
+    return None
--- /dev/null
+++ b/src/nutmegknot/_internal/fleet/contexts.py
@@ -0,0 +1,36 @@
+"""What the tasks of a fleet partition work with."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import random
+
+from nutmegknot._internal.models import reports
+from nutmegknot._internal.platform import fleets as platform_fleets
+from nutmegknot._internal.schema import settings_pb2
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import tasks
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Context:
+    """What the tasks of a fleet partition work with.
+
+    Attributes:
+      clock: Source of time.
+      rng: Source of jitter.
+      settings: All settings.
+      platform: The platform's list and workers.
+      tasks: Tasks of the partition.
+      may_act: Tells whether the instance may act for the partition now.
+      send_reports: Sends reports to the owner of a ledger partition; tells
+        whether they are durable there.
+    """
+
+    clock: clock_lib.Clock
+    rng: random.Random
+    settings: settings_pb2.Settings
+    platform: platform_fleets.Fleet
+    tasks: tasks.Tasks
+    may_act: Callable[[], bool]
+    send_reports: Callable[[str, list[reports.Report]], Awaitable[bool]]
--- /dev/null
+++ b/src/nutmegknot/_internal/fleet/dispatching.py
@@ -0,0 +1,85 @@
+"""Carrying out the decisions of a fleet partition."""
+
+import logging
+
+from nutmegknot._internal.decisions import scheduling
+from nutmegknot._internal.fleet import contexts
+from nutmegknot._internal.fleet import fleets
+from nutmegknot._internal.fleet import jobs
+from nutmegknot._internal.models import reports
+from nutmegknot._internal.models import requests
+from nutmegknot._internal.models import workers
+from nutmegknot._internal.platform import fleets as platform_fleets
+from nutmegknot._internal.utils import signals
+
+logger = logging.getLogger(__name__)
+
+CHECK_MS = 1_000
+
+
+async def keep_dispatching(
+    fleet: fleets.Fleet, context: contexts.Context
+) -> None:
+    """Decides whenever something has changed, until cancelled or fenced."""
+    ledgers = context.settings.cell.ledger_partitions
+    count = -1
+    while not fleet.fenced.is_set():
+        count = await signals.wait_at_most(fleet.changed, count, CHECK_MS)
+        lose_lapsed(fleet, context)
+        jobs.resolve_held(fleet)
+        jobs.stop_orphans(fleet, ledgers)
+        if context.may_act():
+            dispatch(fleet, context)
+
+
+def dispatch(fleet: fleets.Fleet, context: contexts.Context) -> None:
+    """Takes the decisions that are due and queues their orders."""
+    now_ms = context.clock.wall_ms()
+    for decision in scheduling.decide(fleet.scheduler, now_ms):
+        job = fleet.jobs[decision.request_key]
+        match decision:
+            case scheduling.Place(_, places):
+                _start(fleet, context, job, places)
+            case scheduling.GiveBack(_, reason, detail):
+                news = reports.Returned(reason, detail, may_have_run=False)
+                jobs.end(fleet, job, news)
+            case scheduling.Preempt(_, reason):
+                jobs.stop(fleet, job, reason)
+
+
+def _start(
+    fleet: fleets.Fleet,
+    context: contexts.Context,
+    job: fleets.Job,
+    places: tuple[str, ...],
+) -> None:
+    req = job.given.req
+    not_after_ms = context.clock.wall_ms() + context.settings.fleet.start_ms
+    job.runs = [fleets.MemberRun(worker_id) for worker_id in places]
+    for task, worker_id in zip(fleets.list_task_ids(job), places, strict=True):
+        session = fleet.sessions[worker_id]
+        session.tasks[task] = workers.InventoryEntry(
+            task, req.team, req.size, workers.TaskState.RUNNING
+        )
+        session.starts.append(
+            platform_fleets.Start(
+                task, req.team, req.size, not_after_ms, req.payload
+            )
+        )
+        signals.notify(session.wake)
+    logger.debug('placed', extra={'request': requests.get_key(req)})
+
+
+def lose_lapsed(fleet: fleets.Fleet, context: contexts.Context) -> None:
+    """Gives up workers whose leases have all lapsed."""
+    settings = context.settings
+    bound_ms = (
+        settings.fleet.task_lease_ms
+        + settings.fleet.start_ms
+        + settings.membership.drift_ms
+    )
+    now_ms = context.clock.now_ms()
+    for worker_id, session in list(fleet.sessions.items()):
+        if now_ms - session.renewed_ms > bound_ms + settings.fleet.poll_ms:
+            logger.warning('worker_lost', extra={'worker': worker_id})
+            jobs.lose_worker(fleet, worker_id)
--- /dev/null
+++ b/src/nutmegknot/_internal/fleet/jobs.py
@@ -0,0 +1,252 @@
+"""Life of a job: taking it over, following its members, reporting its end."""
+
+from nutmegknot._internal.decisions import scheduling
+from nutmegknot._internal.fleet import fleets
+from nutmegknot._internal.models import outcomes
+from nutmegknot._internal.models import partitions
+from nutmegknot._internal.models import reports
+from nutmegknot._internal.models import requests
+from nutmegknot._internal.models import workers
+from nutmegknot._internal.utils import signals
+
+REMEMBER_ENDED_MS = 60_000
+
+_STATES = {
+    workers.TaskState.RUNNING: 'running',
+    workers.TaskState.FINISHED: 'finished',
+    workers.TaskState.FAILED: 'failed',
+    workers.TaskState.STOPPED: 'stopped',
+}
+
+
+def take_assignment(fleet: fleets.Fleet, given: partitions.Assignment) -> None:
+    """Takes an assignment; taking it twice changes nothing."""
+    key = requests.get_key(given.req)
+    known = fleet.jobs.get(key)
+    if known is not None and known.given.attempt >= given.attempt:
+        return
+    if key in fleet.ended and fleet.ended[key][0] >= given.attempt:
+        return
+    job = fleets.Job(given)
+    fleet.jobs[key] = job
+    if _adopt(fleet, job):
+        follow(fleet, job)
+    elif given.fleet_epoch == fleet.epoch:
+        scheduling.add_waiting(fleet.scheduler, given)
+    else:
+        fleet.held.add(key)
+    signals.notify(fleet.changed)
+
+
+def _adopt(fleet: fleets.Fleet, job: fleets.Job) -> bool:
+    """Finds the members of a job among the inventories."""
+    runs = []
+    for task in fleets.list_task_ids(job):
+        worker_id = _find_worker(fleet, task)
+        if worker_id is None:
+            runs.append(fleets.MemberRun('', 'stopped', detail='not found'))
+            continue
+        entry = fleet.sessions[worker_id].tasks[task]
+        runs.append(
+            fleets.MemberRun(
+                worker_id, _STATES[entry.state], entry.answer, entry.detail
+            )
+        )
+    if all(not run.worker_id for run in runs):
+        return False
+    if any(not run.worker_id for run in runs) and not fleets.is_whole(fleet):
+        return False
+    job.runs = runs
+    return True
+
+
+def _find_worker(fleet: fleets.Fleet, task: workers.TaskId) -> str | None:
+    for worker_id, session in fleet.sessions.items():
+        if task in session.tasks:
+            return worker_id
+    return None
+
+
+def resolve_held(fleet: fleets.Fleet) -> None:
+    """Decides on jobs of an earlier epoch once the inventories allow it."""
+    whole = fleets.is_whole(fleet)
+    for key in sorted(fleet.held):
+        job = fleet.jobs[key]
+        if _adopt(fleet, job):
+            fleet.held.discard(key)
+            follow(fleet, job)
+        elif whole:
+            fleet.held.discard(key)
+            _restart(fleet, job)
+
+
+def _restart(fleet: fleets.Fleet, job: fleets.Job) -> None:
+    """Queues a job that no worker shows, or gives up one that may have run."""
+    if job.given.req.repeatable:
+        scheduling.add_waiting(fleet.scheduler, job.given)
+        signals.notify(fleet.changed)
+        return
+    detail = 'the fleet partition changed its owner and no worker shows it'
+    end(fleet, job, reports.Returned('lost', detail, may_have_run=True))
+
+
+def take_entry(
+    fleet: fleets.Fleet, worker_id: str, entry: workers.InventoryEntry
+) -> None:
+    """Takes the state of a task as its worker shows it."""
+    session = fleet.sessions[worker_id]
+    before = session.tasks.get(entry.task)
+    session.tasks[entry.task] = entry
+    if entry.state is not workers.TaskState.RUNNING:
+        scheduling.release(fleet.scheduler, entry.task)
+    elif before is None:
+        held = scheduling.Held(worker_id, entry.team, entry.size)
+        scheduling.hold(fleet.scheduler, entry.task, held)
+    signals.notify(fleet.changed)
+    job = fleet.jobs.get(entry.task.request_key)
+    if job is None or not job.runs or job.given.attempt != entry.task.attempt:
+        return
+    run = job.runs[entry.task.member]
+    run.worker_id = worker_id
+    run.state = _STATES[entry.state]
+    run.answer = entry.answer
+    run.detail = entry.detail
+    follow(fleet, job)
+
+
+def follow(fleet: fleets.Fleet, job: fleets.Job) -> None:
+    """Acts on the present states of a job's members."""
+    states = {run.state for run in job.runs}
+    if job.reported or not states:
+        return
+    if states == {'running'}:
+        places = tuple(run.worker_id for run in job.runs)
+        report = fleets.make_report(fleet, job, reports.Running(places))
+        fleets.add_report(fleet, job, report)
+    if states == {'finished'}:
+        answers = tuple(run.answer for run in job.runs)
+        end(fleet, job, reports.Ended(outcomes.Finished(answers)))
+    elif states & {'failed', 'stopped'}:
+        if states & {'starting', 'running'}:
+            stop(fleet, job, job.stopping or 'stopped')
+        else:
+            end(fleet, job, _judge_end(job))
+
+
+def _judge_end(job: fleets.Job) -> reports.Ended | reports.Returned:
+    """Returns the news of a job of which no member runs any more."""
+    detail = next(
+        run.detail for run in job.runs if run.state in ('failed', 'stopped')
+    )
+    failed = any(run.state == 'failed' for run in job.runs)
+    if job.cancelled:
+        return reports.Ended(outcomes.Cancelled(started=True))
+    if failed and not job.given.req.repeatable:
+        reason = outcomes.FailureReason.TASK_FAILED
+        return reports.Ended(outcomes.Failed(reason, detail, started=True))
+    reason_text = 'failed' if failed else job.stopping or 'stopped'
+    return reports.Returned(reason_text, detail, may_have_run=True)
+
+
+def stop(fleet: fleets.Fleet, job: fleets.Job, reason: str) -> None:
+    """Has the members of a job that run or may run stopped."""
+    job.stopping = job.stopping or reason
+    for task, run in zip(fleets.list_task_ids(job), job.runs, strict=True):
+        session = fleet.sessions.get(run.worker_id)
+        if session is not None and run.state in ('starting', 'running'):
+            session.stops.add(task)
+            signals.notify(session.wake)
+
+
+def end(
+    fleet: fleets.Fleet,
+    job: fleets.Job,
+    news: reports.Ended | reports.Returned,
+) -> None:
+    """Reports the end of a job's present attempt."""
+    if job.reported:
+        return
+    job.reported = True
+    fleets.add_report(fleet, job, fleets.make_report(fleet, job, news))
+
+
+def withdraw(fleet: fleets.Fleet, key: str) -> None:
+    """Ends a job on the caller's wish."""
+    job = fleet.jobs.get(key)
+    if job is None or job.reported:
+        return
+    job.cancelled = True
+    if scheduling.remove_waiting(fleet.scheduler, key):
+        news = reports.Returned('cancelled', 'withdrawn', may_have_run=False)
+        end(fleet, job, news)
+    elif job.runs:
+        stop(fleet, job, 'cancelled')
+
+
+def forget(fleet: fleets.Fleet, report: reports.Report, now_ms: int) -> None:
+    """Lets workers forget a job whose end is durable."""
+    job = fleet.jobs.get(report.request_key)
+    if job is None or not job.reported:
+        return
+    if job.given.attempt != report.attempt:
+        return
+    del fleet.jobs[report.request_key]
+    fleet.ended[report.request_key] = (report.attempt, now_ms)
+    for task, run in zip(fleets.list_task_ids(job), job.runs, strict=False):
+        acknowledge(fleet, run.worker_id, task)
+    _forget_old_ends(fleet, now_ms)
+
+
+def acknowledge(
+    fleet: fleets.Fleet, worker_id: str, task: workers.TaskId
+) -> None:
+    """Lets a worker forget an ended task."""
+    session = fleet.sessions.get(worker_id)
+    if session is None or task not in session.tasks:
+        return
+    if session.tasks[task].state is not workers.TaskState.RUNNING:
+        del session.tasks[task]
+        session.acknowledged.add(task)
+
+
+def _forget_old_ends(fleet: fleets.Fleet, now_ms: int) -> None:
+    """Drops the oldest remembered ends; they are in order of time."""
+    while fleet.ended:
+        key = next(iter(fleet.ended))
+        if now_ms - fleet.ended[key][1] < REMEMBER_ENDED_MS:
+            return
+        del fleet.ended[key]
+
+
+def stop_orphans(fleet: fleets.Fleet, ledgers: int) -> None:
+    """Stops what no ledger partition knows, once all have listed theirs."""
+    if len(fleet.complete) < ledgers:
+        return
+    for worker_id, session in fleet.sessions.items():
+        for task, entry in list(session.tasks.items()):
+            job = fleet.jobs.get(task.request_key)
+            if job is not None and job.given.attempt == task.attempt:
+                continue
+            if entry.state is workers.TaskState.RUNNING:
+                session.stops.add(task)
+                signals.notify(session.wake)
+            else:
+                acknowledge(fleet, worker_id, task)
+
+
+def lose_worker(fleet: fleets.Fleet, worker_id: str) -> None:
+    """Ends what a worker ran whose leases have all lapsed."""
+    session = fleet.sessions.pop(worker_id)
+    session.closed = True
+    signals.notify(session.wake)
+    scheduling.forget_worker(fleet.scheduler, worker_id)
+    for task, entry in session.tasks.items():
+        job = fleet.jobs.get(task.request_key)
+        if job is None or not job.runs or job.given.attempt != task.attempt:
+            continue
+        if entry.state is workers.TaskState.RUNNING:
+            run = job.runs[task.member]
+            run.state = 'stopped'
+            run.detail = f'worker {worker_id} was lost'
+            follow(fleet, job)
+    signals.notify(fleet.changed)
--- /dev/null
+++ b/src/nutmegknot/_internal/fleet/listing.py
@@ -0,0 +1,87 @@
+"""Following the platform's lagging list of workers."""
+
+import asyncio
+
+import xxhash
+
+from nutmegknot._internal.decisions import scheduling
+from nutmegknot._internal.fleet import contexts
+from nutmegknot._internal.fleet import fleets
+from nutmegknot._internal.fleet import sessions
+from nutmegknot._internal.models import workers
+from nutmegknot._internal.platform import tables
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import signals
+from nutmegknot._internal.utils import tasks
+
+
+async def keep_listing(fleet: fleets.Fleet, context: contexts.Context) -> None:
+    """Reads the list at intervals until cancelled."""
+    settings = context.settings
+    while not fleet.fenced.is_set():
+        listed = await context.platform.list_workers(
+            settings.platform.timeout_ms
+        )
+        if not isinstance(listed, tables.Unavailable):
+            take_list(fleet, context, listed)
+        await asyncio.sleep(clock_lib.to_seconds(settings.fleet.list_ms))
+
+
+def take_list(
+    fleet: fleets.Fleet,
+    context: contexts.Context,
+    listed: list[workers.Worker],
+) -> None:
+    """Opens sessions with new workers and takes note of leaving ones."""
+    parts = context.settings.cell.domain_partitions
+    mine = [
+        worker
+        for worker in listed
+        if worker.domain == fleet.domain
+        and choose_part(worker.id, parts) == fleet.number
+        and worker.state is not workers.TargetState.GONE
+    ]
+    for worker in mine:
+        session = fleet.sessions.get(worker.id)
+        if session is None:
+            _open_session(fleet, context, worker)
+            continue
+        session.worker = worker
+        if worker.state is workers.TargetState.LEAVING:
+            scheduling.remove_worker(fleet.scheduler, worker.id)
+        elif session.claimed:
+            scheduling.add_worker(fleet.scheduler, worker)
+    present = {worker.id for worker in mine}
+    for worker_id in fleet.sessions.keys() - present:
+        scheduling.remove_worker(fleet.scheduler, worker_id)
+    if not fleet.listed:
+        fleet.listed = True
+    signals.notify(fleet.changed)
+
+
+def choose_part(worker_id: str, parts: int) -> int:
+    """Returns the number of the partition of a domain that has a worker."""
+    return xxhash.xxh64_intdigest(worker_id.encode()) % parts
+
+
+def _open_session(
+    fleet: fleets.Fleet, context: contexts.Context, worker: workers.Worker
+) -> None:
+    now_ms = context.clock.now_ms()
+    session = fleets.Session(
+        worker,
+        context.platform.connect(worker),
+        renewed_ms=now_ms,
+        answered_ms=now_ms,
+    )
+    fleet.sessions[worker.id] = session
+    tasks.spawn(
+        context.tasks,
+        sessions.keep_session(fleet, context, session),
+        f'poll {worker.id}',
+    )
+    tasks.spawn(
+        context.tasks,
+        sessions.keep_sending(fleet, context, session),
+        f'send {worker.id}',
+    )
--- /dev/null
+++ b/src/nutmegknot/_internal/fleet/reporting.py
@@ -0,0 +1,45 @@
+"""Sending reports to ledger partitions until they are durable there."""
+
+import asyncio
+
+from nutmegknot._internal.fleet import contexts
+from nutmegknot._internal.fleet import fleets
+from nutmegknot._internal.fleet import jobs
+from nutmegknot._internal.models import reports
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import retries
+from nutmegknot._internal.utils import signals
+
+MAX_BATCH = 500
+
+
+async def keep_reporting(
+    fleet: fleets.Fleet, context: contexts.Context, ledger: str
+) -> None:
+    """Sends the reports for one ledger partition, oldest first."""
+    outbox = fleet.outboxes.setdefault(ledger, fleets.Outbox())
+    backoff = retries.Backoff(context.rng)
+    while True:
+        count = outbox.wake.count
+        if not outbox.waiting:
+            await signals.wait_beyond(outbox.wake, count)
+            continue
+        batch = outbox.waiting[:MAX_BATCH]
+        if await context.send_reports(ledger, batch):
+            del outbox.waiting[: len(batch)]
+            _forget_ended(fleet, context, batch)
+            retries.reset(backoff)
+        else:
+            wait_ms = retries.take_wait(backoff)
+            await asyncio.sleep(clock_lib.to_seconds(wait_ms))
+
+
+def _forget_ended(
+    fleet: fleets.Fleet,
+    context: contexts.Context,
+    batch: list[reports.Report],
+) -> None:
+    now_ms = context.clock.now_ms()
+    for report in batch:
+        if not isinstance(report.news, reports.Running):
+            jobs.forget(fleet, report, now_ms)
--- /dev/null
+++ b/src/nutmegknot/_internal/instance/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly of one instance out of its parts."""
--- /dev/null
+++ b/src/nutmegknot/_internal/instance/authority.py
@@ -0,0 +1,23 @@
+"""The instance's authority to act."""
+
+from nutmegknot._internal.instance import instances
+from nutmegknot._internal.membership import views
+
+
+def may_act(inst: instances.Instance) -> bool:
+    """Tells whether the instance may act, by the clock read right now."""
+    return views.may_act(
+        inst.membership.view,
+        inst.clock.now_ms(),
+        inst.settings.membership.authority_ms,
+    )
+
+
+def may_act_for(inst: instances.Instance, partition: str, epoch: int) -> bool:
+    """Tells whether the instance may act for a partition in an epoch."""
+    view = inst.membership.view
+    return (
+        views.owns(view, partition)
+        and views.get_epoch(view, partition) == epoch
+        and may_act(inst)
+    )
--- /dev/null
+++ b/src/nutmegknot/_internal/instance/entry.py
@@ -0,0 +1,173 @@
+"""Entry of calls: authorization and forwarding to the ledger's owner."""
+
+import hashlib
+import hmac
+
+import grpclib.client
+
+from nutmegknot._internal.codec import values
+from nutmegknot._internal.instance import authority
+from nutmegknot._internal.instance import instances
+from nutmegknot._internal.instance import ledger_calls
+from nutmegknot._internal.instance import routing
+from nutmegknot._internal.models import cells
+from nutmegknot._internal.models import outcomes
+from nutmegknot._internal.models import requests
+from nutmegknot._internal.schema import caller_pb2
+from nutmegknot._internal.schema import common_pb2
+from nutmegknot._internal.schema import peer_grpc
+from nutmegknot._internal.schema import peer_pb2
+from nutmegknot._internal.utils import hashing
+
+MAX_ID_CHARS = 200
+MAX_MEMBERS = 10_000
+
+
+def compute_digest(secret: str) -> str:
+    """Returns the stored form of the secret part of a key.
+
+    Secrets are random and long, so one round of a cryptographic hash is enough.
+    """
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def find_team(
+    config: cells.Configuration, queue_name: str, key_text: str
+) -> str | outcomes.Refused:
+    """Returns the team that a call acts for.
+
+    Args:
+      config: The configuration in force.
+      queue_name: Queue of the request.
+      key_text: The caller's key, 'ID.SECRET', or '' for open queues.
+    """
+    queue = config.queues.get(queue_name)
+    if queue is None:
+        return outcomes.Refused(
+            outcomes.RefusalReason.UNKNOWN_QUEUE, f'no queue {queue_name!r}'
+        )
+    if queue.open_team and not key_text:
+        return queue.open_team
+    rejected = outcomes.Refused(
+        outcomes.RefusalReason.KEY_REJECTED, 'the key is unknown or withdrawn'
+    )
+    key_id, _, secret = key_text.partition('.')
+    key = config.keys.get(key_id)
+    if key is None or key.withdrawn:
+        return rejected
+    if not hmac.compare_digest(key.digest, compute_digest(secret)):
+        return rejected
+    return key.team
+
+
+def authorize(
+    inst: instances.Instance, queue_name: str, key_text: str
+) -> str | outcomes.Refused:
+    """Returns the team that a call acts for, if that is certain right now."""
+    team = find_team(inst.membership.view.configuration, queue_name, key_text)
+    if not authority.may_act(inst):
+        return outcomes.Refused(
+            outcomes.RefusalReason.UNAVAILABLE,
+            'authority is not confirmed',
+            retry_after_ms=1000,
+        )
+    return team
+
+
+def check_request(message: common_pb2.Request) -> str:
+    """Returns what is wrong with a caller's request, or ''."""
+    size = message.size
+    amounts = (size.millicores, size.memory_mib, size.accelerators, size.slots)
+    if not message.id or len(message.id) > MAX_ID_CHARS:
+        return f'id must have 1 to {MAX_ID_CHARS} characters'
+    if '#' in message.id:
+        return "id must not contain '#'"
+    if message.members > MAX_MEMBERS:
+        return f'members must be at most {MAX_MEMBERS}'
+    if min(amounts) < 0 or size.slots < 1:
+        return 'amounts must not be negative and slots must be 1 or more'
+    if message.priority not in list(requests.PriorityClass):
+        return 'priority is unknown'
+    if message.service:
+        return 'service must be empty'
+    return ''
+
+
+async def submit(
+    inst: instances.Instance, call: caller_pb2.SubmitCall, wait_ms: int
+) -> common_pb2.Outcome:
+    """Accepts a caller's request, or refuses it truthfully."""
+    wrong = check_request(call.request)
+    if wrong:
+        return values.encode_outcome(
+            outcomes.Refused(outcomes.RefusalReason.BAD_REQUEST, wrong)
+        )
+    team = authorize(inst, call.request.queue, call.key)
+    if isinstance(team, outcomes.Refused):
+        return values.encode_outcome(team)
+    call.request.team = team
+    request_key = f'{team}/{call.request.id}'
+    partition = _choose_ledger(inst, request_key)
+    forward = peer_pb2.LedgerSubmit(partition=partition, request=call.request)
+
+    async def call_local(left_ms: int) -> peer_pb2.LedgerReply:
+        return await ledger_calls.submit(inst, forward, left_ms)
+
+    async def call_remote(
+        channel: grpclib.client.Channel, timeout: float
+    ) -> peer_pb2.LedgerReply:
+        stub = peer_grpc.LedgerStub(channel)
+        return await stub.Submit(forward, timeout=timeout)
+
+    return _read_reply(
+        await routing.call_ledger(
+            inst, partition, wait_ms, call_local, call_remote
+        )
+    )
+
+
+async def ask(
+    inst: instances.Instance,
+    method: str,
+    call: caller_pb2.RequestCall,
+    wait_ms: int,
+) -> common_pb2.Outcome:
+    """Forwards 'Wait', 'Cancel' or 'Describe' to the ledger's owner."""
+    team = authorize(inst, call.queue, call.key)
+    if isinstance(team, outcomes.Refused):
+        return values.encode_outcome(team)
+    request_key = f'{team}/{call.request_id}'
+    partition = _choose_ledger(inst, request_key)
+    forward = peer_pb2.LedgerRequest(
+        partition=partition,
+        request_key=request_key,
+        wait_ms=min(call.wait_ms, wait_ms),
+    )
+
+    async def call_local(left_ms: int) -> peer_pb2.LedgerReply:
+        return await ledger_calls.CALLS[method](inst, forward, left_ms)
+
+    async def call_remote(
+        channel: grpclib.client.Channel, timeout: float
+    ) -> peer_pb2.LedgerReply:
+        stub_call = getattr(peer_grpc.LedgerStub(channel), method)
+        return await stub_call(forward, timeout=timeout)
+
+    return _read_reply(
+        await routing.call_ledger(
+            inst, partition, wait_ms, call_local, call_remote
+        )
+    )
+
+
+def _choose_ledger(inst: instances.Instance, request_key: str) -> str:
+    count = inst.settings.cell.ledger_partitions
+    return hashing.choose_ledger(request_key, count)
+
+
+def _read_reply(
+    reply: outcomes.Outcome | peer_pb2.LedgerReply,
+) -> common_pb2.Outcome:
+    if isinstance(reply, peer_pb2.LedgerReply):
+        return reply.outcome
+    return values.encode_outcome(reply)
--- /dev/null
+++ b/src/nutmegknot/_internal/instance/instances.py
@@ -0,0 +1,62 @@
+"""State of one instance."""
+
+import dataclasses
+import random
+
+from nutmegknot._internal.fleet import fleets as fleet_lib
+from nutmegknot._internal.ledger import ledgers as ledger_lib
+from nutmegknot._internal.membership import leases
+from nutmegknot._internal.network import channels as channel_lib
+from nutmegknot._internal.network import services
+from nutmegknot._internal.platform import fleets as platform_fleets
+from nutmegknot._internal.platform import objects
+from nutmegknot._internal.platform import tables
+from nutmegknot._internal.schema import settings_pb2
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import tasks as task_lib
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Platform:
+    """The platform's services."""
+
+    table: tables.Table
+    objects: objects.Objects
+    fleet: platform_fleets.Fleet
+
+
+@dataclasses.dataclass(slots=True)
+class Instance:
+    """Everything that one instance keeps in memory.
+
+    Attributes:
+      settings: All settings.
+      clock: Source of time.
+      rng: Source of jitter.
+      platform: The platform's services.
+      membership: Its lease and its view of the cell.
+      ledgers: Ledger partitions that it serves, by name.
+      fleets: Fleet partitions that it serves, by name.
+      part_tasks: Tasks of each served partition, by name.
+      tasks: Tasks of the instance itself.
+      channels: Channels to the other instances.
+      calls: Calls being handled.
+    """
+
+    settings: settings_pb2.Settings
+    clock: clock_lib.Clock
+    rng: random.Random
+    platform: Platform
+    membership: leases.Context
+    tasks: task_lib.Tasks
+    ledgers: dict[str, ledger_lib.Ledger] = dataclasses.field(
+        default_factory=dict
+    )
+    fleets: dict[str, fleet_lib.Fleet] = dataclasses.field(default_factory=dict)
+    part_tasks: dict[str, task_lib.Tasks] = dataclasses.field(
+        default_factory=dict
+    )
+    channels: channel_lib.Channels = dataclasses.field(
+        default_factory=channel_lib.Channels
+    )
+    calls: services.Calls = dataclasses.field(default_factory=services.Calls)
--- /dev/null
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -0,0 +1,216 @@
+"""Opening and closing the partitions that this instance owns."""
+
+import asyncio
+import logging
+
+from nutmegknot._internal.decisions import scheduling
+from nutmegknot._internal.fleet import contexts
+from nutmegknot._internal.fleet import dispatching
+from nutmegknot._internal.fleet import fleets
+from nutmegknot._internal.fleet import jobs
+from nutmegknot._internal.fleet import listing
+from nutmegknot._internal.fleet import reporting as fleet_reporting
+from nutmegknot._internal.instance import assigning
+from nutmegknot._internal.instance import authority
+from nutmegknot._internal.instance import instances
+from nutmegknot._internal.instance import replicas
+from nutmegknot._internal.instance import reporting
+from nutmegknot._internal.instance import routing
+from nutmegknot._internal.ledger import journals
+from nutmegknot._internal.ledger import ledgers
+from nutmegknot._internal.membership import leases
+from nutmegknot._internal.membership import owning
+from nutmegknot._internal.membership import views
+from nutmegknot._internal.models import reports
+from nutmegknot._internal.platform import tables
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import signals
+from nutmegknot._internal.utils import tasks
+
+logger = logging.getLogger(__name__)
+
+FLUSH_MS = 3_000
+FLUSH_STEP_MS = 50
+
+
+async def keep_owning(inst: instances.Instance) -> None:
+    """Takes over free partitions and gives up others, until cancelled."""
+    view = inst.membership.view
+    count = -1
+    while True:
+        count = await signals.wait_beyond(view.changed, count)
+        await abandon_lost(inst)
+        if not authority.may_act(inst) or view.stopping:
+            continue
+        for name in owning.list_free(inst.membership):
+            if await owning.acquire(inst.membership, name):
+                await open_partition(inst, name)
+        preferred = owning.list_preferred(inst.membership)
+        for name in list(inst.part_tasks):
+            if name not in preferred:
+                await hand_over(inst, name)
+
+
+async def abandon_lost(inst: instances.Instance) -> None:
+    """Stops serving partitions whose owner row names another epoch."""
+    view = inst.membership.view
+    served = {name: p.epoch for name, p in inst.ledgers.items()}
+    served |= {name: p.epoch for name, p in inst.fleets.items()}
+    for name, epoch in served.items():
+        is_mine = views.owns(view, name)
+        if not is_mine or views.get_epoch(view, name) != epoch:
+            logger.warning('partition_lost', extra={'partition': name})
+            await close_partition(inst, name)
+
+
+async def open_partition(inst: instances.Instance, name: str) -> None:
+    """Starts to serve a partition that has just been acquired."""
+    if name.startswith('ledger-'):
+        await _open_ledger(inst, name)
+    else:
+        _open_fleet(inst, name)
+
+
+async def _open_ledger(inst: instances.Instance, name: str) -> None:
+    view = inst.membership.view
+    epoch = views.get_epoch(view, name)
+    fence = tables.Condition(
+        leases.get_owner_key(name), view.owner_versions[name]
+    )
+    journal = journals.Journal(name, epoch, fence)
+    context = journals.Context(
+        inst.platform.table,
+        inst.rng,
+        inst.settings.ledger.commit_ms,
+        inst.settings.platform.timeout_ms,
+    )
+    found = await journals.recover(journal, context)
+    if isinstance(found, tables.Unavailable):
+        await owning.release(inst.membership, name)
+        return
+    ledger = ledgers.Ledger(name, epoch, journal)
+    for record in found:
+        ledgers.apply_record(ledger, record)
+    part = tasks.Tasks(broken=inst.tasks.broken)
+    inst.ledgers[name] = ledger
+    inst.part_tasks[name] = part
+    tasks.spawn(part, journals.keep_writing(journal, context), f'write {name}')
+    tasks.spawn(part, replicas.keep_services(inst, ledger), f'keep {name}')
+    for fleet in owning.list_partitions(inst.settings):
+        if fleet.startswith('fleet-'):
+            tasks.spawn(
+                part,
+                assigning.keep_assigning(inst, ledger, fleet),
+                f'assign {name} {fleet}',
+            )
+    logger.info(
+        'ledger_opened',
+        extra={'partition': name, 'epoch': epoch, 'entries': len(found)},
+    )
+
+
+def _open_fleet(inst: instances.Instance, name: str) -> None:
+    view = inst.membership.view
+    domain = routing.get_domain(name)
+    fleet = fleets.Fleet(
+        name=name,
+        epoch=views.get_epoch(view, name),
+        domain=domain,
+        number=int(name.rpartition('-')[2]),
+        scheduler=scheduling.Scheduler(domain, view.configuration),
+    )
+    part = tasks.Tasks(broken=inst.tasks.broken)
+    context = _make_fleet_context(inst, fleet, part)
+    inst.fleets[name] = fleet
+    inst.part_tasks[name] = part
+    tasks.spawn(part, listing.keep_listing(fleet, context), f'list {name}')
+    tasks.spawn(
+        part, dispatching.keep_dispatching(fleet, context), f'place {name}'
+    )
+    tasks.spawn(part, _keep_configuration(inst, fleet), f'configure {name}')
+    for ledger in owning.list_partitions(inst.settings):
+        if ledger.startswith('ledger-'):
+            tasks.spawn(
+                part,
+                fleet_reporting.keep_reporting(fleet, context, ledger),
+                f'report {name} {ledger}',
+            )
+    logger.info('fleet_opened', extra={'partition': name})
+
+
+def _make_fleet_context(
+    inst: instances.Instance, fleet: fleets.Fleet, part: tasks.Tasks
+) -> contexts.Context:
+    async def send_reports(ledger: str, given: list[reports.Report]) -> bool:
+        return await reporting.send_reports(inst, ledger, given)
+
+    return contexts.Context(
+        clock=inst.clock,
+        rng=inst.rng,
+        settings=inst.settings,
+        platform=inst.platform.fleet,
+        tasks=part,
+        may_act=lambda: authority.may_act_for(inst, fleet.name, fleet.epoch),
+        send_reports=send_reports,
+    )
+
+
+async def _keep_configuration(
+    inst: instances.Instance, fleet: fleets.Fleet
+) -> None:
+    """Puts each new configuration in force in a fleet partition."""
+    view = inst.membership.view
+    count = -1
+    while True:
+        count = await signals.wait_beyond(view.changed, count)
+        if fleet.scheduler.configuration is not view.configuration:
+            scheduling.set_configuration(fleet.scheduler, view.configuration)
+            signals.notify(fleet.changed)
+
+
+async def hand_over(inst: instances.Instance, name: str) -> None:
+    """Stops serving a partition in order, and releases it."""
+    if name in inst.fleets:
+        await _flush_fleet(inst, inst.fleets[name])
+    if name in inst.ledgers:
+        await _flush_ledger(inst, inst.ledgers[name])
+    await close_partition(inst, name)
+    await owning.release(inst.membership, name)
+
+
+async def _flush_ledger(
+    inst: instances.Instance, ledger: ledgers.Ledger
+) -> None:
+    """Waits until nothing is left to be written, but not for long."""
+    del inst.ledgers[ledger.name]
+    until_ms = inst.clock.now_ms() + FLUSH_MS
+    while inst.clock.now_ms() < until_ms and journals.is_busy(ledger.journal):
+        await asyncio.sleep(clock_lib.to_seconds(FLUSH_STEP_MS))
+
+
+async def _flush_fleet(inst: instances.Instance, fleet: fleets.Fleet) -> None:
+    """Gives back what must not change owner, and waits for open orders."""
+    for key, job in list(fleet.jobs.items()):
+        if job.given.req.repeatable:
+            continue
+        if scheduling.remove_waiting(fleet.scheduler, key):
+            news = reports.Returned('handover', '', may_have_run=False)
+            jobs.end(fleet, job, news)
+    until_ms = inst.clock.now_ms() + FLUSH_MS
+    while inst.clock.now_ms() < until_ms and _has_orders(fleet):
+        await asyncio.sleep(clock_lib.to_seconds(FLUSH_STEP_MS))
+
+
+def _has_orders(fleet: fleets.Fleet) -> bool:
+    return any(s.starts for s in fleet.sessions.values()) or any(
+        o.waiting for o in fleet.outboxes.values()
+    )
+
+
+async def close_partition(inst: instances.Instance, name: str) -> None:
+    """Stops serving a partition at once."""
+    inst.ledgers.pop(name, None)
+    inst.fleets.pop(name, None)
+    part = inst.part_tasks.pop(name, None)
+    if part is not None:
+        await tasks.cancel_all(part)
--- a/src/nutmegknot/_internal/platform/fleets.py
+++ b/src/nutmegknot/_internal/platform/fleets.py
@@ -17,10 +17,12 @@
       boot: Identifier of the worker's present run; a new one means that every
         earlier task is gone.
       inventory: What it runs or has finished and not yet been told to forget.
+      event: Number of the newest event that the inventory shows.
     """
 
     boot: str
     inventory: list[workers.InventoryEntry]
+    event: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -87,14 +89,16 @@
     """News from a worker; receiving it means the leases were renewed.
 
     Attributes:
-      ended: Tasks that ended and were not acknowledged yet.
+      ended: Tasks that ended after the event that the poll named.
       usage: Lagging usage reports.
       leaving: Whether the worker is being drained by the platform.
+      event: Number of the newest event shown.
     """
 
     ended: list[workers.InventoryEntry]
     usage: list[Usage]
     leaving: bool
+    event: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -102,13 +106,16 @@
     """Asks for news and renews the leases of the worker's tasks.
 
     Attributes:
-      lease_ms: Length of the new lease in ms, from its arrival.
+      lease_ms: Length of the new lease in ms, from its arrival; 0 leaves the
+        leases as they are.
       wait_ms: How long the worker may hold the call if there is no news, in ms.
+      after: Number of the newest event known; only later ones are news.
       acknowledged: Ended tasks that the worker may forget.
     """
 
     lease_ms: int
     wait_ms: int
+    after: int = 0
     acknowledged: tuple[workers.TaskId, ...] = ()
 
 
--- /dev/null
+++ b/src/nutmegknot/_internal/platform/http_fleets.py
@@ -0,0 +1,196 @@
+"""Adapter to workers over HTTP; docs/PLATFORM.md has their calls."""
+
+import base64
+import dataclasses
+import functools
+from typing import Any
+
+import aiohttp
+
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import workers
+from nutmegknot._internal.platform import fleets
+from nutmegknot._internal.platform import http_calls
+from nutmegknot._internal.platform import tables
+
+
+def connect(
+    session: aiohttp.ClientSession, url: str, timeout_ms: int
+) -> fleets.Fleet:
+    """Returns access to the list of workers at url.
+
+    Args:
+      session: Carries the calls.
+      url: Where the list is.
+      timeout_ms: Time limit of each call to a worker in ms, beyond the time
+        that a poll may wait.
+    """
+
+    async def list_workers(
+        list_timeout_ms: int,
+    ) -> list[workers.Worker] | tables.Unavailable:
+        answer = await http_calls.call_json(
+            session, 'GET', f'{url}/fleet/workers', list_timeout_ms
+        )
+        if isinstance(answer, tables.Unavailable | tables.Uncertain):
+            return http_calls.weaken(answer)
+        return [_read_worker(item) for item in answer['workers']]
+
+    def connect_target(worker: workers.Worker) -> fleets.Target:
+        return _make_target(session, worker.address, timeout_ms)
+
+    return fleets.Fleet(list_workers, connect_target)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Link:
+    """Where the calls to one worker go."""
+
+    session: aiohttp.ClientSession
+    address: str
+    timeout_ms: int
+
+
+def _make_target(
+    session: aiohttp.ClientSession, address: str, timeout_ms: int
+) -> fleets.Target:
+    link = _Link(session, address, timeout_ms)
+    return fleets.Target(
+        claim=functools.partial(_claim, link),
+        poll=functools.partial(_poll, link),
+        start=functools.partial(_start, link),
+        stop=functools.partial(_stop, link),
+        throttle=functools.partial(_throttle, link),
+    )
+
+
+async def _call(
+    link: _Link, name: str, body: dict[str, Any], extra_ms: int = 0
+) -> http_calls.JsonResult | fleets.StaleToken:
+    answer = await http_calls.call_json(
+        link.session,
+        'POST',
+        f'{link.address}/{name}',
+        link.timeout_ms + extra_ms,
+        body,
+    )
+    if isinstance(answer, dict) and 'stale' in answer:
+        return fleets.StaleToken(answer['stale'])
+    return answer
+
+
+async def _claim(
+    link: _Link, token: int, partition: str, lease_ms: int
+) -> fleets.ClaimResult:
+    body = {'token': token, 'partition': partition, 'lease_ms': lease_ms}
+    answer = await _call(link, 'claim', body)
+    match answer:
+        case fleets.StaleToken() | tables.Unavailable():
+            return answer
+        case tables.Uncertain():
+            return http_calls.weaken(answer)
+    inventory = [_read_entry(item) for item in answer['inventory']]
+    return fleets.Claimed(answer['boot'], inventory, answer['event'])
+
+
+async def _poll(
+    link: _Link, token: int, news: fleets.Poll
+) -> fleets.PollResult:
+    body = {
+        'token': token,
+        'lease_ms': news.lease_ms,
+        'wait_ms': news.wait_ms,
+        'after': news.after,
+        'acknowledged': [
+            workers.format_task(task) for task in news.acknowledged
+        ],
+    }
+    answer = await _call(link, 'poll', body, news.wait_ms)
+    match answer:
+        case fleets.StaleToken() | tables.Unavailable():
+            return answer
+        case tables.Uncertain():
+            return http_calls.weaken(answer)
+    return _read_polled(answer)
+
+
+async def _start(
+    link: _Link, token: int, orders: list[fleets.Start]
+) -> fleets.StartResult:
+    body = {'token': token, 'tasks': [_show_start(one) for one in orders]}
+    answer = await _call(link, 'start', body)
+    if not isinstance(answer, dict):
+        return answer
+    return [
+        fleets.StartRefused(reason) if reason else fleets.Started()
+        for reason in answer['results']
+    ]
+
+
+async def _stop(
+    link: _Link, token: int, tasks: list[workers.TaskId], grace_ms: int
+) -> fleets.StopResult:
+    texts = [workers.format_task(task) for task in tasks]
+    body = {'token': token, 'tasks': texts, 'grace_ms': grace_ms}
+    answer = await _call(link, 'stop', body)
+    return None if isinstance(answer, dict) else answer
+
+
+async def _throttle(
+    link: _Link, token: int, task: workers.TaskId, millicores: int
+) -> fleets.StopResult:
+    body = {
+        'token': token,
+        'task': workers.format_task(task),
+        'millicores': millicores,
+    }
+    answer = await _call(link, 'throttle', body)
+    return None if isinstance(answer, dict) else answer
+
+
+def _show_start(order: fleets.Start) -> dict[str, Any]:
+    return {
+        'task': workers.format_task(order.task),
+        'team': order.team,
+        'size': list(dataclasses.astuple(order.size)),
+        'not_after_ms': order.not_after_ms,
+        'payload': base64.b64encode(order.payload).decode(),
+        'checkpoint': order.checkpoint,
+    }
+
+
+def _read_worker(item: dict[str, Any]) -> workers.Worker:
+    return workers.Worker(
+        id=item['id'],
+        region=item['region'],
+        domain=item['domain'],
+        rack=item['rack'],
+        capacity=resources.Resources(*item['capacity']),
+        address=item['address'],
+        state=workers.TargetState(item['state']),
+    )
+
+
+def _read_entry(item: dict[str, Any]) -> workers.InventoryEntry:
+    return workers.InventoryEntry(
+        task=workers.parse_task(item['task']),
+        team=item['team'],
+        size=resources.Resources(*item['size']),
+        state=workers.TaskState(item['state']),
+        answer=base64.b64decode(item['answer']),
+        detail=item['detail'],
+    )
+
+
+def _read_polled(answer: dict[str, Any]) -> fleets.Polled:
+    return fleets.Polled(
+        ended=[_read_entry(item) for item in answer['ended']],
+        usage=[
+            fleets.Usage(
+                workers.parse_task(task), resources.Resources(*used), age_ms
+            )
+            for task, used, age_ms in answer['usage']
+        ],
+        leaving=answer['leaving'],
+        event=answer['event'],
+    )
--- /dev/null
+++ b/src/nutmegknot/_internal/platform/http_objects.py
@@ -0,0 +1,59 @@
+"""Adapter to an object store over HTTP; docs/PLATFORM.md has its calls."""
+
+import aiohttp
+
+from nutmegknot._internal.platform import objects
+from nutmegknot._internal.platform import tables
+from nutmegknot._internal.utils import clock as clock_lib
+
+_OK = 200
+_NO_CONTENT = 204
+_NOT_FOUND = 404
+_SERVICE_UNAVAILABLE = 503
+
+
+def connect(session: aiohttp.ClientSession, url: str) -> objects.Objects:
+    """Returns access to the object store at url."""
+
+    async def change(
+        method: str, name: str, value: bytes | None, timeout_ms: int
+    ) -> objects.PutResult:
+        timeout = aiohttp.ClientTimeout(total=clock_lib.to_seconds(timeout_ms))
+        try:
+            async with session.request(
+                method, f'{url}/objects/{name}', data=value, timeout=timeout
+            ) as reply:
+                status = reply.status
+        except aiohttp.ClientConnectorError as error:
+            return tables.Unavailable(str(error))
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return tables.Uncertain(f'{type(error).__name__} {error}')
+        if status in (_OK, _NO_CONTENT):
+            return objects.Stored()
+        if status == _SERVICE_UNAVAILABLE:
+            return tables.Unavailable(f'status {status}')
+        return tables.Uncertain(f'status {status}')
+
+    async def put(
+        name: str, value: bytes, timeout_ms: int
+    ) -> objects.PutResult:
+        return await change('PUT', name, value, timeout_ms)
+
+    async def delete(name: str, timeout_ms: int) -> objects.DeleteResult:
+        return await change('DELETE', name, None, timeout_ms)
+
+    async def get(name: str, timeout_ms: int) -> objects.GetResult:
+        timeout = aiohttp.ClientTimeout(total=clock_lib.to_seconds(timeout_ms))
+        try:
+            async with session.get(
+                f'{url}/objects/{name}', timeout=timeout
+            ) as reply:
+                if reply.status == _NOT_FOUND:
+                    return objects.Missing()
+                if reply.status != _OK:
+                    return tables.Unavailable(f'status {reply.status}')
+                return await reply.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return tables.Unavailable(f'{type(error).__name__} {error}')
+
+    return objects.Objects(put, get, delete)
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Code shared by tests."""
--- /dev/null
+++ b/tests/lib/fakes.py
@@ -0,0 +1,60 @@
+"""Small fakes of the platform's interfaces."""
+
+import dataclasses
+
+from nutmegknot._internal.platform import tables
+
+
+@dataclasses.dataclass(slots=True)
+class FakeTable:
+    """A table in memory whose next answers can be spoilt.
+
+    Attributes:
+      rows: Rows by key.
+      last_version: Highest version given.
+      faults: What happens to the next transactions, first one first:
+        'down' (nothing is done), 'lost' (done, but the answer is lost) or ''.
+    """
+
+    rows: dict[str, tables.Row] = dataclasses.field(default_factory=dict)
+    last_version: int = 0
+    faults: list[str] = dataclasses.field(default_factory=list)
+
+
+def connect_table(fake: FakeTable) -> tables.Table:
+    """Returns access to a fake table."""
+
+    async def transact(
+        transaction: tables.Transaction, timeout_ms: int
+    ) -> tables.Result:
+        fault = fake.faults.pop(0) if fake.faults else ''
+        if fault == 'down':
+            return tables.Unavailable('down')
+        result = _transact(fake, transaction)
+        return tables.Uncertain('lost') if fault == 'lost' else result
+
+    async def scan(prefix: str, timeout_ms: int) -> tables.ScanResult:
+        keys = sorted(key for key in fake.rows if key.startswith(prefix))
+        return [fake.rows[key] for key in keys]
+
+    return tables.Table(transact, scan)
+
+
+def _transact(
+    fake: FakeTable, transaction: tables.Transaction
+) -> tables.Result:
+    for condition in transaction.conditions:
+        row = fake.rows.get(condition.key)
+        if (row.version if row else tables.ABSENT) != condition.version:
+            return tables.ConditionFailed(condition.key, row)
+    versions = {}
+    for write in transaction.writes:
+        fake.last_version += 1
+        if write.value is None:
+            fake.rows.pop(write.key, None)
+            continue
+        row = tables.Row(write.key, write.value, fake.last_version)
+        fake.rows[write.key] = row
+        versions[write.key] = row.version
+    read = {k: fake.rows[k] for k in transaction.reads if k in fake.rows}
+    return tables.Committed(versions, read)
--- a/tools/imports.py
+++ b/tools/imports.py
@@ -28,7 +28,7 @@
 
 def find_name_imports(path: pathlib.Path) -> list[str]:
     """Returns a line for each imported name in the file."""
-    lines = []
+    lines: list[str] = []
     for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
         if not isinstance(node, ast.ImportFrom) or node.module is None:
             continue
