Keep a fleet partition's work proportional to what changes

Cause: each dispatch walked every task of every worker to look for orphans, and each assignment looked for its members on every worker; a job cancelled while it was looked for was never stopped; a deadline was never enforced while a job waited. Change: an index of tasks by worker, orphans looked for only when one may exist, a heap of deadlines, cancellation of held jobs, and the decisions told how tasks end. Conclusion: a dispatch costs what its decisions cost.

--- a/src/nutmegknot/_internal/fleet/dispatching.py
+++ b/src/nutmegknot/_internal/fleet/dispatching.py
@@ -1,20 +1,24 @@
 """Carrying out the decisions of a fleet partition."""
 
+import asyncio
 import logging
 
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import contexts
+from nutmegknot._internal.fleet import deadlines
 from nutmegknot._internal.fleet import fleets
 from nutmegknot._internal.fleet import jobs
 from nutmegknot._internal.models import reports
 from nutmegknot._internal.models import requests
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.platform import fleets as platform_fleets
+from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
 
 logger = logging.getLogger(__name__)
 
 CHECK_MS = 1_000
+GATHER_MS = 5
 
 
 async def keep_dispatching(
@@ -23,9 +27,14 @@
     """Decides whenever something has changed, until cancelled or fenced."""
     ledgers = context.settings.cell.ledger_partitions
     count = -1
+    checked_ms = context.clock.now_ms()
     while not fleet.fenced.is_set():
         count = await signals.wait_at_most(fleet.changed, count, CHECK_MS)
-        lose_lapsed(fleet, context)
+        # A short pause gathers what happens together into one decision.
+        await asyncio.sleep(clock_lib.to_seconds(GATHER_MS))
+        if context.clock.now_ms() - checked_ms >= CHECK_MS:
+            checked_ms = context.clock.now_ms()
+            lose_lapsed(fleet, context)
         jobs.resolve_held(fleet)
         jobs.stop_orphans(fleet, ledgers)
         if context.may_act():
@@ -35,6 +44,7 @@
 def dispatch(fleet: fleets.Fleet, context: contexts.Context) -> None:
     """Takes the decisions that are due and queues their orders."""
     now_ms = context.clock.wall_ms()
+    deadlines.expire(fleet, now_ms)
     for decision in scheduling.decide(fleet.scheduler, now_ms):
         job = fleet.jobs[decision.request_key]
         match decision:
@@ -55,12 +65,15 @@
 ) -> None:
     req = job.given.req
     not_after_ms = context.clock.wall_ms() + context.settings.fleet.start_ms
+    if req.deadline_ms:
+        not_after_ms = min(not_after_ms, req.deadline_ms)
     job.runs = [fleets.MemberRun(worker_id) for worker_id in places]
     for task, worker_id in zip(fleets.list_task_ids(job), places, strict=True):
         session = fleet.sessions[worker_id]
-        session.tasks[task] = workers.InventoryEntry(
+        entry = workers.InventoryEntry(
             task, req.team, req.size, workers.TaskState.RUNNING
         )
+        fleets.set_task(fleet, session, entry)
         session.starts.append(
             platform_fleets.Start(
                 task, req.team, req.size, not_after_ms, req.payload
--- a/src/nutmegknot/_internal/fleet/fleets.py
+++ b/src/nutmegknot/_internal/fleet/fleets.py
@@ -113,12 +113,15 @@
       scheduler: State of the decisions.
       jobs: Assignments by request key.
       sessions: Workers by id.
+      places: Worker of each task that some session has, by task.
       listed: Whether the platform's list has been read.
       held: Keys of jobs of an earlier epoch that may be running on a worker
         that has not shown its inventory yet.
       calls: Epoch and number of the last call of each ledger partition.
       complete: Ledger partitions that have listed their open assignments.
       ended: Attempt and monotonic instant in ms of the end of recent jobs.
+      deadlines: Heap of deadlines, wall clock in ms, and request keys.
+      has_orphans: Whether some session may have a task without a job.
       outboxes: Reports by ledger partition.
       changed: Notified when a decision may be due.
       fenced: Set when a worker obeys a later owner.
@@ -131,11 +134,14 @@
     scheduler: scheduling.Scheduler
     jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
     sessions: dict[str, Session] = dataclasses.field(default_factory=dict)
+    places: dict[workers.TaskId, str] = dataclasses.field(default_factory=dict)
     listed: bool = False
     held: set[str] = dataclasses.field(default_factory=set)
     calls: dict[str, tuple[int, int]] = dataclasses.field(default_factory=dict)
     complete: set[str] = dataclasses.field(default_factory=set)
     ended: dict[str, tuple[int, int]] = dataclasses.field(default_factory=dict)
+    deadlines: list[tuple[int, str]] = dataclasses.field(default_factory=list)
+    has_orphans: bool = False
     outboxes: dict[str, Outbox] = dataclasses.field(default_factory=dict)
     changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     fenced: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -175,3 +181,18 @@
         workers.TaskId(key, member, job.given.attempt)
         for member in range(job.given.req.members)
     ]
+
+
+def set_task(
+    fleet: Fleet, session: Session, entry: workers.InventoryEntry
+) -> None:
+    """Puts the state of a task into the session of its worker."""
+    session.tasks[entry.task] = entry
+    fleet.places[entry.task] = session.worker.id
+
+
+def drop_task(fleet: Fleet, session: Session, task: workers.TaskId) -> None:
+    """Removes a task from the session of its worker."""
+    session.tasks.pop(task, None)
+    if fleet.places.get(task) == session.worker.id:
+        del fleet.places[task]
--- a/src/nutmegknot/_internal/fleet/jobs.py
+++ b/src/nutmegknot/_internal/fleet/jobs.py
@@ -27,11 +27,13 @@
         return
     if key in fleet.ended and fleet.ended[key][0] >= given.attempt:
         return
+    if known is not None:
+        # Members of the attempt that is over are still to be forgotten.
+        fleet.has_orphans = True
     job = fleets.Job(given)
     fleet.jobs[key] = job
-    if _adopt(fleet, job):
-        follow(fleet, job)
-    elif given.fleet_epoch == fleet.epoch:
+    if given.fleet_epoch == fleet.epoch:
+        # No earlier owner had it, so no worker can have it.
         scheduling.add_waiting(fleet.scheduler, given)
     else:
         fleet.held.add(key)
@@ -42,7 +44,7 @@
     """Finds the members of a job among the inventories."""
     runs = []
     for task in fleets.list_task_ids(job):
-        worker_id = _find_worker(fleet, task)
+        worker_id = fleet.places.get(task)
         if worker_id is None:
             runs.append(fleets.MemberRun('', 'stopped', detail='not found'))
             continue
@@ -60,15 +62,12 @@
     return True
 
 
-def _find_worker(fleet: fleets.Fleet, task: workers.TaskId) -> str | None:
-    for worker_id, session in fleet.sessions.items():
-        if task in session.tasks:
-            return worker_id
-    return None
-
-
 def resolve_held(fleet: fleets.Fleet) -> None:
-    """Decides on jobs of an earlier epoch once the inventories allow it."""
+    """Decides on jobs of an earlier epoch once the inventories allow it.
+
+    A job that some worker shows is taken over at once. One that none shows may
+    be on a worker that has not been claimed yet, and waits for it.
+    """
     whole = fleets.is_whole(fleet)
     for key in sorted(fleet.held):
         job = fleet.jobs[key]
@@ -82,6 +81,10 @@
 
 def _restart(fleet: fleets.Fleet, job: fleets.Job) -> None:
     """Queues a job that no worker shows, or gives up one that may have run."""
+    if job.cancelled:
+        detail = 'cancelled while it was looked for'
+        end(fleet, job, reports.Returned('cancelled', detail, True))
+        return
     if job.given.req.repeatable:
         scheduling.add_waiting(fleet.scheduler, job.given)
         signals.notify(fleet.changed)
@@ -91,20 +94,34 @@
 
 
 def take_entry(
-    fleet: fleets.Fleet, worker_id: str, entry: workers.InventoryEntry
+    fleet: fleets.Fleet,
+    worker_id: str,
+    entry: workers.InventoryEntry,
+    now_ms: int,
 ) -> None:
-    """Takes the state of a task as its worker shows it."""
+    """Takes the state of a task as its worker shows it.
+
+    Args:
+      fleet: The fleet partition.
+      worker_id: The worker.
+      entry: What it shows.
+      now_ms: Wall clock instant in ms.
+    """
     session = fleet.sessions[worker_id]
     before = session.tasks.get(entry.task)
-    session.tasks[entry.task] = entry
+    fleets.set_task(fleet, session, entry)
     if entry.state is not workers.TaskState.RUNNING:
         scheduling.release(fleet.scheduler, entry.task)
+        _note_end(fleet, worker_id, entry, now_ms)
     elif before is None:
         held = scheduling.Held(worker_id, entry.team, entry.size)
         scheduling.hold(fleet.scheduler, entry.task, held)
     signals.notify(fleet.changed)
     job = fleet.jobs.get(entry.task.request_key)
-    if job is None or not job.runs or job.given.attempt != entry.task.attempt:
+    if job is None or job.given.attempt != entry.task.attempt:
+        fleet.has_orphans = True
+        return
+    if not job.runs:
         return
     run = job.runs[entry.task.member]
     run.worker_id = worker_id
@@ -114,11 +131,27 @@
     follow(fleet, job)
 
 
+def _note_end(
+    fleet: fleets.Fleet,
+    worker_id: str,
+    entry: workers.InventoryEntry,
+    now_ms: int,
+) -> None:
+    """Tells the decisions how a task ended, as workers may be at fault."""
+    if entry.state is workers.TaskState.FINISHED:
+        scheduling.note_success(fleet.scheduler, worker_id, now_ms)
+    elif entry.state is workers.TaskState.FAILED:
+        key = entry.task.request_key
+        scheduling.note_failure(fleet.scheduler, worker_id, key, now_ms)
+
+
 def follow(fleet: fleets.Fleet, job: fleets.Job) -> None:
     """Acts on the present states of a job's members."""
     states = {run.state for run in job.runs}
     if job.reported or not states:
         return
+    if job.cancelled and states & {'starting', 'running'}:
+        stop(fleet, job, 'cancelled')
     if states == {'running'}:
         places = tuple(run.worker_id for run in job.runs)
         report = fleets.make_report(fleet, job, reports.Running(places))
@@ -205,7 +238,7 @@
     if session is None or task not in session.tasks:
         return
     if session.tasks[task].state is not workers.TaskState.RUNNING:
-        del session.tasks[task]
+        fleets.drop_task(fleet, session, task)
         session.acknowledged.add(task)
 
 
@@ -220,8 +253,9 @@
 
 def stop_orphans(fleet: fleets.Fleet, ledgers: int) -> None:
     """Stops what no ledger partition knows, once all have listed theirs."""
-    if len(fleet.complete) < ledgers:
+    if len(fleet.complete) < ledgers or not fleet.has_orphans:
         return
+    fleet.has_orphans = False
     for worker_id, session in fleet.sessions.items():
         for task, entry in list(session.tasks.items()):
             job = fleet.jobs.get(task.request_key)
@@ -240,7 +274,8 @@
     session.closed = True
     signals.notify(session.wake)
     scheduling.forget_worker(fleet.scheduler, worker_id)
-    for task, entry in session.tasks.items():
+    for task, entry in list(session.tasks.items()):
+        fleets.drop_task(fleet, session, task)
         job = fleet.jobs.get(task.request_key)
         if job is None or not job.runs or job.given.attempt != task.attempt:
             continue
--- a/src/nutmegknot/_internal/fleet/sessions.py
+++ b/src/nutmegknot/_internal/fleet/sessions.py
@@ -44,7 +44,7 @@
     match result:
         case platform_fleets.Claimed():
             session.answered_ms = context.clock.now_ms()
-            _take_claim(fleet, session, result)
+            _take_claim(fleet, session, result, context.clock.wall_ms())
             return True
         case platform_fleets.StaleToken():
             _fence(fleet, session)
@@ -55,13 +55,14 @@
     fleet: fleets.Fleet,
     session: fleets.Session,
     claimed: platform_fleets.Claimed,
+    now_ms: int,
 ) -> None:
     session.boot = claimed.boot
     session.event = claimed.event
     session.claimed = True
     scheduling.add_worker(fleet.scheduler, session.worker)
     for entry in claimed.inventory:
-        jobs.take_entry(fleet, session.worker.id, entry)
+        jobs.take_entry(fleet, session.worker.id, entry, now_ms)
     signals.notify(fleet.changed)
     logger.info(
         'worker_claimed',
@@ -109,7 +110,10 @@
             session.acknowledged.difference_update(acknowledged)
             for entry in result.ended:
                 if entry.task not in session.acknowledged:
-                    jobs.take_entry(fleet, session.worker.id, entry)
+                    now_ms = context.clock.wall_ms()
+                    jobs.take_entry(fleet, session.worker.id, entry, now_ms)
+            if result.leaving:
+                scheduling.remove_worker(fleet.scheduler, session.worker.id)
             return True
         case platform_fleets.StaleToken():
             _fence(fleet, session)
@@ -179,7 +183,7 @@
     order: platform_fleets.Start,
     reason: str,
 ) -> None:
-    session.tasks.pop(order.task, None)
+    fleets.drop_task(fleet, session, order.task)
     scheduling.release(fleet.scheduler, order.task)
     session.stops.discard(order.task)
     job = fleet.jobs.get(order.task.request_key)
--- a/src/nutmegknot/_internal/instance/fleet_calls.py
+++ b/src/nutmegknot/_internal/instance/fleet_calls.py
@@ -1,6 +1,7 @@
 """Calls to the fleet partitions that this instance owns."""
 
 from nutmegknot._internal.codec import values
+from nutmegknot._internal.fleet import deadlines
 from nutmegknot._internal.fleet import jobs
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.models import requests
@@ -24,9 +25,11 @@
     given = [values.decode_assignment(one) for one in call.assignments]
     for one in given:
         jobs.take_assignment(fleet, one)
+        deadlines.watch(fleet, one)
     if call.complete:
         _drop_unlisted(inst, call, {requests.get_key(o.req) for o in given})
         fleet.complete.add(call.ledger)
+        fleet.has_orphans = True
     signals.notify(fleet.changed)
     return peer_pb2.AssignReply(assigned=peer_pb2.Assigned())
 
--- a/src/nutmegknot/_internal/models/reports.py
+++ b/src/nutmegknot/_internal/models/reports.py
@@ -24,7 +24,8 @@
     """The attempt is over: it is not running and will not start.
 
     Attributes:
-      reason: 'cancelled', 'lost', 'stopped', 'failed', 'domain' or 'rejected'.
+      reason: 'cancelled', 'lost', 'stopped', 'failed', 'domain',
+        'deadline', 'handover' or 'rejected'.
       detail: One line.
       may_have_run: Whether the payload may have been run under this attempt.
       checkpoint: Name of a checkpoint to go on from, or ''.
