--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 SCHEMA := src/nutmegknot/_internal/schema
-export PYTHONPATH := src
+export PYTHONPATH := src:tests:.
 export PYTHONHASHSEED := 0
 
 .PHONY: setup run test check generate check-generated format bench bench-cluster slopes binary model
@@ -27,7 +27,7 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(PY) tools/imports.py
-	$(VENV)/bin/mypy src tests tools
+	$(VENV)/bin/mypy src tests tools benchmarks
 
 format: setup
 	$(VENV)/bin/ruff check --fix --quiet . || true
@@ -42,13 +42,13 @@
 	test -z "$$(git ls-files --others --exclude-standard -- $(SCHEMA))"
 
 bench: setup
-	$(PY) benchmarks/decisions.py
+	$(PY) -m benchmarks.decisions
 
 bench-cluster: setup
-	$(PY) benchmarks/cluster.py
+	$(PY) -m benchmarks.cluster
 
 slopes: setup
-	$(PY) benchmarks/slopes.py
+	$(PY) -m benchmarks.slopes
 
 binary: setup
 	tools/binary.sh $(PY)
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that measures time."""
