Hold every team within its upper limit by grants in escrow

Cause: nothing enforced an upper limit across fleet partitions. Change: a row for each team divides its limit; a partition changes its own part only, under its own fence, and starts nothing beyond it. A lost answer counts as the lower of both amounts until the row is read again. While a lowered limit is exceeded, every partition comes down in proportion. Conclusion: limits hold without a table write for each start; a partition writes only when it lacks something or others do.

--- a/src/nutmegknot/_internal/decisions/scheduling.py
+++ b/src/nutmegknot/_internal/decisions/scheduling.py
@@ -253,6 +253,8 @@
 ) -> tuple[str, ...] | None:
     """Holds room for every member, or for none."""
     req = given.req
+    if not _is_within_grant(sched, req):
+        return None
     key = requests.get_key(req)
     chosen: list[str] = []
     for member in range(req.members):
@@ -267,6 +269,15 @@
     return tuple(chosen)
 
 
+def _is_within_grant(sched: Scheduler, req: requests.Request) -> bool:
+    if sched.grants is None:
+        return True
+    whole = resources.multiply(req.size, req.members)
+    used = compute_usage(sched).get(req.team, resources.NOTHING)
+    grant = sched.grants.get(req.team, resources.NOTHING)
+    return resources.fits(resources.add(used, whole), grant)
+
+
 def _find_room(sched: Scheduler, size: resources.Resources) -> str | None:
     for worker_id in sched.machines:
         if resources.fits(size, sched.free[worker_id]):
--- a/src/nutmegknot/_internal/fleet/contexts.py
+++ b/src/nutmegknot/_internal/fleet/contexts.py
@@ -7,6 +7,7 @@
 
 from nutmegknot._internal.models import reports
 from nutmegknot._internal.platform import fleets as platform_fleets
+from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import settings_pb2
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import tasks
@@ -21,7 +22,9 @@
       rng: Source of jitter.
       settings: All settings.
       platform: The platform's list and workers.
+      table: The table service.
       tasks: Tasks of the partition.
+      get_fence: Returns the condition that the partition's owner is the same.
       may_act: Tells whether the instance may act for the partition now.
       send_reports: Sends reports to the owner of a ledger partition; tells
         whether they are durable there.
@@ -31,6 +34,8 @@
     rng: random.Random
     settings: settings_pb2.Settings
     platform: platform_fleets.Fleet
+    table: tables.Table
     tasks: tasks.Tasks
+    get_fence: Callable[[], tables.Condition]
     may_act: Callable[[], bool]
     send_reports: Callable[[str, list[reports.Report]], Awaitable[bool]]
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -7,6 +7,7 @@
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import dispatching
 from nutmegknot._internal.fleet import fleets
+from nutmegknot._internal.fleet import granting
 from nutmegknot._internal.fleet import jobs
 from nutmegknot._internal.fleet import listing
 from nutmegknot._internal.fleet import reporting as fleet_reporting
@@ -71,13 +72,16 @@
         _open_fleet(inst, name)
 
 
+def get_fence(inst: instances.Instance, name: str) -> tables.Condition:
+    """Returns the condition that a partition still has this owner."""
+    version = inst.membership.view.owner_versions[name]
+    return tables.Condition(leases.get_owner_key(name), version)
+
+
 async def _open_ledger(inst: instances.Instance, name: str) -> None:
     view = inst.membership.view
     epoch = views.get_epoch(view, name)
-    fence = tables.Condition(
-        leases.get_owner_key(name), view.owner_versions[name]
-    )
-    journal = journals.Journal(name, epoch, fence)
+    journal = journals.Journal(name, epoch, get_fence(inst, name))
     context = journals.Context(
         inst.platform.table,
         inst.rng,
@@ -127,6 +131,7 @@
     tasks.spawn(
         part, dispatching.keep_dispatching(fleet, context), f'place {name}'
     )
+    tasks.spawn(part, granting.keep_grants(fleet, context), f'grant {name}')
     tasks.spawn(part, _keep_configuration(inst, fleet), f'configure {name}')
     for ledger in owning.list_partitions(inst.settings):
         if ledger.startswith('ledger-'):
@@ -149,6 +154,8 @@
         rng=inst.rng,
         settings=inst.settings,
         platform=inst.platform.fleet,
+        table=inst.platform.table,
+        get_fence=lambda: get_fence(inst, fleet.name),
         tasks=part,
         may_act=lambda: authority.may_act_for(inst, fleet.name, fleet.epoch),
         send_reports=send_reports,
--- /dev/null
+++ b/tests/unit/fleet/test_granting.py
@@ -0,0 +1,144 @@
+"""Tests of fleet/grants.py and granting.py: the sum never passes the limit."""
+
+import asyncio
+import random
+
+import hypothesis
+from hypothesis import strategies
+from lib import fakes
+
+from nutmegknot._internal.codec import grants as grant_codec
+from nutmegknot._internal.decisions import scheduling
+from nutmegknot._internal.fleet import contexts
+from nutmegknot._internal.fleet import fleets
+from nutmegknot._internal.fleet import granting
+from nutmegknot._internal.fleet import grants
+from nutmegknot._internal.models import cells
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.platform import tables
+from nutmegknot._internal.schema import settings_pb2
+from nutmegknot._internal.schema import table_pb2
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import tasks
+
+LIMIT = resources.Resources(100, 100, 10, 10)
+NAMES = ['fleet-a-0', 'fleet-b-0', 'fleet-c-0']
+
+amounts = strategies.builds(
+    resources.Resources,
+    strategies.integers(0, 150),
+    strategies.integers(0, 150),
+    strategies.integers(0, 15),
+    strategies.integers(0, 15),
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.sampled_from(NAMES), amounts), max_size=30
+    )
+)
+def test_chosen_grants_never_pass_the_limit(
+    steps: list[tuple[str, resources.Resources]],
+) -> None:
+    present: grants.Grants = {}
+    for name, wanted in steps:
+        before = present.get(name, grants.NO_GRANT)
+        held = resources.take_least(before.amount, wanted)
+        demand = grants.Demand(held, wanted)
+        present[name] = grants.choose_grant(LIMIT, present, name, demand, 3)
+        assert resources.fits(grants.add_amounts(present), LIMIT)
+        assert resources.fits(held, present[name].amount)
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(
+    strategies.dictionaries(strategies.sampled_from(NAMES), amounts)
+)
+def test_bounds_come_within_a_lowered_limit(
+    held: dict[str, resources.Resources],
+) -> None:
+    present = {n: grants.Grant(amount, amount) for n, amount in held.items()}
+    total = resources.NOTHING
+    for name in present:
+        bound = grants.choose_bound(LIMIT, present, name)
+        total = resources.add(total, bound)
+    assert resources.fits(total, LIMIT)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=40)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 2),
+            amounts,
+            strategies.sampled_from(['', '', 'lost', 'down']),
+        ),
+        max_size=25,
+    )
+)
+def test_partitions_share_a_row_under_faults(
+    steps: list[tuple[int, resources.Resources, str]],
+) -> None:
+    asyncio.run(check_sharing(steps))
+
+
+async def check_sharing(
+    steps: list[tuple[int, resources.Resources, str]],
+) -> None:
+    fake = fakes.FakeTable(
+        rows={n: tables.Row(n, b'', 1) for n in NAMES}, last_version=1
+    )
+    manual = clock_lib.ManualTime()
+    fleet_list = [make_fleet(name) for name in NAMES]
+    states = [granting.Granting() for _ in NAMES]
+    for number, wanted, fault in steps:
+        fleet, state = fleet_list[number], states[number]
+        fake.faults = [fault]
+        manual.at_ms += 10_000
+        context = make_context(fake, manual, fleet.name)
+        await granting.ask(fleet, context, state, 't', wanted)
+        granting.put_in_force(fleet, state)
+        row = fake.rows.get('grant/t')
+        if row is None:
+            continue
+        written = grant_codec.decode_grants(
+            table_pb2.GrantRow.FromString(row.value)
+        )
+        assert resources.fits(grants.add_amounts(written), LIMIT)
+        total = resources.NOTHING
+        for one in fleet_list:
+            bounds = one.scheduler.grants or {}
+            total = resources.add(total, bounds.get('t', resources.NOTHING))
+        assert resources.fits(total, LIMIT)
+
+
+def make_fleet(name: str) -> fleets.Fleet:
+    team = cells.Team('t', 1.0, LIMIT)
+    config = cells.Configuration(revision=1, teams={'t': team})
+    sched = scheduling.Scheduler('d', config)
+    scheduling.set_grants(sched, {})
+    return fleets.Fleet(name, 1, 'd', 0, sched)
+
+
+def make_context(
+    fake: fakes.FakeTable, manual: clock_lib.ManualTime, name: str
+) -> contexts.Context:
+    async def accept(*_: object) -> bool:
+        return True
+
+    settings = settings_pb2.Settings()
+    settings.cell.domains.extend(['r/a', 'r/b', 'r/c'])
+    settings.cell.domain_partitions = 1
+    return contexts.Context(
+        clock=clock_lib.make_manual_clock(manual),
+        rng=random.Random(1),
+        settings=settings,
+        platform=None,  # type: ignore[arg-type]
+        table=fakes.connect_table(fake),
+        tasks=tasks.Tasks(),
+        get_fence=lambda: tables.Condition(name, 1),
+        may_act=lambda: True,
+        send_reports=accept,
+    )
