Give the stand-ins faults, records and a process of their own

Cause: the promises are to be proved with real processes whose platform fails, and the workers' own records are to decide. The stand-ins ran only inside a test's process, could not fail, and kept plain text notes. The adapters raised on answers that are not of the protocol, which would have stopped the instance as a broken invariant.

Faults (down, cut, slow, answer lost, late effect, garbage) apply to a part, a key prefix, one caller, for a time or a number of calls. Workers leave, are removed, killed, rebooted or fail everything; stops have a grace time; usage lags; runs are judged for capacity, two places, a second run of a non-repeatable task, closed domains and leaving targets. The adapters return a value for every answer, take 408 and 5xx other than 503 as uncertain, check that every start has its result, and hold at most 4 connections to a worker.

Conclusion: failures can be ordered from outside the processes under test.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 SCHEMA := src/nutmegknot/_internal/schema
+STANDINS := src/nutmegknot_standins
 export PYTHONPATH := src
 export PYTHONHASHSEED := 0
 
@@ -36,10 +37,11 @@
 # Writes the generated code beside the schema files.
 generate: setup
 	PATH="$(VENV)/bin:$$PATH" $(PY) -m grpc_tools.protoc -I src --python_out=src --pyi_out=src --grpclib_python_out=src $(SCHEMA)/*.proto
+	PATH="$(VENV)/bin:$$PATH" $(PY) -m grpc_tools.protoc -I src --python_out=src --pyi_out=src $(STANDINS)/*.proto
 
 check-generated: generate
-	git diff --exit-code -- $(SCHEMA)
-	test -z "$$(git ls-files --others --exclude-standard -- $(SCHEMA))"
+	git diff --exit-code -- $(SCHEMA) $(STANDINS)
+	test -z "$$(git ls-files --others --exclude-standard -- $(SCHEMA) $(STANDINS))"
 
 bench: setup
 	$(PY) benchmarks/decisions.py
--- a/src/nutmegknot/_internal/platform/http_calls.py
+++ b/src/nutmegknot/_internal/platform/http_calls.py
@@ -1,17 +1,22 @@
 """HTTP calls to the platform, with failures as values."""
 
-import json
+from collections.abc import Callable
 from typing import Any
+from typing import TypeVar
 
 import aiohttp
 
 from nutmegknot._internal.platform import tables
 from nutmegknot._internal.utils import clock as clock_lib
 
-_SERVER_ERROR = 500
+_BAD_ANSWER_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+_OK = 200
+_CLIENT_ERRORS = range(400, 500)
+# A proxy gave up on a call that the service may have received.
+_REQUEST_TIMEOUT = 408
 _SERVICE_UNAVAILABLE = 503
-_CLIENT_ERROR = 400
 
+Decoded = TypeVar('Decoded')
 JsonResult = dict[str, Any] | tables.Unavailable | tables.Uncertain
 
 
@@ -34,22 +39,43 @@
         async with session.request(
             method, url, json=body, params=params, timeout=timeout
         ) as reply:
-            if reply.status == _SERVICE_UNAVAILABLE:
-                return tables.Unavailable(f'{url}: {reply.status}')
-            if reply.status >= _SERVER_ERROR:
-                return tables.Uncertain(f'{url}: {reply.status}')
-            if reply.status >= _CLIENT_ERROR:
-                return tables.Unavailable(f'{url}: {reply.status}')
+            if reply.status != _OK:
+                return judge_status(url, reply.status)
             answer = await reply.json()
     except aiohttp.ClientConnectorError as error:
         return tables.Unavailable(f'{url}: {error}')
-    except (aiohttp.ClientError, TimeoutError, json.JSONDecodeError) as error:
+    except (aiohttp.ClientError, OSError, ValueError) as error:
         return tables.Uncertain(f'{url}: {type(error).__name__} {error}')
     if not isinstance(answer, dict):
         return tables.Uncertain(f'{url}: the answer is not an object')
     return answer
 
 
+def judge_status(
+    url: str, status: int
+) -> tables.Unavailable | tables.Uncertain:
+    """Returns what a status other than success says about the effect.
+
+    By the interface, 503 and the client errors mean that nothing was done;
+    any other status may come from a service or proxy that failed midway.
+    """
+    detail = f'{url}: status {status}'
+    is_rejected = status in _CLIENT_ERRORS and status != _REQUEST_TIMEOUT
+    if is_rejected or status == _SERVICE_UNAVAILABLE:
+        return tables.Unavailable(detail)
+    return tables.Uncertain(detail)
+
+
+def decode(
+    read: Callable[[Any], Decoded], answer: object
+) -> Decoded | tables.Uncertain:
+    """Returns what read makes of an answer, if it is of the protocol."""
+    try:
+        return read(answer)
+    except _BAD_ANSWER_ERRORS as error:
+        return tables.Uncertain(f'bad answer: {type(error).__name__} {error}')
+
+
 def weaken(
     result: tables.Unavailable | tables.Uncertain,
 ) -> tables.Unavailable:
--- a/src/nutmegknot/_internal/platform/http_fleets.py
+++ b/src/nutmegknot/_internal/platform/http_fleets.py
@@ -1,5 +1,6 @@
 """Adapter to workers over HTTP; docs/PLATFORM.md has their calls."""
 
+import asyncio
 import base64
 import dataclasses
 import functools
@@ -13,6 +14,10 @@
 from nutmegknot._internal.platform import http_calls
 from nutmegknot._internal.platform import tables
 
+# Connections of one instance to one worker. A worker takes 64, and six
+# instances and their successors may hold some at the same time.
+MAX_CONNECTIONS = 4
+
 
 def connect(
     session: aiohttp.ClientSession, url: str, timeout_ms: int
@@ -32,9 +37,12 @@
         answer = await http_calls.call_json(
             session, 'GET', f'{url}/fleet/workers', list_timeout_ms
         )
-        if isinstance(answer, tables.Unavailable | tables.Uncertain):
+        if not isinstance(answer, dict):
             return http_calls.weaken(answer)
-        return [_read_worker(item) for item in answer['workers']]
+        listed = http_calls.decode(_read_workers, answer)
+        if isinstance(listed, tables.Uncertain):
+            return http_calls.weaken(listed)
+        return listed
 
     def connect_target(worker: workers.Worker) -> fleets.Target:
         return _make_target(session, worker.address, timeout_ms)
@@ -44,17 +52,26 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Link:
-    """Where the calls to one worker go."""
+    """Where the calls to one worker go.
+
+    Attributes:
+      session: Carries the calls.
+      address: URL of the worker.
+      timeout_ms: Time limit of each call in ms.
+      places: Bounds the connections of this instance to the worker.
+    """
 
     session: aiohttp.ClientSession
     address: str
     timeout_ms: int
+    places: asyncio.Semaphore
 
 
 def _make_target(
     session: aiohttp.ClientSession, address: str, timeout_ms: int
 ) -> fleets.Target:
-    link = _Link(session, address, timeout_ms)
+    places = asyncio.Semaphore(MAX_CONNECTIONS)
+    link = _Link(session, address, timeout_ms, places)
     return fleets.Target(
         claim=functools.partial(_claim, link),
         poll=functools.partial(_poll, link),
@@ -67,15 +84,20 @@
 async def _call(
     link: _Link, name: str, body: dict[str, Any], extra_ms: int = 0
 ) -> http_calls.JsonResult | fleets.StaleToken:
-    answer = await http_calls.call_json(
-        link.session,
-        'POST',
-        f'{link.address}/{name}',
-        link.timeout_ms + extra_ms,
-        body,
-    )
-    if isinstance(answer, dict) and 'stale' in answer:
-        return fleets.StaleToken(answer['stale'])
+    async with link.places:
+        answer = await http_calls.call_json(
+            link.session,
+            'POST',
+            f'{link.address}/{name}',
+            link.timeout_ms + extra_ms,
+            body,
+        )
+    if not isinstance(answer, dict):
+        return answer
+    if 'stale' in answer:
+        return http_calls.decode(_read_stale, answer)
+    if 'unclaimed' in answer:
+        return tables.Unavailable(f'{link.address}: the worker is unclaimed')
     return answer
 
 
@@ -84,13 +106,14 @@
 ) -> fleets.ClaimResult:
     body = {'token': token, 'partition': partition, 'lease_ms': lease_ms}
     answer = await _call(link, 'claim', body)
-    match answer:
-        case fleets.StaleToken() | tables.Unavailable():
-            return answer
-        case tables.Uncertain():
-            return http_calls.weaken(answer)
-    inventory = [_read_entry(item) for item in answer['inventory']]
-    return fleets.Claimed(answer['boot'], inventory, answer['event'])
+    result: fleets.ClaimResult | tables.Uncertain
+    if isinstance(answer, dict):
+        result = http_calls.decode(_read_claimed, answer)
+    else:
+        result = answer
+    if isinstance(result, tables.Uncertain):
+        return http_calls.weaken(result)
+    return result
 
 
 async def _poll(
@@ -106,12 +129,14 @@
         ],
     }
     answer = await _call(link, 'poll', body, news.wait_ms)
-    match answer:
-        case fleets.StaleToken() | tables.Unavailable():
-            return answer
-        case tables.Uncertain():
-            return http_calls.weaken(answer)
-    return _read_polled(answer)
+    result: fleets.PollResult | tables.Uncertain
+    if isinstance(answer, dict):
+        result = http_calls.decode(_read_polled, answer)
+    else:
+        result = answer
+    if isinstance(result, tables.Uncertain):
+        return http_calls.weaken(result)
+    return result
 
 
 async def _start(
@@ -121,10 +146,10 @@
     answer = await _call(link, 'start', body)
     if not isinstance(answer, dict):
         return answer
-    return [
-        fleets.StartRefused(reason) if reason else fleets.Started()
-        for reason in answer['results']
-    ]
+    results = http_calls.decode(_read_started, answer)
+    if isinstance(results, list) and len(results) != len(orders):
+        return tables.Uncertain(f'{len(results)} results for {len(orders)}')
+    return results
 
 
 async def _stop(
@@ -159,6 +184,28 @@
     }
 
 
+def _read_stale(answer: dict[str, Any]) -> fleets.StaleToken:
+    return fleets.StaleToken(int(answer['stale']))
+
+
+def _read_claimed(answer: dict[str, Any]) -> fleets.Claimed:
+    inventory = [_read_entry(item) for item in answer['inventory']]
+    return fleets.Claimed(answer['boot'], inventory, int(answer['event']))
+
+
+def _read_started(
+    answer: dict[str, Any],
+) -> list[fleets.Started | fleets.StartRefused]:
+    return [
+        fleets.StartRefused(str(reason)) if reason else fleets.Started()
+        for reason in answer['results']
+    ]
+
+
+def _read_workers(answer: dict[str, Any]) -> list[workers.Worker]:
+    return [_read_worker(item) for item in answer['workers']]
+
+
 def _read_worker(item: dict[str, Any]) -> workers.Worker:
     return workers.Worker(
         id=item['id'],
@@ -191,6 +238,6 @@
             )
             for task, used, age_ms in answer['usage']
         ],
-        leaving=answer['leaving'],
-        event=answer['event'],
+        leaving=bool(answer['leaving']),
+        event=int(answer['event']),
     )
--- a/src/nutmegknot/_internal/platform/http_objects.py
+++ b/src/nutmegknot/_internal/platform/http_objects.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 
+from nutmegknot._internal.platform import http_calls
 from nutmegknot._internal.platform import objects
 from nutmegknot._internal.platform import tables
 from nutmegknot._internal.utils import clock as clock_lib
@@ -9,7 +10,6 @@
 _OK = 200
 _NO_CONTENT = 204
 _NOT_FOUND = 404
-_SERVICE_UNAVAILABLE = 503
 
 
 def connect(session: aiohttp.ClientSession, url: str) -> objects.Objects:
@@ -26,13 +26,13 @@
                 status = reply.status
         except aiohttp.ClientConnectorError as error:
             return tables.Unavailable(str(error))
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError) as error:
             return tables.Uncertain(f'{type(error).__name__} {error}')
         if status in (_OK, _NO_CONTENT):
             return objects.Stored()
-        if status == _SERVICE_UNAVAILABLE:
-            return tables.Unavailable(f'status {status}')
-        return tables.Uncertain(f'status {status}')
+        if method == 'DELETE' and status == _NOT_FOUND:
+            return objects.Stored()
+        return http_calls.judge_status(url, status)
 
     async def put(
         name: str, value: bytes, timeout_ms: int
@@ -53,7 +53,7 @@
                 if reply.status != _OK:
                     return tables.Unavailable(f'status {reply.status}')
                 return await reply.read()
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError) as error:
             return tables.Unavailable(f'{type(error).__name__} {error}')
 
     return objects.Objects(put, get, delete)
--- a/src/nutmegknot/_internal/platform/http_tables.py
+++ b/src/nutmegknot/_internal/platform/http_tables.py
@@ -22,13 +22,14 @@
             timeout_ms,
             body=_show_transaction(transaction),
         )
-        match answer:
-            case tables.Unavailable():
-                return answer
-            case tables.Uncertain():
-                has_writes = bool(transaction.writes)
-                return answer if has_writes else http_calls.weaken(answer)
-        return _read_result(answer)
+        result: tables.Result
+        if isinstance(answer, dict):
+            result = http_calls.decode(_read_result, answer)
+        else:
+            result = answer
+        if isinstance(result, tables.Uncertain) and not transaction.writes:
+            return http_calls.weaken(result)
+        return result
 
     async def scan(prefix: str, timeout_ms: int) -> tables.ScanResult:
         answer = await http_calls.call_json(
@@ -38,9 +39,12 @@
             timeout_ms,
             params={'prefix': prefix},
         )
-        if isinstance(answer, tables.Unavailable | tables.Uncertain):
+        if not isinstance(answer, dict):
             return http_calls.weaken(answer)
-        return [_read_row(row) for row in answer['rows']]
+        rows = http_calls.decode(_read_rows, answer)
+        if isinstance(rows, tables.Uncertain):
+            return http_calls.weaken(rows)
+        return rows
 
     return tables.Table(transact, scan)
 
@@ -59,7 +63,11 @@
 
 def _read_row(row: list[Any]) -> tables.Row:
     key, value, version = row
-    return tables.Row(key, base64.b64decode(value), version)
+    return tables.Row(key, base64.b64decode(value), int(version))
+
+
+def _read_rows(answer: dict[str, Any]) -> list[tables.Row]:
+    return [_read_row(row) for row in answer['rows']]
 
 
 def _read_result(answer: dict[str, Any]) -> tables.Result:
@@ -67,7 +75,8 @@
         committed = answer['committed']
         rows = [_read_row(row) for row in committed['rows']]
         return tables.Committed(
-            committed['versions'], {row.key: row for row in rows}
+            {key: int(n) for key, n in committed['versions'].items()},
+            {row.key: row for row in rows},
         )
     if 'failed' in answer:
         failed = answer['failed']
--- /dev/null
+++ b/src/nutmegknot_standins/controls.py
@@ -0,0 +1,144 @@
+"""Control interface of the stand-ins: faults, changes of workers, records."""
+
+from collections.abc import Callable
+import dataclasses
+import uuid
+
+from aiohttp import web
+from google.protobuf import json_format
+from google.protobuf import message as message_lib
+
+from nutmegknot._internal.models import workers
+from nutmegknot_standins import books
+from nutmegknot_standins import control_pb2
+from nutmegknot_standins import faults
+from nutmegknot_standins import machines as machine_lib
+from nutmegknot_standins import servers
+
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+
+
+def add_routes(app: web.Application, platform: servers.Platform) -> None:
+    """Serves the control interface below /control."""
+
+    async def add_fault(req: web.Request) -> web.Response:
+        return await _take(
+            req,
+            control_pb2.Fault(),
+            lambda fault: faults.add(platform.faults, fault),
+        )
+
+    async def clear_faults(_: web.Request) -> web.Response:
+        faults.clear(platform.faults)
+        return web.json_response({})
+
+    async def change_domain(req: web.Request) -> web.Response:
+        return await _take(
+            req,
+            control_pb2.DomainChange(),
+            lambda change: books.change_domain(platform.book, change),
+        )
+
+    async def change(req: web.Request) -> web.Response:
+        return await _take(
+            req,
+            control_pb2.WorkerChange(),
+            lambda order: change_worker(platform, order),
+        )
+
+    async def show(req: web.Request) -> web.Response:
+        after = int(req.query.get('after', '0'))
+        content = show_state(platform, after).SerializeToString()
+        return web.Response(body=content)
+
+    app.router.add_post('/control/faults', add_fault)
+    app.router.add_delete('/control/faults', clear_faults)
+    app.router.add_post('/control/domain', change_domain)
+    app.router.add_post('/control/worker', change)
+    app.router.add_get('/control/state', show)
+
+
+async def _take(
+    req: web.Request,
+    order: message_lib.Message,
+    carry_out: Callable,
+) -> web.Response:
+    try:
+        json_format.Parse(await req.text(), order)
+    except json_format.ParseError as error:
+        return web.Response(status=_BAD_REQUEST, text=str(error))
+    try:
+        carry_out(order)
+    except KeyError as error:
+        return web.Response(status=_NOT_FOUND, text=f'no worker {error}')
+    return web.json_response({})
+
+
+def show_state(platform: servers.Platform, after: int) -> control_pb2.State:
+    """Returns all counts and violations, and the records beyond a number."""
+    running = sum(platform.book.running.values())
+    return control_pb2.State(
+        records=platform.book.records[after:],
+        violations=platform.book.violations,
+        table=platform.table.counts,
+        objects=platform.objects.counts,
+        calls_by_caller=platform.calls_by_caller,
+        running=running,
+    )
+
+
+def change_worker(
+    platform: servers.Platform, change: control_pb2.WorkerChange
+) -> None:
+    """Changes the state of a worker.
+
+    Raises:
+      KeyError: If there is no such worker.
+    """
+    machine = platform.machines[change.worker]
+    servers.note_list(platform)
+    match change.action:
+        case control_pb2.WORKER_ACTION_LEAVE:
+            machine.leaving_ms = machine.clock.wall_ms()
+            _set_state(machine, workers.TargetState.LEAVING)
+            machine.changed.set()
+        case control_pb2.WORKER_ACTION_REMOVE:
+            _lose_tasks(machine)
+            machine.is_down = True
+            _set_state(machine, workers.TargetState.GONE)
+        case control_pb2.WORKER_ACTION_KILL:
+            _lose_tasks(machine)
+            machine.is_down = True
+        case control_pb2.WORKER_ACTION_REBOOT:
+            _reboot(machine)
+        case control_pb2.WORKER_ACTION_FAIL_ALL:
+            machine.fails_all = True
+        case control_pb2.WORKER_ACTION_RESTORE:
+            machine.fails_all = False
+            _set_state(machine, workers.TargetState.LIVE)
+    servers.note_list(platform)
+
+
+def _set_state(
+    machine: machine_lib.Machine, state: workers.TargetState
+) -> None:
+    machine.worker = dataclasses.replace(machine.worker, state=state)
+
+
+def _lose_tasks(machine: machine_lib.Machine) -> None:
+    """Ends all runs without any news of them."""
+    for task in machine_lib.list_running(machine).values():
+        if task.timer is not None:
+            task.timer.cancel()
+        books.add_end(machine.book, machine.worker, task.entry)
+    machine.tasks.clear()
+
+
+def _reboot(machine: machine_lib.Machine) -> None:
+    _lose_tasks(machine)
+    machine.refused.clear()
+    machine.boot = uuid.uuid4().hex
+    machine.is_down = False
+    machine.must_claim = True
+    machine.changed.set()
--- a/src/nutmegknot_standins/machines.py
+++ b/src/nutmegknot_standins/machines.py
@@ -1,19 +1,22 @@
 """Stand-in workers: they run tasks under leases and record violations.
 
-A task's payload is JSON: run_ms (how long it runs; absent means until it is
-stopped), answer (text), fail (whether it fails), extra keys are ignored.
+A task's payload is JSON, read by payloads.py.
 """
 
 import asyncio
 import base64
 from collections.abc import Callable
 import dataclasses
-import json
 import uuid
 
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot_standins import books
+from nutmegknot_standins import control_pb2
+from nutmegknot_standins import payloads
+
+MAX_CONNECTIONS = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,32 +25,21 @@
 
     Attributes:
       entry: What the inventory shows.
+      payload: What it does.
       lease_until_ms: Monotonic instant in ms at which it is stopped.
+      began_ms: Monotonic instant in ms of its start.
       event: Number of the event of its end, 0 while it runs.
       timer: Ends the run.
+      throttle_millicores: Most that it may use, or 0.
     """
 
     entry: workers.InventoryEntry
+    payload: payloads.Payload
     lease_until_ms: int
+    began_ms: int
     event: int = 0
     timer: asyncio.TimerHandle | None = None
-
-
-@dataclasses.dataclass(slots=True)
-class RunRecord:
-    """One start or end, for tests.
-
-    Attributes:
-      at_ms: Wall clock instant in ms.
-      worker: The worker.
-      task: Text form of the task id.
-      event: 'start', 'finished', 'failed' or 'stopped'.
-    """
-
-    at_ms: int
-    worker: str
-    task: str
-    event: str
+    throttle_millicores: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,41 +49,60 @@
     Attributes:
       worker: What the platform lists.
       clock: Source of time.
+      book: Records of all machines.
       boot: Identifier of the present run.
       event: Number of the newest event.
       token: Highest fencing token seen.
       lease_ms: Length of the leases of new tasks in ms.
+      usage_lag_ms: Age of its usage reports in ms.
       tasks: Running and not yet acknowledged tasks by text id.
       refused: Text ids that were told to stop before they were started.
       changed: Set when there is news for a poll.
-      records: Starts and ends, shared by all machines.
-      violations: Orders that would have broken a promise, shared by all.
+      connections: Calls in progress.
+      leaving_ms: Wall clock instant in ms since when it leaves, or 0.
+      is_down: Whether it answers no call.
+      fails_all: Whether it fails every task.
+      must_claim: Whether it has begun a new run and awaits a claim.
     """
 
     worker: workers.Worker
     clock: clock_lib.Clock
-    records: list[RunRecord]
-    violations: list[str]
+    book: books.Book
     boot: str = dataclasses.field(default_factory=lambda: uuid.uuid4().hex)
     event: int = 0
     token: int = 0
     lease_ms: int = 10_000
+    usage_lag_ms: int = 1_000
     tasks: dict[str, RunningTask] = dataclasses.field(default_factory=dict)
     refused: set[str] = dataclasses.field(default_factory=set)
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    connections: int = 0
+    leaving_ms: int = 0
+    is_down: bool = False
+    fails_all: bool = False
+    must_claim: bool = False
+
+
+def list_running(machine: Machine) -> dict[str, RunningTask]:
+    """Returns the tasks that run, by text id."""
+    return {
+        text: task
+        for text, task in machine.tasks.items()
+        if task.entry.state is workers.TaskState.RUNNING
+    }
 
 
 def compute_used(machine: Machine) -> resources.Resources:
     """Returns the resources held by running tasks."""
     used = resources.NOTHING
-    for task in machine.tasks.values():
-        if task.entry.state is workers.TaskState.RUNNING:
-            used = resources.add(used, task.entry.size)
+    for task in list_running(machine).values():
+        used = resources.add(used, task.entry.size)
     return used
 
 
 async def claim(machine: Machine, call: dict) -> dict:
     """Takes a token and shows the inventory."""
+    machine.must_claim = machine.must_claim and call['token'] < machine.token
     stale = _check_token(machine, call['token'])
     if stale:
         return stale
@@ -121,9 +132,10 @@
     machine.changed.clear()
     if machine.event <= call['after']:
         await _wait_changed(machine, call['wait_ms'])
-    if machine.token > call['token']:
-        return {'stale': machine.token}
+    if machine.token > call['token'] or machine.must_claim:
+        return _check_token(machine, call['token'])
     return {
+        'boot': machine.boot,
         'ended': [
             show_entry(entry) for entry in _list_ended(machine, call['after'])
         ],
@@ -142,7 +154,7 @@
 
 
 async def stop(machine: Machine, call: dict) -> dict:
-    """Stops tasks, after their grace time."""
+    """Stops tasks; each has its grace time to checkpoint or to finish."""
     stale = _check_token(machine, call['token'])
     if stale:
         return stale
@@ -151,18 +163,26 @@
         if task is None:
             machine.refused.add(text)
         elif task.entry.state is workers.TaskState.RUNNING:
-            _end(machine, text, workers.TaskState.STOPPED, detail='stopped')
+            _stop_one(machine, text, task, call['grace_ms'])
     return {}
 
 
 async def throttle(machine: Machine, call: dict) -> dict:
-    """Takes note of a throttle; the stand-in runs on unchanged."""
-    return _check_token(machine, call['token'])
+    """Bounds what a task uses from now on."""
+    stale = _check_token(machine, call['token'])
+    if stale:
+        return stale
+    task = machine.tasks.get(call['task'])
+    if task is not None:
+        task.throttle_millicores = call['millicores']
+    return {}
 
 
 def _check_token(machine: Machine, token: int) -> dict:
     if token < machine.token:
         return {'stale': machine.token}
+    if machine.must_claim:
+        return {'unclaimed': machine.boot}
     machine.token = token
     return {}
 
@@ -188,19 +208,21 @@
     reason = _find_refusal(machine, order)
     if reason:
         return reason
-    size = resources.Resources(*order['size'])
-    spec = _read_payload(order['payload'])
+    payload = payloads.read(base64.b64decode(order['payload']))
     entry = workers.InventoryEntry(
-        workers.parse_task(text), order['team'], size, workers.TaskState.RUNNING
+        workers.parse_task(text),
+        order['team'],
+        resources.Resources(*order['size']),
+        workers.TaskState.RUNNING,
     )
-    until_ms = machine.clock.now_ms() + machine.lease_ms
-    task = RunningTask(entry, until_ms)
+    now_ms = machine.clock.now_ms()
+    task = RunningTask(entry, payload, now_ms + machine.lease_ms, now_ms)
     machine.tasks[text] = task
-    _record(machine, text, 'start')
-    loop = asyncio.get_running_loop()
-    if 'run_ms' in spec:
-        seconds = clock_lib.to_seconds(spec['run_ms'])
-        task.timer = loop.call_later(seconds, _finish, machine, text, spec)
+    books.add_start(machine.book, machine.worker, entry, payload.once)
+    if payload.run_ms is not None or machine.fails_all:
+        done_ms = machine.book.checkpoints.get(order.get('checkpoint', ''), 0)
+        left_ms = max(0, (payload.run_ms or 0) - done_ms)
+        _end_later(machine, text, 0 if machine.fails_all else left_ms)
     return ''
 
 
@@ -210,40 +232,68 @@
     if machine.clock.wall_ms() > order['not_after_ms']:
         return 'late'
     if machine.worker.state is not workers.TargetState.LIVE:
-        machine.violations.append(f'start on leaving {machine.worker.id}')
+        _judge_leaving(machine, order['task'])
         return 'leaving'
     size = resources.Resources(*order['size'])
     used = resources.add(compute_used(machine), size)
     if not resources.fits(used, machine.worker.capacity):
-        machine.violations.append(f'over capacity on {machine.worker.id}')
+        kind = control_pb2.VIOLATION_KIND_OVER_CAPACITY
+        task = workers.parse_task(order['task'])
+        books.add_violation(machine.book, kind, machine.worker, task)
         return 'capacity'
     return ''
 
 
-def _read_payload(text: str) -> dict:
-    try:
-        spec = json.loads(base64.b64decode(text) or b'{}')
-    except ValueError:
-        spec = {}
-    return spec if isinstance(spec, dict) else {}
+def _judge_leaving(machine: Machine, text: str) -> None:
+    if machine.clock.wall_ms() > machine.leaving_ms + books.GRACE_MS:
+        kind = control_pb2.VIOLATION_KIND_LEAVING
+        task = workers.parse_task(text)
+        books.add_violation(machine.book, kind, machine.worker, task)
 
 
-def _finish(machine: Machine, text: str, spec: dict) -> None:
-    if spec.get('fail'):
+def _end_later(machine: Machine, text: str, wait_ms: int) -> None:
+    loop = asyncio.get_running_loop()
+    seconds = clock_lib.to_seconds(wait_ms)
+    machine.tasks[text].timer = loop.call_later(seconds, _finish, machine, text)
+
+
+def _finish(machine: Machine, text: str) -> None:
+    payload = machine.tasks[text].payload
+    if payload.fail or machine.fails_all:
         state, detail = workers.TaskState.FAILED, 'told to fail'
     else:
         state, detail = workers.TaskState.FINISHED, ''
-    answer = str(spec.get('answer', '')).encode()
-    _end(machine, text, state, answer=answer, detail=detail)
+    end(machine, text, state, answer=payload.answer.encode(), detail=detail)
+
+
+def _stop_one(
+    machine: Machine, text: str, task: RunningTask, grace_ms: int
+) -> None:
+    """Stops a task after the time it needs, at most the grace time."""
+    loop = asyncio.get_running_loop()
+    wait_ms = min(grace_ms, task.payload.stop_ms)
+    seconds = clock_lib.to_seconds(wait_ms)
+    loop.call_later(seconds, _finish_stop, machine, text, task)
+
 
+def _finish_stop(machine: Machine, text: str, task: RunningTask) -> None:
+    is_same = machine.tasks.get(text) is task
+    if not is_same or task.entry.state is not workers.TaskState.RUNNING:
+        return
+    if task.payload.checkpoint:
+        done_ms = machine.clock.now_ms() - task.began_ms
+        machine.book.checkpoints[text] = done_ms
+    end(machine, text, workers.TaskState.STOPPED, detail='stopped')
 
-def _end(
+
+def end(
     machine: Machine,
     text: str,
     state: workers.TaskState,
     answer: bytes = b'',
     detail: str = '',
 ) -> None:
+    """Ends the run of a task."""
     task = machine.tasks[text]
     if task.timer is not None:
         task.timer.cancel()
@@ -252,27 +302,35 @@
     task.entry.state = state
     task.entry.answer = answer
     task.entry.detail = detail
-    _record(machine, text, state.value)
+    books.add_end(machine.book, machine.worker, task.entry)
     machine.changed.set()
 
 
-def _record(machine: Machine, text: str, event: str) -> None:
-    at_ms = machine.clock.wall_ms()
-    machine.records.append(RunRecord(at_ms, machine.worker.id, text, event))
-
-
 def _list_ended(machine: Machine, after: int) -> list[workers.InventoryEntry]:
     return [task.entry for task in machine.tasks.values() if task.event > after]
 
 
 def _list_usage(machine: Machine) -> list[list]:
+    seen_ms = machine.clock.now_ms() - machine.usage_lag_ms
     return [
-        [text, list(dataclasses.astuple(task.entry.size)), 1000]
-        for text, task in machine.tasks.items()
-        if task.entry.state is workers.TaskState.RUNNING
+        [
+            text,
+            list(dataclasses.astuple(_get_usage(task))),
+            machine.usage_lag_ms,
+        ]
+        for text, task in list_running(machine).items()
+        if task.began_ms <= seen_ms
     ]
 
 
+def _get_usage(task: RunningTask) -> resources.Resources:
+    used = payloads.compute_usage(task.payload, task.entry.size)
+    bound = task.throttle_millicores
+    if not bound:
+        return used
+    return dataclasses.replace(used, millicores=min(used.millicores, bound))
+
+
 def show_entry(entry: workers.InventoryEntry) -> dict:
     """Returns an inventory entry as JSON data."""
     return {
@@ -289,11 +347,9 @@
     """Stops tasks whose lease has lapsed; returns ms until the next lapse."""
     now_ms = machine.clock.now_ms()
     next_ms = now_ms + machine.lease_ms
-    for text, task in list(machine.tasks.items()):
-        if task.entry.state is not workers.TaskState.RUNNING:
-            continue
+    for text, task in list_running(machine).items():
         if task.lease_until_ms <= now_ms:
-            _end(machine, text, workers.TaskState.STOPPED, detail='lapsed')
+            end(machine, text, workers.TaskState.STOPPED, detail='lapsed')
         else:
             next_ms = min(next_ms, task.lease_until_ms)
     return max(1, next_ms - now_ms)
--- a/src/nutmegknot_standins/servers.py
+++ b/src/nutmegknot_standins/servers.py
@@ -1,6 +1,7 @@
 """HTTP servers of the stand-ins."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 from aiohttp import web
@@ -8,9 +9,17 @@
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot_standins import books
+from nutmegknot_standins import control_pb2
+from nutmegknot_standins import faults as fault_lib
 from nutmegknot_standins import machines as machine_lib
 from nutmegknot_standins import stores
 
+_NOT_FOUND = 404
+_SERVICE_UNAVAILABLE = 503
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+_CALLS_THAT_READ = frozenset({'poll'})
+
 
 @dataclasses.dataclass(slots=True)
 class Platform:
@@ -20,8 +29,11 @@
       table: The table service.
       objects: The object store.
       machines: Workers by id.
-      records: Starts and ends on all workers.
-      violations: Orders that would have broken a promise.
+      book: Records of all workers.
+      faults: Faults in force.
+      list_lag_ms: Age of the list of workers in ms.
+      listed: Lists with the wall clock instants in ms of their making.
+      calls_by_caller: Calls to all parts.
       url: Where they are served, once they are.
       watches: One task for each worker's leases.
     """
@@ -29,8 +41,15 @@
     table: stores.TableState
     objects: stores.ObjectState
     machines: dict[str, machine_lib.Machine]
-    records: list[machine_lib.RunRecord]
-    violations: list[str]
+    book: books.Book
+    faults: fault_lib.Faults = dataclasses.field(
+        default_factory=fault_lib.Faults
+    )
+    list_lag_ms: int = 0
+    listed: list[tuple[int, list[dict]]] = dataclasses.field(
+        default_factory=list
+    )
+    calls_by_caller: dict[str, int] = dataclasses.field(default_factory=dict)
     url: str = ''
     watches: list[asyncio.Task[None]] = dataclasses.field(default_factory=list)
 
@@ -39,15 +58,11 @@
     listed: list[workers.Worker], clock: clock_lib.Clock
 ) -> Platform:
     """Returns stand-ins with one machine for each listed worker."""
-    records: list[machine_lib.RunRecord] = []
-    violations: list[str] = []
+    book = books.Book(clock)
     made = {
-        worker.id: machine_lib.Machine(worker, clock, records, violations)
-        for worker in listed
+        worker.id: machine_lib.Machine(worker, clock, book) for worker in listed
     }
-    return Platform(
-        stores.TableState(), stores.ObjectState(), made, records, violations
-    )
+    return Platform(stores.TableState(), stores.ObjectState(), made, book)
 
 
 def make_workers(
@@ -70,29 +85,141 @@
     ]
 
 
+def make_layout_platform(
+    layout: control_pb2.Layout, clock: clock_lib.Clock
+) -> Platform:
+    """Returns stand-ins with the workers of a layout."""
+    listed = [
+        worker for group in layout.groups for worker in _make_group(group)
+    ]
+    platform = make_platform(listed, clock)
+    platform.list_lag_ms = layout.list_lag_ms
+    for machine in platform.machines.values():
+        machine.usage_lag_ms = layout.usage_lag_ms
+    return platform
+
+
+def _make_group(group: control_pb2.WorkerGroup) -> list[workers.Worker]:
+    capacity = resources.Resources(
+        group.millicores, group.memory_mib, group.accelerators, group.slots
+    )
+    return [
+        workers.Worker(
+            id=f'{group.domain}-{group.name}-{number}',
+            region=group.region,
+            domain=group.domain,
+            rack=f'{group.name}-{number // max(1, group.rack_size)}',
+            capacity=capacity,
+        )
+        for number in range(group.count)
+    ]
+
+
 def make_app(platform: Platform) -> web.Application:
     """Returns the web application that serves all stand-ins."""
-    app = web.Application(client_max_size=64 * 1024 * 1024)
-    stores.add_table_routes(app, platform.table)
-    stores.add_object_routes(app, platform.objects)
+    app = web.Application(
+        client_max_size=_MAX_BODY_BYTES,
+        middlewares=[_make_counter(platform)],
+    )
+    stores.add_table_routes(app, platform.table, platform.faults)
+    stores.add_object_routes(app, platform.objects, platform.faults)
 
-    async def serve_list(_: web.Request) -> web.Response:
-        listed = [_show_worker(platform, m) for m in platform.machines.values()]
-        return web.json_response({'workers': listed})
+    async def serve_list(req: web.Request) -> web.Response:
+        caller = fault_lib.get_caller(req)
 
-    async def serve_machine(req: web.Request) -> web.Response:
+        async def take_effect() -> web.Response:
+            return web.json_response({'workers': _list(platform, caller)})
+
+        call = fault_lib.Call('list', ('',), caller, writes=False)
+        return await fault_lib.carry_out(
+            platform.faults, req, call, take_effect
+        )
+
+    async def serve_worker(req: web.Request) -> web.Response:
         machine = platform.machines.get(req.match_info['id'])
-        call = machine_lib.CALLS.get(req.match_info['call'])
+        name = req.match_info['call']
+        call = machine_lib.CALLS.get(name)
         if machine is None or call is None:
-            return web.Response(status=404)
-        return web.json_response(await call(machine, await req.json()))
+            return web.Response(status=_NOT_FOUND)
+        return await _serve_machine(platform, machine, req, name, call)
 
-    app.router.add_get('/fleet/workers', serve_list)
-    app.router.add_post('/worker/{id}/{call}', serve_machine)
+    for start in fault_lib.PATH_STARTS:
+        app.router.add_get(f'{start}/fleet/workers', serve_list)
+        app.router.add_post(start + '/worker/{id}/{call}', serve_worker)
     return app
 
 
-def _show_worker(platform: Platform, machine: machine_lib.Machine) -> dict:
+def _make_counter(platform: Platform) -> Callable:
+    @web.middleware
+    async def count(req: web.Request, handler: Callable) -> web.StreamResponse:
+        caller = fault_lib.get_caller(req)
+        if caller:
+            before = platform.calls_by_caller.get(caller, 0)
+            platform.calls_by_caller[caller] = before + 1
+        return await handler(req)
+
+    return count
+
+
+async def _serve_machine(
+    platform: Platform,
+    machine: machine_lib.Machine,
+    req: web.Request,
+    name: str,
+    function: Callable,
+) -> web.Response:
+    body = await req.json()
+    if machine.connections >= machine_lib.MAX_CONNECTIONS:
+        kind = control_pb2.VIOLATION_KIND_CONNECTIONS
+        books.add_violation(platform.book, kind, machine.worker)
+        return web.Response(status=_SERVICE_UNAVAILABLE)
+
+    async def take_effect() -> web.Response:
+        if machine.is_down:
+            return fault_lib.drop(req)
+        return web.json_response(await function(machine, body))
+
+    call = fault_lib.Call(
+        'worker',
+        (machine.worker.id,),
+        fault_lib.get_caller(req),
+        name not in _CALLS_THAT_READ,
+    )
+    machine.connections += 1
+    try:
+        return await fault_lib.carry_out(
+            platform.faults, req, call, take_effect
+        )
+    finally:
+        machine.connections -= 1
+
+
+def _list(platform: Platform, caller: str) -> list[dict]:
+    """Returns the list of workers as it was list_lag_ms ago."""
+    now_ms = platform.book.clock.wall_ms()
+    note_list(platform)
+    due_ms = now_ms - platform.list_lag_ms
+    while len(platform.listed) > 1 and platform.listed[1][0] <= due_ms:
+        del platform.listed[0]
+    start = f'{platform.url}/from/{caller}' if caller else platform.url
+    return [
+        {**item, 'address': f'{start}/worker/{item["id"]}'}
+        for item in platform.listed[0][1]
+    ]
+
+
+def note_list(platform: Platform) -> None:
+    """Remembers the present list, if it has changed."""
+    present = [
+        _show_worker(machine)
+        for machine in platform.machines.values()
+        if machine.worker.state is not workers.TargetState.GONE
+    ]
+    if not platform.listed or platform.listed[-1][1] != present:
+        platform.listed.append((platform.book.clock.wall_ms(), present))
+
+
+def _show_worker(machine: machine_lib.Machine) -> dict:
     worker = machine.worker
     return {
         'id': worker.id,
@@ -100,15 +227,16 @@
         'domain': worker.domain,
         'rack': worker.rack,
         'capacity': list(dataclasses.astuple(worker.capacity)),
-        'address': f'{platform.url}/worker/{worker.id}',
         'state': worker.state.value,
     }
 
 
-async def serve(platform: Platform, host: str, port: int) -> web.AppRunner:
+async def serve(
+    platform: Platform, host: str, port: int, app: web.Application | None = None
+) -> web.AppRunner:
     """Serves the stand-ins on host and port (0 for any free one)."""
     runner = web.AppRunner(
-        make_app(platform), shutdown_timeout=0.1, access_log=None
+        app or make_app(platform), shutdown_timeout=0.1, access_log=None
     )
     await runner.setup()
     await web.TCPSite(runner, host, port).start()
--- a/src/nutmegknot_standins/stores.py
+++ b/src/nutmegknot_standins/stores.py
@@ -5,18 +5,11 @@
 
 from aiohttp import web
 
+from nutmegknot_standins import control_pb2
+from nutmegknot_standins import faults
 
-@dataclasses.dataclass(slots=True)
-class Counts:
-    """Work done by a store.
-
-    Attributes:
-      writes: Rows or objects written.
-      reads: Rows or objects read.
-    """
-
-    writes: int = 0
-    reads: int = 0
+_NO_CONTENT = 204
+_NOT_FOUND = 404
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,7 +24,9 @@
 
     rows: dict[str, tuple[bytes, int]] = dataclasses.field(default_factory=dict)
     last_version: int = 0
-    counts: Counts = dataclasses.field(default_factory=Counts)
+    counts: control_pb2.Counts = dataclasses.field(
+        default_factory=control_pb2.Counts
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,7 +34,9 @@
     """Content of the object store, by name."""
 
     objects: dict[str, bytes] = dataclasses.field(default_factory=dict)
-    counts: Counts = dataclasses.field(default_factory=Counts)
+    counts: control_pb2.Counts = dataclasses.field(
+        default_factory=control_pb2.Counts
+    )
 
 
 def transact(state: TableState, call: dict) -> dict:
@@ -87,39 +84,84 @@
     return [row for key in keys if (row := _show(state, key)) is not None]
 
 
-def add_table_routes(app: web.Application, state: TableState) -> None:
-    """Serves a table below /table."""
+def list_keys(call: dict) -> tuple[str, ...]:
+    """Returns the keys that a transaction names."""
+    conditions = [key for key, _ in call.get('conditions', ())]
+    writes = [key for key, _ in call.get('writes', ())]
+    return (*writes, *conditions, *call.get('reads', ()))
+
+
+def add_table_routes(
+    app: web.Application, state: TableState, spoil: faults.Faults
+) -> None:
+    """Serves a table below /table, or /from/CALLER/table."""
 
     async def serve_transact(req: web.Request) -> web.Response:
-        return web.json_response(transact(state, await req.json()))
+        body = await req.json()
+        state.counts.calls += 1
+
+        async def take_effect() -> web.Response:
+            return web.json_response(transact(state, body))
+
+        call = faults.Call(
+            'table',
+            list_keys(body),
+            faults.get_caller(req),
+            bool(body.get('writes')),
+        )
+        return await faults.carry_out(spoil, req, call, take_effect)
 
     async def serve_scan(req: web.Request) -> web.Response:
-        return web.json_response({'rows': scan(state, req.query['prefix'])})
+        prefix = req.query['prefix']
+        state.counts.calls += 1
 
-    app.router.add_post('/table/transact', serve_transact)
-    app.router.add_get('/table/scan', serve_scan)
+        async def take_effect() -> web.Response:
+            return web.json_response({'rows': scan(state, prefix)})
 
+        caller = faults.get_caller(req)
+        call = faults.Call('table', (prefix,), caller, writes=False)
+        return await faults.carry_out(spoil, req, call, take_effect)
 
-def add_object_routes(app: web.Application, state: ObjectState) -> None:
-    """Serves an object store below /objects."""
+    for start in faults.PATH_STARTS:
+        app.router.add_post(f'{start}/table/transact', serve_transact)
+        app.router.add_get(f'{start}/table/scan', serve_scan)
 
-    async def serve_put(req: web.Request) -> web.Response:
-        state.counts.writes += 1
-        state.objects[req.match_info['name']] = await req.read()
-        return web.Response(status=204)
 
-    async def serve_get(req: web.Request) -> web.Response:
+def add_object_routes(
+    app: web.Application, state: ObjectState, spoil: faults.Faults
+) -> None:
+    """Serves an object store below /objects, or /from/CALLER/objects."""
+
+    async def serve(req: web.Request) -> web.Response:
+        name = req.match_info['name']
+        content = await req.read()
+        state.counts.calls += 1
+
+        async def take_effect() -> web.Response:
+            return _change_object(state, req.method, name, content)
+
+        call = faults.Call(
+            'objects', (name,), faults.get_caller(req), req.method != 'GET'
+        )
+        return await faults.carry_out(spoil, req, call, take_effect)
+
+    for start in faults.PATH_STARTS:
+        for method in ('PUT', 'GET', 'DELETE'):
+            app.router.add_route(method, start + '/objects/{name:.+}', serve)
+
+
+def _change_object(
+    state: ObjectState, method: str, name: str, content: bytes
+) -> web.Response:
+    if method == 'GET':
         state.counts.reads += 1
-        found = state.objects.get(req.match_info['name'])
+        found = state.objects.get(name)
         if found is None:
-            return web.Response(status=404)
+            return web.Response(status=_NOT_FOUND)
         return web.Response(body=found)
-
-    async def serve_delete(req: web.Request) -> web.Response:
-        state.counts.writes += 1
-        state.objects.pop(req.match_info['name'], None)
-        return web.Response(status=204)
-
-    app.router.add_put('/objects/{name:.+}', serve_put)
-    app.router.add_get('/objects/{name:.+}', serve_get)
-    app.router.add_delete('/objects/{name:.+}', serve_delete)
+    state.counts.writes += 1
+    if method == 'PUT':
+        state.objects[name] = content
+    else:
+        state.objects.pop(name, None)
+    return web.Response(status=_NO_CONTENT)
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -13,7 +13,7 @@
     finally:
         await cells.stop(cell)
     assert [row for row in rows if not row.is_as_promised] == []
-    assert cell.platform.violations == []
+    assert cell.platform.book.violations == []
 
 
 async def test_repeat_after_graceful_stop_finds_first_outcome() -> None:
@@ -35,5 +35,5 @@
         await cells.stop(cell)
     assert outcome.finished.answers == [b'done r-1']
     assert again == outcome
-    starts = [r for r in cell.platform.records if r.event == 'start']
+    starts = [r for r in cell.platform.book.records if r.event == 'start']
     assert sum(r.task.startswith('demo/r-1#') for r in starts) == 1
--- /dev/null
+++ b/tests/lib/standins.py
@@ -0,0 +1,27 @@
+"""Stand-ins in the test's own process."""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+import aiohttp
+
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot_standins import servers
+
+CAPACITY = resources.Resources(4000, 4096, 0, 8)
+
+
+@contextlib.asynccontextmanager
+async def serve(
+    count: int = 1,
+) -> AsyncIterator[tuple[servers.Platform, aiohttp.ClientSession]]:
+    """Serves stand-ins with some workers, and a session to call them."""
+    listed = servers.make_workers('here', ['domain-a'], count, CAPACITY)
+    platform = servers.make_platform(listed, clock_lib.make_system_clock())
+    runner = await servers.serve(platform, '127.0.0.1', 0)
+    try:
+        async with aiohttp.ClientSession() as session:
+            yield platform, session
+    finally:
+        await servers.close(platform, runner)
--- /dev/null
+++ b/tests/unit/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapters to the platform."""
--- /dev/null
+++ b/tests/unit/platform/test_http_adapters.py
@@ -0,0 +1,150 @@
+"""Failures of the platform as the adapters show them."""
+
+import aiohttp
+from lib import standins
+import pytest
+
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import workers
+from nutmegknot._internal.platform import fleets
+from nutmegknot._internal.platform import http_fleets
+from nutmegknot._internal.platform import http_objects
+from nutmegknot._internal.platform import http_tables
+from nutmegknot._internal.platform import objects
+from nutmegknot._internal.platform import tables
+from nutmegknot_standins import control_pb2
+from nutmegknot_standins import faults
+from nutmegknot_standins import servers
+
+TIMEOUT_MS = 5_000
+WRITE = tables.Transaction(writes=(tables.Write('a', b'1'),))
+READ = tables.Transaction(reads=('a',))
+
+kinds = control_pb2.FaultKind
+
+
+def order_fault(kind: control_pb2.FaultKind, **fields: object) -> faults.Active:
+    message = control_pb2.Fault(kind=kind, **fields)  # type: ignore[arg-type]
+    return faults.Active(message)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'expected', 'is_written'),
+    [
+        (kinds.FAULT_KIND_DOWN, tables.Unavailable, False),
+        (kinds.FAULT_KIND_CUT, tables.Uncertain, False),
+        (kinds.FAULT_KIND_LOST, tables.Uncertain, True),
+        (kinds.FAULT_KIND_GARBAGE, tables.Uncertain, False),
+    ],
+)
+async def test_failed_write_says_whether_it_may_have_taken_effect(
+    kind: control_pb2.FaultKind, expected: type, is_written: bool
+) -> None:
+    async with standins.serve() as (platform, session):
+        platform.faults.active.append(order_fault(kind, part='table'))
+        table = http_tables.connect(session, platform.url)
+        result = await table.transact(WRITE, TIMEOUT_MS)
+        assert isinstance(result, expected)
+        assert ('a' in platform.table.rows) is is_written
+        read = await table.transact(READ, TIMEOUT_MS)
+        assert isinstance(read, tables.Unavailable)
+
+
+async def test_refused_connection_means_no_effect() -> None:
+    async with standins.serve() as (platform, session):
+        url = platform.url
+        table = http_tables.connect(session, 'http://127.0.0.1:1')
+        result = await table.transact(WRITE, TIMEOUT_MS)
+        assert isinstance(result, tables.Unavailable), url
+
+
+async def test_fault_of_a_prefix_spares_other_keys_and_callers() -> None:
+    async with standins.serve() as (platform, session):
+        platform.faults.active.append(
+            order_fault(
+                kinds.FAULT_KIND_DOWN, part='table', prefix='b', caller='one'
+            )
+        )
+        one = http_tables.connect(session, f'{platform.url}/from/one')
+        two = http_tables.connect(session, f'{platform.url}/from/two')
+        other = tables.Transaction(writes=(tables.Write('b', b''),))
+        assert isinstance(
+            await one.transact(WRITE, TIMEOUT_MS), tables.Committed
+        )
+        assert isinstance(
+            await one.transact(other, TIMEOUT_MS), tables.Unavailable
+        )
+        assert isinstance(
+            await two.transact(other, TIMEOUT_MS), tables.Committed
+        )
+
+
+@pytest.mark.parametrize(
+    ('kind', 'expected', 'is_written'),
+    [
+        (kinds.FAULT_KIND_DOWN, tables.Unavailable, False),
+        (kinds.FAULT_KIND_LOST, tables.Uncertain, True),
+    ],
+)
+async def test_failed_put_says_whether_it_may_have_taken_effect(
+    kind: control_pb2.FaultKind, expected: type, is_written: bool
+) -> None:
+    async with standins.serve() as (platform, session):
+        platform.faults.active.append(order_fault(kind, part='objects'))
+        store = http_objects.connect(session, platform.url)
+        result = await store.put('n', b'x', TIMEOUT_MS)
+        assert isinstance(result, expected)
+        assert ('n' in platform.objects.objects) is is_written
+
+
+async def test_deleting_a_missing_object_succeeds() -> None:
+    async with standins.serve() as (platform, session):
+        store = http_objects.connect(session, platform.url)
+        assert await store.delete('n', TIMEOUT_MS) == objects.Stored()
+        assert await store.get('n', TIMEOUT_MS) == objects.Missing()
+
+
+async def connect_worker(
+    platform: servers.Platform, session: aiohttp.ClientSession
+) -> fleets.Target:
+    fleet = http_fleets.connect(session, platform.url, TIMEOUT_MS)
+    listed = await fleet.list_workers(TIMEOUT_MS)
+    assert isinstance(listed, list)
+    return fleet.connect(listed[0])
+
+
+def make_start(name: str) -> fleets.Start:
+    size = resources.Resources(1000, 100, 0, 1)
+    return fleets.Start(
+        workers.TaskId(f't/{name}'), 't', size, 9_999_999_999_999, b'{}'
+    )
+
+
+async def test_garbage_from_a_worker_is_a_value() -> None:
+    async with standins.serve() as (platform, session):
+        target = await connect_worker(platform, session)
+        platform.faults.active.append(
+            order_fault(kinds.FAULT_KIND_GARBAGE, part='worker')
+        )
+        claimed = await target.claim(1, 'fleet-a-0', 1000)
+        polled = await target.poll(1, fleets.Poll(1000, 10))
+        started = await target.start(1, [make_start('a')])
+        assert isinstance(claimed, tables.Unavailable)
+        assert isinstance(polled, tables.Unavailable)
+        assert isinstance(started, tables.Uncertain)
+
+
+async def test_answer_lost_after_start_shows_the_task_at_the_next_claim() -> (
+    None
+):
+    async with standins.serve() as (platform, session):
+        target = await connect_worker(platform, session)
+        await target.claim(1, 'fleet-a-0', 10_000)
+        lost = order_fault(kinds.FAULT_KIND_LOST, part='worker', count=1)
+        platform.faults.active.append(lost)
+        started = await target.start(1, [make_start('a')])
+        assert isinstance(started, tables.Uncertain)
+        claimed = await target.claim(2, 'fleet-a-0', 10_000)
+        assert isinstance(claimed, fleets.Claimed)
+        assert [e.task.request_key for e in claimed.inventory] == ['t/a']
+        assert await target.start(1, [make_start('b')]) == fleets.StaleToken(2)
