--- a/src/nutmegknot/_internal/instance/instances.py
+++ b/src/nutmegknot/_internal/instance/instances.py
@@ -6,6 +6,7 @@
 from nutmegknot._internal.fleet import fleets as fleet_lib
 from nutmegknot._internal.ledger import ledgers as ledger_lib
 from nutmegknot._internal.membership import leases
+from nutmegknot._internal.models import loads as load_lib
 from nutmegknot._internal.network import channels as channel_lib
 from nutmegknot._internal.network import services
 from nutmegknot._internal.platform import fleets as platform_fleets
@@ -41,6 +42,7 @@
       tasks: Tasks of the instance itself.
       channels: Channels to the other instances.
       calls: Calls being handled.
+      loads: Last known load of each fleet partition, by name.
     """
 
     settings: settings_pb2.Settings
@@ -60,3 +62,6 @@
         default_factory=channel_lib.Channels
     )
     calls: services.Calls = dataclasses.field(default_factory=services.Calls)
+    loads: dict[str, load_lib.SeenLoad] = dataclasses.field(
+        default_factory=dict
+    )
