--- a/src/nutmegknot/_internal/fleet/sessions.py
+++ b/src/nutmegknot/_internal/fleet/sessions.py
@@ -25,9 +25,9 @@
         if not context.may_act():
             answered = False
         elif not session.claimed:
-            answered = await _claim(fleet, context, session)
+            answered = await claim(fleet, context, session)
         else:
-            answered = await _poll(fleet, context, session)
+            answered = await poll(fleet, context, session)
         if answered:
             retries.reset(backoff)
         else:
@@ -35,9 +35,10 @@
             await asyncio.sleep(clock_lib.to_seconds(wait_ms))
 
 
-async def _claim(
+async def claim(
     fleet: fleets.Fleet, context: contexts.Context, session: fleets.Session
 ) -> bool:
+    """Claims a worker and takes its inventory; tells whether it answered."""
     lease_ms = context.settings.fleet.task_lease_ms
     session.renewed_ms = context.clock.now_ms()
     result = await session.target.claim(fleet.epoch, fleet.name, lease_ms)
@@ -84,9 +85,10 @@
     signals.notify(fleet.changed)
 
 
-async def _poll(
+async def poll(
     fleet: fleets.Fleet, context: contexts.Context, session: fleets.Session
 ) -> bool:
+    """Polls a worker for news once; tells whether it answered."""
     settings = context.settings.fleet
     now_ms = context.clock.now_ms()
     lease_ms = settings.task_lease_ms
@@ -129,9 +131,9 @@
         count = session.wake.count
         sent = True
         if session.starts:
-            sent = await _send_starts(fleet, context, session)
+            sent = await send_starts(fleet, context, session)
         if session.stops and sent:
-            sent = await _send_stops(fleet, context, session)
+            sent = await send_stops(fleet, context, session)
         if sent:
             retries.reset(backoff)
             if not session.starts and not session.stops:
@@ -141,7 +143,7 @@
             await asyncio.sleep(clock_lib.to_seconds(wait_ms))
 
 
-async def _send_starts(
+async def send_starts(
     fleet: fleets.Fleet, context: contexts.Context, session: fleets.Session
 ) -> bool:
     """Sends the waiting starts; a repeat of one that arrived is harmless."""
@@ -204,9 +206,10 @@
         jobs.follow(fleet, job)
 
 
-async def _send_stops(
+async def send_stops(
     fleet: fleets.Fleet, context: contexts.Context, session: fleets.Session
 ) -> bool:
+    """Sends the waiting stops; tells whether the worker took them."""
     tasks = list(session.stops)
     grace_ms = context.settings.fleet.grace_ms
     result = await session.target.stop(fleet.epoch, tasks, grace_ms)
