Exchange digests between instances, one task for each peer

Cause: instances knew each other only through the table, so loads of fleet partitions were unknown elsewhere and changes spread at the pace of renewals. Change: schema/digest.proto and one task for each other member (instance/links.py). A digest carries the sender's revision, the version of the change row, whether it reaches the table, and the parts of its loads that differ from what the receiver acknowledged, up to a fixed size; the rest waits for the next tick. A newer revision or change is read from the table at once. Instance.loads has the last load of every fleet partition.

--- a/src/nutmegknot/_internal/instance/instances.py
+++ b/src/nutmegknot/_internal/instance/instances.py
@@ -6,6 +6,7 @@
 
 from nutmegknot._internal.fleet import fleets as fleet_lib
 from nutmegknot._internal.ledger import ledgers as ledger_lib
+from nutmegknot._internal.membership import digests
 from nutmegknot._internal.membership import leases
 from nutmegknot._internal.models import loads as load_lib
 from nutmegknot._internal.network import channels as channel_lib
@@ -45,6 +46,7 @@
       calls: Calls being handled.
       moving: Held while partitions are acquired, opened or handed over.
       opened: Epoch last opened of each partition.
+      received: What the digests of each other instance have told.
       loads: Last known load of each fleet partition, by name.
     """
 
@@ -67,6 +69,9 @@
     calls: services.Calls = dataclasses.field(default_factory=services.Calls)
     moving: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
     opened: dict[str, int] = dataclasses.field(default_factory=dict)
+    received: dict[str, digests.Receiver] = dataclasses.field(
+        default_factory=dict
+    )
     loads: dict[str, load_lib.SeenLoad] = dataclasses.field(
         default_factory=dict
     )
--- /dev/null
+++ b/src/nutmegknot/_internal/instance/links.py
@@ -0,0 +1,158 @@
+"""Digests between instances: one task for each other member."""
+
+import asyncio
+import dataclasses
+import logging
+
+from nutmegknot._internal.instance import instances
+from nutmegknot._internal.instance import loads
+from nutmegknot._internal.instance import routing
+from nutmegknot._internal.membership import digests
+from nutmegknot._internal.membership import leases
+from nutmegknot._internal.membership import views
+from nutmegknot._internal.network import channels
+from nutmegknot._internal.schema import digest_grpc
+from nutmegknot._internal.schema import digest_pb2
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import signals
+from nutmegknot._internal.utils import tasks
+
+logger = logging.getLogger(__name__)
+
+# Questions that are asked while an answer of another instance counts.
+QUESTIONS_PER_ANSWER = 4
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """The way to one other member.
+
+    Attributes:
+      member: Its instance id.
+      address: Its peer address.
+      sender: What it has acknowledged.
+      is_up: Whether the last call was answered.
+    """
+
+    member: str
+    address: str
+    sender: digests.Sender
+    is_up: bool = False
+
+
+async def keep_loads(inst: instances.Instance) -> None:
+    """Computes the owned partitions' loads on a steady tick."""
+    while True:
+        loads.refresh_owned(inst)
+        await asyncio.sleep(
+            clock_lib.to_seconds(inst.settings.membership.digest_ms)
+        )
+
+
+async def keep_links(inst: instances.Instance) -> None:
+    """Keeps one task for each other member, until cancelled."""
+    view = inst.membership.view
+    running: dict[str, asyncio.Task[None]] = {}
+    count = -1
+    while True:
+        count = await signals.wait_beyond(view.changed, count)
+        others = set(view.members) - {view.me.id}
+        for id in set(running) - others:
+            await tasks.cancel(running.pop(id))
+            inst.received.pop(id, None)
+            view.answers.pop(id, None)
+        for id in others - set(running):
+            address = view.members[id].member.address
+            # A later link to the same member goes on with higher numbers.
+            sender = digests.Sender(number=inst.clock.now_ms())
+            link = Link(id, address, sender)
+            running[id] = tasks.spawn(
+                inst.tasks, _keep_link(inst, link), f'link {id}'
+            )
+
+
+async def _keep_link(inst: instances.Instance, link: Link) -> None:
+    """Sends digests to one member on a steady tick, and news at once."""
+    view = inst.membership.view
+    membership = inst.settings.membership
+    while True:
+        count = view.news.count
+        await _send_digest(inst, link)
+        wait_ms = membership.digest_ms
+        if view.reached_since_ms is None:
+            wait_ms = min(wait_ms, membership.answer_ms // QUESTIONS_PER_ANSWER)
+        await signals.wait_at_most(view.news, count, wait_ms)
+
+
+async def _send_digest(inst: instances.Instance, link: Link) -> None:
+    owned = [
+        seen.load for name, seen in inst.loads.items() if name in inst.fleets
+    ]
+    made = digests.make_digest(link.sender, owned)
+    made.message.standing.CopyFrom(make_standing(inst))
+    asked_ms = inst.clock.now_ms()
+    stub = digest_grpc.PeerStub(channels.get(inst.channels, link.address))
+    timeout_ms = inst.settings.membership.answer_ms
+    try:
+        reply = await stub.Exchange(
+            made.message, timeout=clock_lib.to_seconds(timeout_ms)
+        )
+    except routing.CALL_ERRORS as error:
+        if link.is_up:
+            logger.info(
+                'link_down', extra={'member': link.member, 'why': repr(error)}
+            )
+        link.is_up = False
+        return
+    if reply.standing.member != link.member:
+        # Another instance has the address now; the lease row will tell.
+        return
+    if reply.number != link.sender.number:
+        return
+    link.is_up = True
+    if reply.reset:
+        digests.reset(link.sender)
+    else:
+        digests.acknowledge(link.sender, made)
+    answer = views.Answer(asked_ms, reply.standing.reaches_store)
+    leases.take_answer(inst.membership, link.member, answer)
+    leases.take_news(
+        inst.membership, reply.standing.revision, reply.standing.change
+    )
+
+
+def make_standing(inst: instances.Instance) -> digest_pb2.Standing:
+    """Returns what every digest and reply says of this instance."""
+    view = inst.membership.view
+    since_ms = view.reached_since_ms
+    standing = digest_pb2.Standing(
+        member=view.me.id,
+        leaving=view.me.leaving,
+        revision=view.configuration.revision,
+        change=max(0, view.change),
+        reaches_store=since_ms is not None,
+    )
+    if since_ms is not None:
+        standing.reached_ms = inst.clock.now_ms() - since_ms
+    return standing
+
+
+async def exchange(
+    inst: instances.Instance, call: digest_pb2.Digest, wait_ms: int
+) -> digest_pb2.DigestReply:
+    """Takes a digest of another instance."""
+    standing = call.standing
+    receiver = inst.received.setdefault(standing.member, digests.Receiver())
+    told = digests.take_digest(receiver, call)
+    for load in told or []:
+        loads.take_load(inst, load)
+    leases.take_news(inst.membership, standing.revision, standing.change)
+    known = inst.membership.view.answers.get(standing.member)
+    if known is not None and known.reaches != standing.reaches_store:
+        # What it says may be old by now; it is asked anew before it counts.
+        signals.notify(inst.membership.view.news)
+    return digest_pb2.DigestReply(
+        standing=make_standing(inst),
+        number=call.number,
+        reset=told is None,
+    )
--- a/src/nutmegknot/_internal/instance/running.py
+++ b/src/nutmegknot/_internal/instance/running.py
@@ -14,6 +14,7 @@
 from nutmegknot._internal.instance import fleet_calls
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import ledger_calls
+from nutmegknot._internal.instance import links
 from nutmegknot._internal.instance import operators
 from nutmegknot._internal.instance import serving
 from nutmegknot._internal.membership import leases
@@ -25,6 +26,7 @@
 from nutmegknot._internal.platform import http_objects
 from nutmegknot._internal.platform import http_tables
 from nutmegknot._internal.schema import caller_pb2
+from nutmegknot._internal.schema import digest_pb2
 from nutmegknot._internal.schema import operator_pb2
 from nutmegknot._internal.schema import peer_pb2
 from nutmegknot._internal.schema import settings_pb2
@@ -146,6 +148,13 @@
     }
 
 
+def make_peer_handles(
+    inst: instances.Instance,
+) -> dict[str, services.Handle]:
+    """Returns the function of each method of the peer interface."""
+    return {'Exchange': functools.partial(links.exchange, inst)}
+
+
 async def listen(inst: instances.Instance) -> Servers | PortTaken:
     """Opens the ports for callers and operators, and for other instances."""
 
@@ -165,6 +174,7 @@
         [
             bind(peer_pb2, 'Ledger', make_ledger_handles(inst)),
             bind(peer_pb2, 'Fleet', make_fleet_handles(inst)),
+            bind(digest_pb2, 'Peer', make_peer_handles(inst)),
         ]
     )
     settings = inst.settings.instance
@@ -192,6 +202,8 @@
         return PlatformUnreached(f'{url}: the table service does not answer')
     tasks.spawn(inst.tasks, leases.keep_lease(inst.membership), 'lease')
     tasks.spawn(inst.tasks, serving.keep_owning(inst), 'own')
+    tasks.spawn(inst.tasks, links.keep_loads(inst), 'loads')
+    tasks.spawn(inst.tasks, links.keep_links(inst), 'links')
     me = inst.membership.view.me
     logger.info(
         'serving', extra={'id': me.id, 'listen': inst.settings.instance.listen}
--- a/src/nutmegknot/_internal/membership/leases.py
+++ b/src/nutmegknot/_internal/membership/leases.py
@@ -329,6 +329,14 @@
         return None
 
 
+def take_news(context: Context, revision: int, change: int) -> None:
+    """Takes note of what another instance has read; reads it at once if new."""
+    view = context.view
+    view.known_revision = max(view.known_revision, revision)
+    if revision > view.configuration.revision or change > view.change:
+        signals.notify(context.lease.wanted)
+
+
 def begin_leaving(context: Context) -> None:
     """Has the next renewal say that the instance is stopping."""
     view = context.view
--- /dev/null
+++ b/tests/unit/membership/test_digests.py
@@ -0,0 +1,78 @@
+"""Tests of membership/digests.py."""
+
+import dataclasses
+import random
+
+from nutmegknot._internal.membership import digests
+from nutmegknot._internal.models import loads
+from nutmegknot._internal.models import requests
+from nutmegknot._internal.models import resources
+
+STEPS = 400
+
+
+def make_load(rng: random.Random, epoch: int) -> loads.Load:
+    def draw() -> resources.Resources:
+        return resources.Resources(rng.randrange(10**6), rng.randrange(10**6))
+
+    return loads.Load(
+        partition='fleet-d-0',
+        domain='d',
+        region='r',
+        epoch=epoch,
+        capacity=draw(),
+        free=draw(),
+        largest_hole=draw(),
+        shapes=(loads.Shape(draw(), 3),),
+        queued={requests.PriorityClass.URGENT: draw()},
+        usage={f'team-{n}': draw() for n in range(44)},
+    )
+
+
+def deliver(
+    sender: digests.Sender, receiver: digests.Receiver, told: list[loads.Load]
+) -> list[loads.Load]:
+    made = digests.make_digest(sender, told)
+    taken = digests.take_digest(receiver, made.message)
+    if taken is None:
+        digests.reset(sender)
+        return []
+    digests.acknowledge(sender, made)
+    return taken
+
+
+def strip(load: loads.Load) -> loads.Load:
+    usage = {t: h for t, h in load.usage.items() if h != resources.NOTHING}
+    return dataclasses.replace(load, usage=usage)
+
+
+def test_receiver_comes_to_know_what_sender_has() -> None:
+    rng = random.Random(1)
+    sender, receiver = digests.Sender(), digests.Receiver()
+    for step in range(STEPS):
+        load = make_load(rng, 1 + step // 150)
+        made = digests.make_digest(sender, [load])
+        assert made.message.ByteSize() <= digests.FULL_BYTES + 80
+        event = rng.choice(['taken', 'lost', 'unanswered', 'forgotten'])
+        if event == 'forgotten':
+            receiver = digests.Receiver()
+        if event == 'lost':
+            continue
+        taken = digests.take_digest(receiver, made.message)
+        if taken is None:
+            digests.reset(sender)
+        elif event != 'unanswered':
+            digests.acknowledge(sender, made)
+    load = dataclasses.replace(load, usage={'team-1': load.capacity})
+    for _ in range(12):
+        taken = deliver(sender, receiver, [load]) or taken
+    assert taken and strip(taken[-1]) == strip(load)
+    assert deliver(sender, receiver, [load]) == []
+
+
+def test_overtaken_digest_changes_nothing() -> None:
+    rng = random.Random(2)
+    sender, receiver = digests.Sender(), digests.Receiver()
+    early = digests.make_digest(sender, [make_load(rng, 1)])
+    deliver(sender, receiver, [make_load(rng, 1)])
+    assert digests.take_digest(receiver, early.message) == []
