--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -7,15 +7,14 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import random
 import sys
 import threading
 import time
 import tracemalloc
 
 import aiohttp
-from lib import fakes
 from lib import makers
+from lib import partitions
 
 from benchmarks import fits
 from nutmegknot._internal.codec import values
@@ -23,7 +22,6 @@
 from nutmegknot._internal.fleet import fleets
 from nutmegknot._internal.fleet import jobs
 from nutmegknot._internal.ledger import accepting
-from nutmegknot._internal.ledger import journals
 from nutmegknot._internal.ledger import ledgers
 from nutmegknot._internal.ledger import reporting
 from nutmegknot._internal.models import outcomes
@@ -33,7 +31,6 @@
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.platform import fleets as platform_fleets
 from nutmegknot._internal.platform import http_fleets
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot_standins import servers
 
@@ -127,23 +124,8 @@
 
 
 async def _run_requests(size: int) -> None:
-    fake = fakes.FakeTable()
-    fake.rows['owner'] = tables.Row('owner', b'', 1)
-    journal = journals.Journal('ledger-0', 1, tables.Condition('owner', 1))
-    ledger = ledgers.Ledger('ledger-0', 1, journal)
-    context = accepting.Context(
-        clock_lib.make_system_clock(),
-        lambda: True,
-        lambda req, avoid: accepting.Choice('fleet-d-0', 1),
-    )
-    writer = asyncio.create_task(
-        journals.keep_writing(
-            journal,
-            journals.Context(
-                fakes.connect_table(fake), random.Random(1), 0, 1000
-            ),
-        )
-    )
+    owner = await partitions.take_over(partitions.Cell())
+    ledger, context = owner.ledger, owner.context
     made = [
         makers.make_request(f'job-{n}', payload=b'x' * 200) for n in range(size)
     ]
@@ -157,7 +139,7 @@
             for req in made
         ]
         await reporting.take_reports(ledger, context, given)
-    writer.cancel()
+    await partitions.stop(owner)
 
 
 def encode_assignments(size: int) -> None:
--- a/src/nutmegknot/_internal/codec/records.py
+++ b/src/nutmegknot/_internal/codec/records.py
@@ -16,11 +16,12 @@
             message.accept.request.CopyFrom(values.encode_request(req))
             message.accept.fleet = fleet
             message.accept.fleet_epoch = fleet_epoch
-        case records.Assign(fleet, fleet_epoch, attempt, reason):
+        case records.Assign(fleet, fleet_epoch, attempt, reason, started):
             message.assign.fleet = fleet
             message.assign.fleet_epoch = fleet_epoch
             message.assign.attempt = attempt
             message.assign.reason = reason
+            message.assign.started = started
         case records.Start(attempt, workers):
             message.start.attempt = attempt
             message.start.workers.extend(workers)
@@ -53,7 +54,11 @@
         case 'assign':
             assign = message.assign
             return records.Assign(
-                assign.fleet, assign.fleet_epoch, assign.attempt, assign.reason
+                assign.fleet,
+                assign.fleet_epoch,
+                assign.attempt,
+                assign.reason,
+                assign.started,
             )
         case 'start':
             return records.Start(
--- a/src/nutmegknot/_internal/codec/values.py
+++ b/src/nutmegknot/_internal/codec/values.py
@@ -158,6 +158,7 @@
         fleet_epoch=given.fleet_epoch,
         attempt=given.attempt,
         accepted_ms=given.accepted_ms,
+        cancelled=given.cancelled,
     )
 
 
@@ -170,4 +171,5 @@
         fleet_epoch=message.fleet_epoch,
         attempt=message.attempt,
         accepted_ms=message.accepted_ms,
+        cancelled=message.cancelled,
     )
--- a/src/nutmegknot/_internal/instance/assigning.py
+++ b/src/nutmegknot/_internal/instance/assigning.py
@@ -9,10 +9,11 @@
 from nutmegknot._internal.instance import authority
 from nutmegknot._internal.instance import fleet_calls
 from nutmegknot._internal.instance import instances
+from nutmegknot._internal.instance import ledger_calls
 from nutmegknot._internal.instance import routing
+from nutmegknot._internal.ledger import beginning
 from nutmegknot._internal.ledger import ledgers
 from nutmegknot._internal.models import partitions
-from nutmegknot._internal.models import requests
 from nutmegknot._internal.network import channels
 from nutmegknot._internal.schema import peer_grpc
 from nutmegknot._internal.schema import peer_pb2
@@ -107,43 +108,91 @@
 ) -> bool:
     """Sends one call of each kind that is due; tells whether all arrived."""
     complete = link.listed_epoch != owner.epoch
-    unsent = ledger.unsent.setdefault(link.fleet, set())
+    known_epoch = ledger.fleet_epochs.get(link.fleet, 0)
+    ledger.fleet_epochs[link.fleet] = max(known_epoch, owner.epoch)
     if complete:
-        sent = {
-            requests.get_key(e.req): e
-            for e in ledgers.list_open(ledger, link.fleet)
-        }
+        due = ledgers.list_open(ledger, link.fleet)
     else:
-        keys = list(itertools.islice(unsent, MAX_BATCH))
-        found = {key: ledger.entries.get(key) for key in keys}
-        sent = {
-            key: entry
-            for key, entry in found.items()
-            if entry is not None
-            and entry.outcome is None
-            and entry.fleet == link.fleet
-        }
-        unsent.difference_update(keys - sent.keys())
+        due = _list_unsent(ledger, link)
+    sent = _keep_sendable(inst, ledger, due, owner.epoch)
     if complete or sent:
-        call = peer_pb2.AssignCall(
-            partition=link.fleet,
-            epoch=owner.epoch,
-            ledger=ledger.name,
-            ledger_epoch=ledger.epoch,
-            number=next(link.numbers),
-            complete=complete,
-            assignments=[
-                values.encode_assignment(ledgers.make_assignment(ledger, entry))
-                for entry in sent.values()
-            ],
-        )
+        call = _make_call(ledger, link, owner, complete, sent)
         if not await _assign(inst, owner, call):
             return False
-        unsent.difference_update(sent)
+        _mark_sent(ledger, link, call)
         link.listed_epoch = owner.epoch
     return await _send_withdrawals(inst, ledger, link, owner)
 
 
+def _list_unsent(ledger: ledgers.Ledger, link: Link) -> list[ledgers.Entry]:
+    """Returns some entries to be sent, and drops the keys of ended ones."""
+    unsent = ledger.unsent.setdefault(link.fleet, set())
+    keys = list(itertools.islice(unsent, MAX_BATCH))
+    due = []
+    for key in keys:
+        entry = ledger.entries.get(key)
+        if entry is None or entry.outcome or entry.fleet != link.fleet:
+            unsent.discard(key)
+        else:
+            due.append(entry)
+    return due
+
+
+def _keep_sendable(
+    inst: instances.Instance,
+    ledger: ledgers.Ledger,
+    due: list[ledgers.Entry],
+    epoch: int,
+) -> list[ledgers.Entry]:
+    """Returns the entries without those that get an assignment of the epoch.
+
+    Those are sent once the new assignment is durable.
+    """
+    context = ledger_calls.make_context(inst, ledger)
+    sendable = []
+    for entry in due:
+        if beginning.must_move(context, entry, epoch):
+            beginning.move(ledger, context, entry)
+            unsent = ledger.unsent.setdefault(entry.fleet, set())
+            unsent.discard(ledgers.get_key(entry))
+        else:
+            sendable.append(entry)
+    return sendable
+
+
+def _make_call(
+    ledger: ledgers.Ledger,
+    link: Link,
+    owner: partitions.Ownership,
+    complete: bool,
+    sent: list[ledgers.Entry],
+) -> peer_pb2.AssignCall:
+    return peer_pb2.AssignCall(
+        partition=link.fleet,
+        epoch=owner.epoch,
+        ledger=ledger.name,
+        ledger_epoch=ledger.epoch,
+        number=next(link.numbers),
+        complete=complete,
+        assignments=[
+            values.encode_assignment(ledgers.make_assignment(ledger, entry))
+            for entry in sent
+        ],
+    )
+
+
+def _mark_sent(
+    ledger: ledgers.Ledger, link: Link, call: peer_pb2.AssignCall
+) -> None:
+    """Drops the keys of sent entries, unless they were assigned again."""
+    unsent = ledger.unsent.setdefault(link.fleet, set())
+    for given in call.assignments:
+        key = f'{given.request.team}/{given.request.id}'
+        entry = ledger.entries.get(key)
+        if entry is None or entry.attempt == given.attempt:
+            unsent.discard(key)
+
+
 async def _assign(
     inst: instances.Instance,
     owner: partitions.Ownership,
--- a/src/nutmegknot/_internal/instance/dumps.py
+++ b/src/nutmegknot/_internal/instance/dumps.py
@@ -22,7 +22,7 @@
         'ledgers': {
             name: {
                 'epoch': ledger.epoch,
-                'sequence': ledger.journal.sequence,
+                'sequence': ledger.journal.last.sequence,
                 'entries': len(ledger.entries),
                 'open': sum(e.outcome is None for e in ledger.entries.values()),
             }
--- a/src/nutmegknot/_internal/instance/fleet_calls.py
+++ b/src/nutmegknot/_internal/instance/fleet_calls.py
@@ -26,6 +26,8 @@
     for one in given:
         jobs.take_assignment(fleet, one)
         deadlines.watch(fleet, one)
+        if one.cancelled:
+            jobs.withdraw(fleet, requests.get_key(one.req))
     if call.complete:
         _drop_unlisted(inst, call, {requests.get_key(o.req) for o in given})
         fleet.complete.add(call.ledger)
--- a/src/nutmegknot/_internal/instance/ledger_calls.py
+++ b/src/nutmegknot/_internal/instance/ledger_calls.py
@@ -9,11 +9,17 @@
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import routing
 from nutmegknot._internal.ledger import accepting
+from nutmegknot._internal.ledger import beginning
+from nutmegknot._internal.ledger import journals
 from nutmegknot._internal.ledger import ledgers
 from nutmegknot._internal.ledger import reporting
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.schema import peer_pb2
 
+# Whether fleet partitions call instance/reporting.begin before the first start
+# of what is not repeatable. It may be true only once every such start does.
+FLEETS_ASK_BEGIN = False
+
 
 def make_context(
     inst: instances.Instance, ledger: ledgers.Ledger
@@ -23,6 +29,8 @@
         clock=inst.clock,
         may_act=lambda: authority.may_act_for(inst, ledger.name, ledger.epoch),
         choose_fleet=lambda req, avoid: routing.choose_fleet(inst, req, avoid),
+        attempts=inst.settings.fleet.attempts,
+        asks_begin=FLEETS_ASK_BEGIN,
     )
 
 
@@ -32,7 +40,11 @@
     )
 
 
-def _reply(outcome: outcomes.Outcome) -> peer_pb2.LedgerReply:
+def _reply(
+    partition: str, outcome: outcomes.Outcome | journals.Fenced
+) -> peer_pb2.LedgerReply:
+    if isinstance(outcome, journals.Fenced):
+        return _refuse_foreign(partition)
     return peer_pb2.LedgerReply(outcome=values.encode_outcome(outcome))
 
 
@@ -45,7 +57,8 @@
         return _refuse_foreign(call.partition)
     req = values.decode_request(call.request)
     context = make_context(inst, ledger)
-    return _reply(await accepting.submit(ledger, context, req, wait_ms))
+    outcome = await accepting.submit(ledger, context, req, wait_ms)
+    return _reply(ledger.name, outcome)
 
 
 async def wait(
@@ -56,7 +69,8 @@
     if ledger is None:
         return _refuse_foreign(call.partition)
     wait_ms = min(wait_ms, call.wait_ms)
-    return _reply(await accepting.wait(ledger, call.request_key, wait_ms))
+    outcome = await accepting.wait(ledger, call.request_key, wait_ms)
+    return _reply(ledger.name, outcome)
 
 
 async def cancel(
@@ -67,7 +81,8 @@
     if ledger is None:
         return _refuse_foreign(call.partition)
     context = make_context(inst, ledger)
-    return _reply(await accepting.cancel(ledger, context, call.request_key))
+    outcome = await accepting.cancel(ledger, context, call.request_key, wait_ms)
+    return _reply(ledger.name, outcome)
 
 
 async def describe(
@@ -77,7 +92,7 @@
     ledger = inst.ledgers.get(call.partition)
     if ledger is None:
         return _refuse_foreign(call.partition)
-    return _reply(accepting.describe(ledger, call.request_key))
+    return _reply(ledger.name, accepting.describe(ledger, call.request_key))
 
 
 CALLS: dict[
@@ -102,3 +117,23 @@
     return peer_pb2.ReportReply(
         not_owner=peer_pb2.NotOwner(partition=call.partition)
     )
+
+
+async def begin(
+    inst: instances.Instance, call: peer_pb2.BeginCall, wait_ms: int
+) -> peer_pb2.BeginReply:
+    """Grants the first start of assignments that are not repeatable."""
+    ledger = inst.ledgers.get(call.partition)
+    if ledger is None:
+        return peer_pb2.BeginReply(
+            not_owner=peer_pb2.NotOwner(partition=call.partition)
+        )
+    context = make_context(inst, ledger)
+    granted = peer_pb2.BeginGranted()
+    for one in call.beginnings:
+        asked = beginning.Beginning(
+            one.request_key, one.attempt, call.fleet, call.fleet_epoch
+        )
+        if beginning.begin(ledger, context, asked):
+            granted.request_keys.append(one.request_key)
+    return peer_pb2.BeginReply(granted=granted)
--- /dev/null
+++ b/src/nutmegknot/_internal/instance/ledger_opening.py
@@ -0,0 +1,142 @@
+"""Opening a ledger partition that this instance has just acquired."""
+
+import functools
+import logging
+
+from nutmegknot._internal.instance import assigning
+from nutmegknot._internal.instance import instances
+from nutmegknot._internal.instance import replicas
+from nutmegknot._internal.ledger import forgetting
+from nutmegknot._internal.ledger import journals
+from nutmegknot._internal.ledger import ledgers
+from nutmegknot._internal.ledger import recovery
+from nutmegknot._internal.ledger import segments
+from nutmegknot._internal.ledger import snapshotting
+from nutmegknot._internal.ledger import writing
+from nutmegknot._internal.membership import leases
+from nutmegknot._internal.membership import owning
+from nutmegknot._internal.membership import views
+from nutmegknot._internal.platform import tables
+from nutmegknot._internal.schema import table_pb2
+from nutmegknot._internal.utils import tasks
+
+logger = logging.getLogger(__name__)
+
+BYTES_PER_KIB = 1024
+# Full segments that may wait before requests are refused as too many.
+MAX_WAITING_SEGMENTS = 16
+
+
+async def open_ledger(inst: instances.Instance, name: str) -> None:
+    """Recovers a ledger partition and starts its tasks, or releases it."""
+    ledger = _make_ledger(inst, name)
+    store = make_store(inst)
+    epochs = await _read_epochs(store)
+    recovered: recovery.Recovering
+    if isinstance(epochs, tables.Unavailable):
+        recovered = epochs
+    else:
+        ledger.fleet_epochs = epochs
+        recovered = await recovery.recover(ledger, store)
+    match recovered:
+        case recovery.Recovered():
+            _serve(inst, ledger, store, recovered)
+        case segments.Damaged(sequence, reason):
+            logger.error(
+                'ledger_damaged',
+                extra={'partition': name, 'sequence': sequence, 'why': reason},
+            )
+            await owning.release(inst.membership, name)
+        case tables.Unavailable():
+            await owning.release(inst.membership, name)
+
+
+def make_store(inst: instances.Instance) -> recovery.Store:
+    """Returns the platform's services that keep journals."""
+    return recovery.Store(
+        inst.platform.table,
+        inst.platform.objects,
+        inst.settings.platform.timeout_ms,
+    )
+
+
+def _make_ledger(inst: instances.Instance, name: str) -> ledgers.Ledger:
+    view = inst.membership.view
+    epoch = views.get_epoch(view, name)
+    fence = tables.Condition(
+        leases.get_owner_key(name), view.owner_versions[name]
+    )
+    segment_bytes = inst.settings.ledger.segment_kib * BYTES_PER_KIB
+    journal = journals.Journal(
+        name, epoch, fence, MAX_WAITING_SEGMENTS * segment_bytes
+    )
+    return ledgers.Ledger(name, epoch, journal)
+
+
+async def _read_epochs(
+    store: recovery.Store,
+) -> dict[str, int] | tables.Unavailable:
+    """Reads the epoch of each partition from the owner rows.
+
+    An earlier owner of the ledger partition may have sent assignments to any
+    owner named there, so nothing of an earlier epoch may be believed.
+    """
+    rows = await store.table.scan(leases.OWNER_PREFIX, store.timeout_ms)
+    if isinstance(rows, tables.Unavailable):
+        return rows
+    found = [table_pb2.OwnerRow.FromString(row.value) for row in rows]
+    return {owner.partition: owner.epoch for owner in found}
+
+
+def _serve(
+    inst: instances.Instance,
+    ledger: ledgers.Ledger,
+    store: recovery.Store,
+    recovered: recovery.Recovered,
+) -> None:
+    name = ledger.name
+    settings = inst.settings.ledger
+    part = tasks.Tasks(broken=inst.tasks.broken)
+    inst.ledgers[name] = ledger
+    inst.part_tasks[name] = part
+    writer = writing.Context(
+        table=store.table,
+        rng=inst.rng,
+        clock=inst.clock,
+        commit_ms=settings.commit_ms,
+        timeout_ms=store.timeout_ms,
+        segment_bytes=settings.segment_kib * BYTES_PER_KIB,
+        apply=functools.partial(ledgers.apply_record, ledger),
+    )
+    snapshotter = snapshotting.Snapshotter(
+        ledger,
+        store,
+        inst.rng,
+        settings.snapshot_segments,
+        recovered.pointer,
+        recovered.snapshot_bytes,
+    )
+    forget = forgetting.keep_forgetting(
+        ledger, inst.clock, settings.retention_ms
+    )
+    work = {
+        f'write {name}': writing.keep_writing(ledger.journal, writer),
+        f'snapshot {name}': snapshotting.keep_snapshotting(snapshotter),
+        f'forget {name}': forget,
+        f'keep {name}': replicas.keep_services(inst, ledger),
+    }
+    for fleet in owning.list_partitions(inst.settings):
+        if fleet.startswith('fleet-'):
+            work[f'assign {name} {fleet}'] = assigning.keep_assigning(
+                inst, ledger, fleet
+            )
+    for task_name, coroutine in work.items():
+        tasks.spawn(part, coroutine, task_name)
+    logger.info(
+        'ledger_opened',
+        extra={
+            'partition': name,
+            'epoch': ledger.epoch,
+            'entries': len(ledger.entries),
+        },
+    )
--- a/src/nutmegknot/_internal/instance/replicas.py
+++ b/src/nutmegknot/_internal/instance/replicas.py
@@ -1,5 +1,7 @@
 """Keeping the replicas of services as requests of a ledger partition."""
 
+import asyncio
+
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import ledger_calls
 from nutmegknot._internal.ledger import accepting
@@ -10,7 +12,7 @@
 from nutmegknot._internal.utils import signals
 
 CHECK_MS = 1_000
-SUBMIT_MS = 10_000
+CALL_MS = 10_000
 
 
 async def keep_services(
@@ -25,41 +27,47 @@
         if not context.may_act():
             continue
         services = view.configuration.services
-        for service in services.values():
-            for number in range(service.replicas):
-                if _belongs_here(inst, ledger, service, number):
-                    await _keep_replica(ledger, context, service, number)
-        await _cancel_surplus(ledger, context, services)
+        missing = _list_missing(inst, ledger, services)
+        surplus = _list_surplus(ledger, services)
+        await asyncio.gather(
+            *(accepting.submit(ledger, context, r, CALL_MS) for r in missing),
+            *(accepting.cancel(ledger, context, k, CALL_MS) for k in surplus),
+        )
 
 
-def _belongs_here(
+def _list_missing(
     inst: instances.Instance,
     ledger: ledgers.Ledger,
-    service: cells.Service,
-    number: int,
-) -> bool:
-    name = f'{service.team}/service/{service.name}/{number}'
+    services: dict[str, cells.Service],
+) -> list[requests.Request]:
+    """Returns the next generation of each replica whose last one has ended."""
     count = inst.settings.cell.ledger_partitions
-    return hashing.choose_ledger(name, count) == ledger.name
+    missing = []
+    for service in services.values():
+        for number in range(service.replicas):
+            stem = get_stem(service, number)
+            if hashing.choose_ledger(stem, count) != ledger.name:
+                continue
+            generation = _find_missing(ledger, stem)
+            if generation is not None:
+                missing.append(make_replica(service, number, generation))
+    return missing
 
 
-async def _keep_replica(
-    ledger: ledgers.Ledger,
-    context: accepting.Context,
-    service: cells.Service,
-    number: int,
-) -> None:
-    """Submits the next generation of a replica whose last one has ended."""
-    generation = 0
-    while True:
-        req = make_replica(service, number, generation)
-        entry = ledger.entries.get(requests.get_key(req))
-        if entry is None:
-            break
-        if entry.outcome is None and not entry.cancelled:
-            return
-        generation += 1
-    await accepting.submit(ledger, context, req, SUBMIT_MS)
+def _find_missing(ledger: ledgers.Ledger, stem: str) -> int | None:
+    """Returns the generation to submit, or None if one is open."""
+    newest = ledger.replicas.get(stem)
+    if newest is None:
+        return 0
+    entry = ledger.entries.get(f'{stem}@{newest}')
+    if entry is None or entry.outcome is not None or entry.cancelled:
+        return newest + 1
+    return None
+
+
+def get_stem(service: cells.Service, number: int) -> str:
+    """Returns what the request keys of a replica's generations share."""
+    return f'{service.team}/service/{service.name}/{number}'
 
 
 def make_replica(
@@ -76,16 +84,18 @@
     )
 
 
-async def _cancel_surplus(
-    ledger: ledgers.Ledger,
-    context: accepting.Context,
-    services: dict[str, cells.Service],
-) -> None:
-    for key, entry in list(ledger.entries.items()):
-        if not entry.req.service or entry.outcome is not None:
+def _list_surplus(
+    ledger: ledgers.Ledger, services: dict[str, cells.Service]
+) -> list[str]:
+    """Returns the open replicas that no service asks for any more."""
+    surplus = []
+    for stem, generation in ledger.replicas.items():
+        key = f'{stem}@{generation}'
+        entry = ledger.entries.get(key)
+        if entry is None or entry.outcome is not None or entry.cancelled:
             continue
         service = services.get(entry.req.service)
-        number = int(entry.req.id.partition('@')[0].rpartition('/')[2])
-        is_surplus = service is None or number >= service.replicas
-        if is_surplus and not entry.cancelled:
-            await accepting.cancel(ledger, context, key)
+        number = int(stem.rpartition('/')[2])
+        if service is None or number >= service.replicas:
+            surplus.append(key)
+    return surplus
--- a/src/nutmegknot/_internal/instance/running.py
+++ b/src/nutmegknot/_internal/instance/running.py
@@ -133,6 +133,7 @@
         'Cancel': functools.partial(ledger_calls.cancel, inst),
         'Describe': functools.partial(ledger_calls.describe, inst),
         'Report': functools.partial(ledger_calls.report, inst),
+        'Begin': functools.partial(ledger_calls.begin, inst),
     }
 
 
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -10,19 +10,16 @@
 from nutmegknot._internal.fleet import jobs
 from nutmegknot._internal.fleet import listing
 from nutmegknot._internal.fleet import reporting as fleet_reporting
-from nutmegknot._internal.instance import assigning
 from nutmegknot._internal.instance import authority
 from nutmegknot._internal.instance import instances
-from nutmegknot._internal.instance import replicas
+from nutmegknot._internal.instance import ledger_opening
 from nutmegknot._internal.instance import reporting
 from nutmegknot._internal.instance import routing
 from nutmegknot._internal.ledger import journals
 from nutmegknot._internal.ledger import ledgers
-from nutmegknot._internal.membership import leases
 from nutmegknot._internal.membership import owning
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import reports
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
@@ -66,49 +63,11 @@
 async def open_partition(inst: instances.Instance, name: str) -> None:
     """Starts to serve a partition that has just been acquired."""
     if name.startswith('ledger-'):
-        await _open_ledger(inst, name)
+        await ledger_opening.open_ledger(inst, name)
     else:
         _open_fleet(inst, name)
 
 
-async def _open_ledger(inst: instances.Instance, name: str) -> None:
-    view = inst.membership.view
-    epoch = views.get_epoch(view, name)
-    fence = tables.Condition(
-        leases.get_owner_key(name), view.owner_versions[name]
-    )
-    journal = journals.Journal(name, epoch, fence)
-    context = journals.Context(
-        inst.platform.table,
-        inst.rng,
-        inst.settings.ledger.commit_ms,
-        inst.settings.platform.timeout_ms,
-    )
-    found = await journals.recover(journal, context)
-    if isinstance(found, tables.Unavailable):
-        await owning.release(inst.membership, name)
-        return
-    ledger = ledgers.Ledger(name, epoch, journal)
-    for record in found:
-        ledgers.apply_record(ledger, record)
-    part = tasks.Tasks(broken=inst.tasks.broken)
-    inst.ledgers[name] = ledger
-    inst.part_tasks[name] = part
-    tasks.spawn(part, journals.keep_writing(journal, context), f'write {name}')
-    tasks.spawn(part, replicas.keep_services(inst, ledger), f'keep {name}')
-    for fleet in owning.list_partitions(inst.settings):
-        if fleet.startswith('fleet-'):
-            tasks.spawn(
-                part,
-                assigning.keep_assigning(inst, ledger, fleet),
-                f'assign {name} {fleet}',
-            )
-    logger.info(
-        'ledger_opened',
-        extra={'partition': name, 'epoch': epoch, 'entries': len(found)},
-    )
-
-
 def _open_fleet(inst: instances.Instance, name: str) -> None:
     view = inst.membership.view
     domain = routing.get_domain(name)
--- a/src/nutmegknot/_internal/ledger/accepting.py
+++ b/src/nutmegknot/_internal/ledger/accepting.py
@@ -12,6 +12,8 @@
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import hashing
 
+OVERLOAD_RETRY_MS = 2_000
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Choice:
@@ -30,6 +32,9 @@
       may_act: Tells whether the instance may act for the partition now.
       choose_fleet: Chooses the fleet partition of a request; the second
         argument names those to avoid.
+      attempts: Attempts of a repeatable request that may fail.
+      asks_begin: Whether fleet partitions ask before they start what is not
+        repeatable, so that what never asked surely has not started.
     """
 
     clock: clock_lib.Clock
@@ -37,6 +42,8 @@
     choose_fleet: Callable[
         [requests.Request, frozenset[str]], Choice | outcomes.Refused
     ]
+    attempts: int = 4
+    asks_begin: bool = False
 
 
 async def submit(
@@ -44,7 +51,7 @@
     context: Context,
     req: requests.Request,
     wait_ms: int,
-) -> outcomes.Outcome:
+) -> outcomes.Outcome | journals.Fenced:
     """Accepts a request durably, or finds the acceptance of its first copy.
 
     Args:
@@ -54,75 +61,81 @@
       wait_ms: Time left to the caller in ms.
 
     Returns:
-      Accepted, Conflict, Refused, or Unknown if the write did not end in time.
+      Accepted, Conflict, Refused, Unknown if the write did not end in time, or
+      Fenced if nothing was written since the partition has a new owner.
     """
     key = requests.get_key(req)
     fingerprint = hashing.compute_fingerprint(req)
     entry = ledger.entries.get(key)
-    if entry is None:
-        made = _open_entry(ledger, context, req, fingerprint)
+    if entry is not None:
+        if entry.fingerprint != fingerprint:
+            return outcomes.Conflict(key)
+        return outcomes.Accepted(key)
+    pending = ledger.accepting.get(key)
+    if pending is None:
+        refusal = _find_refusal(ledger, context, req)
+        if refusal is not None:
+            return refusal
+        made = _open_acceptance(ledger, context, req, fingerprint)
         if isinstance(made, outcomes.Refused):
             return made
-        entry = made
-    elif entry.fingerprint != fingerprint:
+        pending = made
+    elif pending.fingerprint != fingerprint:
         return outcomes.Conflict(key)
-    if entry.accepting is None:
-        return outcomes.Accepted(key)
-    return await _await_acceptance(ledger, key, entry, wait_ms)
+    return await _await_acceptance(ledger, key, pending, wait_ms)
+
+
+def _find_refusal(
+    ledger: ledgers.Ledger, context: Context, req: requests.Request
+) -> outcomes.Refused | None:
+    if not context.may_act():
+        return outcomes.Refused(
+            outcomes.RefusalReason.UNAVAILABLE, 'authority is not confirmed'
+        )
+    if 0 < req.deadline_ms <= context.clock.wall_ms():
+        return outcomes.Refused(
+            outcomes.RefusalReason.DEADLINE_PASSED, 'its deadline has passed'
+        )
+    if journals.is_full(ledger.journal):
+        return outcomes.Refused(
+            outcomes.RefusalReason.OVERLOADED,
+            'too much waits for the table service',
+            OVERLOAD_RETRY_MS,
+        )
+    return None
 
 
-def _open_entry(
+def _open_acceptance(
     ledger: ledgers.Ledger,
     context: Context,
     req: requests.Request,
     fingerprint: str,
-) -> ledgers.Entry | outcomes.Refused:
+) -> ledgers.Acceptance | outcomes.Refused:
     choice = context.choose_fleet(req, frozenset())
     if isinstance(choice, outcomes.Refused):
         return choice
-    if not context.may_act():
-        return outcomes.Refused(
-            outcomes.RefusalReason.UNAVAILABLE, 'authority is not confirmed'
-        )
-    now_ms = context.clock.wall_ms()
-    entry = ledgers.Entry(req, fingerprint, now_ms, choice.fleet, choice.epoch)
-    step = records.Accept(req, choice.fleet, choice.epoch)
     key = requests.get_key(req)
-    entry.accepting = journals.append(
-        ledger.journal, [records.Record(key, now_ms, step)]
-    )
-    entry.accepting.written.add_done_callback(
-        lambda done: _end_acceptance(ledger, key, entry, done.result())
-    )
-    ledger.entries[key] = entry
-    return entry
+    step = records.Accept(req, choice.fleet, choice.epoch)
+    record = records.Record(key, context.clock.wall_ms(), step)
+    batch = journals.append(ledger.journal, [record])
+    pending = ledgers.Acceptance(fingerprint, batch)
+    ledger.accepting[key] = pending
 
+    def drop(_: asyncio.Future[journals.Written]) -> None:
+        if ledger.accepting.get(key) is pending:
+            del ledger.accepting[key]
 
-def _end_acceptance(
-    ledger: ledgers.Ledger,
-    key: str,
-    entry: ledgers.Entry,
-    written: journals.Written,
-) -> None:
-    entry.accepting = None
-    if isinstance(written, journals.Durable):
-        ledgers.queue_assignment(ledger, entry)
-    else:
-        ledger.entries.pop(key, None)
+    batch.written.add_done_callback(drop)
+    return pending
 
 
 async def _await_acceptance(
-    ledger: ledgers.Ledger, key: str, entry: ledgers.Entry, wait_ms: int
-) -> outcomes.Outcome:
-    batch = entry.accepting
-    assert batch is not None
-    try:
-        async with asyncio.timeout(clock_lib.to_seconds(wait_ms)):
-            written = await asyncio.shield(batch.written)
-    except TimeoutError:
-        if not journals.withdraw(ledger.journal, batch):
-            return outcomes.Unknown('the acceptance is still being written')
-        written = journals.Withdrawn()
+    ledger: ledgers.Ledger,
+    key: str,
+    pending: ledgers.Acceptance,
+    wait_ms: int,
+) -> outcomes.Outcome | journals.Fenced:
+    written = await _await_batch(ledger, pending, wait_ms)
     match written:
         case journals.Durable():
             return outcomes.Accepted(key)
@@ -130,9 +143,33 @@
             return outcomes.Refused(
                 outcomes.RefusalReason.UNAVAILABLE,
                 'the table service did not answer in time',
+                OVERLOAD_RETRY_MS,
             )
-        case journals.Fenced():
+        case journals.Unsettled():
             return outcomes.Unknown('the partition has a new owner')
+        case journals.Fenced():
+            return written
+        case None:
+            return outcomes.Unknown('the acceptance is still being written')
+
+
+async def _await_batch(
+    ledger: ledgers.Ledger, pending: ledgers.Acceptance, wait_ms: int
+) -> journals.Written | None:
+    """Waits for a write; takes it back in time if nobody else waits for it."""
+    pending.waiters += 1
+    try:
+        async with asyncio.timeout(clock_lib.to_seconds(wait_ms)):
+            return await asyncio.shield(pending.batch.written)
+    except TimeoutError:
+        if pending.batch.written.done():
+            return pending.batch.written.result()
+        if pending.waiters > 1:
+            return None
+        is_back = journals.withdraw(ledger.journal, pending.batch)
+        return journals.Withdrawn() if is_back else None
+    finally:
+        pending.waiters -= 1
 
 
 async def wait(
@@ -152,7 +189,9 @@
 def describe(ledger: ledgers.Ledger, key: str) -> outcomes.Outcome:
     """Returns the present outcome of a request."""
     entry = ledger.entries.get(key)
-    if entry is None or entry.accepting is not None:
+    if entry is None:
+        if key in ledger.accepting:
+            return outcomes.Unknown('the acceptance is still being written')
         return outcomes.NotFound(key)
     if entry.outcome is not None:
         return entry.outcome
@@ -160,24 +199,47 @@
 
 
 async def cancel(
-    ledger: ledgers.Ledger, context: Context, key: str
-) -> outcomes.Outcome:
+    ledger: ledgers.Ledger, context: Context, key: str, wait_ms: int
+) -> outcomes.Outcome | journals.Fenced:
     """Notes durably that a request is to end, and has it withdrawn.
 
+    Cancellations of the same tick share a segment and a call to each fleet
+    partition.
+
     Returns:
-      The present outcome; wait tells when the request has ended.
+      The present outcome; wait tells when the request has ended. Unknown if the
+      write did not end in time, or Fenced if nothing was written.
     """
     entry = ledger.entries.get(key)
-    if entry is None or entry.accepting is not None:
-        return outcomes.NotFound(key)
-    if entry.outcome is None and not entry.cancelled:
-        now_ms = context.clock.wall_ms()
-        batch = journals.append(
-            ledger.journal, [records.Record(key, now_ms, records.Cancel())]
-        )
-        written = await asyncio.shield(batch.written)
-        if not isinstance(written, journals.Durable):
+    if entry is None or entry.outcome is not None or entry.cancelled:
+        return describe(ledger, key)
+    batch = entry.cancelling or _open_cancellation(ledger, context, key, entry)
+    try:
+        async with asyncio.timeout(clock_lib.to_seconds(wait_ms)):
+            written = await asyncio.shield(batch.written)
+    except TimeoutError:
+        return outcomes.Unknown('the cancellation is still being written')
+    match written:
+        case journals.Durable():
+            return describe(ledger, key)
+        case journals.Fenced():
+            return written
+        case _:
             return outcomes.Unknown('the partition has a new owner')
-        entry.cancelled = True
-        ledgers.queue_withdrawal(ledger, entry)
-    return describe(ledger, key)
+
+
+def _open_cancellation(
+    ledger: ledgers.Ledger,
+    context: Context,
+    key: str,
+    entry: ledgers.Entry,
+) -> journals.Batch:
+    record = records.Record(key, context.clock.wall_ms(), records.Cancel())
+    batch = journals.append(ledger.journal, [record])
+    entry.cancelling = batch
+
+    def settle(_: asyncio.Future[journals.Written]) -> None:
+        entry.cancelling = None
+
+    batch.written.add_done_callback(settle)
+    return batch
--- /dev/null
+++ b/src/nutmegknot/_internal/ledger/archives.py
@@ -0,0 +1,49 @@
+"""Archives: segments that snapshots have replaced, kept for the audit."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from google.protobuf import message as message_lib
+
+from nutmegknot._internal.ledger import pointers
+from nutmegknot._internal.ledger import segments
+from nutmegknot._internal.schema import journal_pb2
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Archive:
+    """Segments as they were written.
+
+    Attributes:
+      contents: The segments, oldest first.
+      earlier: The archive before this one.
+    """
+
+    contents: tuple[bytes, ...]
+    earlier: pointers.Reference
+
+
+def encode(
+    partition: str, contents: Iterable[bytes], earlier: pointers.Reference
+) -> bytes:
+    """Returns the content of an archive."""
+    return journal_pb2.Archive(
+        partition=partition,
+        segments=contents,
+        earlier=earlier.name,
+        earlier_hash=earlier.hash,
+    ).SerializeToString()
+
+
+def decode(partition: str, content: bytes) -> Archive | segments.Damaged:
+    """Returns the archive of a partition."""
+    try:
+        message = journal_pb2.Archive.FromString(content)
+    except message_lib.DecodeError:
+        return segments.Damaged(0, 'an archive does not parse')
+    if message.partition != partition:
+        return segments.Damaged(0, 'an archive is of another partition')
+    return Archive(
+        tuple(message.segments),
+        pointers.Reference(message.earlier, message.earlier_hash),
+    )
--- a/src/nutmegknot/_internal/ledger/journals.py
+++ b/src/nutmegknot/_internal/ledger/journals.py
@@ -1,22 +1,20 @@
-"""Journal of a ledger partition: group commit into fenced segments."""
+"""Journal of a ledger partition: records that wait to be written."""
 
 import asyncio
+import collections
 import dataclasses
-import hashlib
-import logging
-import random
-import uuid
 
 from nutmegknot._internal.codec import records as record_codec
+from nutmegknot._internal.ledger import segments
 from nutmegknot._internal.models import records
 from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import journal_pb2
-from nutmegknot._internal.utils import clock as clock_lib
-from nutmegknot._internal.utils import retries
+from nutmegknot._internal.utils import signals
 
-logger = logging.getLogger(__name__)
-
-SEQUENCE_DIGITS = 12
+# Reports may fill the journal beyond the bound of new requests, since what
+# they end makes room.
+REPORT_FACTOR = 2
+DEFAULT_WAITING_BYTES = 4 << 20
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -26,25 +24,67 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Fenced:
-    """Another instance owns the partition; nothing more can be written."""
+    """The writer lost the partition; the records surely aren't written."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Unsettled:
+    """The writer lost the partition; the records may be in the journal."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Withdrawn:
-    """The records were taken back before any attempt to write them."""
+    """The records were taken back; they surely aren't written."""
 
 
-Written = Durable | Fenced | Withdrawn
+Written = Durable | Fenced | Unsettled | Withdrawn
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Batch:
-    """Records that are written together, and who waits for them."""
+    """Records that are written together.
+
+    Attributes:
+      records: The records.
+      messages: Their messages.
+      size: Size of the messages in bytes.
+      written: What became of them.
+    """
 
     records: list[records.Record]
+    messages: list[journal_pb2.Record]
+    size: int
     written: asyncio.Future[Written]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Slot:
+    """A row that holds, or may hold, a segment.
+
+    Attributes:
+      number: Number of the row.
+      version: Version of the row; ABSENT if it does not exist.
+    """
+
+    number: int
+    version: int = tables.ABSENT
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Held:
+    """A segment that no snapshot replaces yet.
+
+    Attributes:
+      sequence: Number of the segment.
+      content: The segment, for the archive.
+      slot: The row that holds it.
+    """
+
+    sequence: int
+    content: bytes
+    slot: Slot
+
+
 @dataclasses.dataclass(slots=True)
 class Journal:
     """State of the writer.
@@ -53,59 +93,51 @@
       partition: Name of the ledger partition.
       epoch: Epoch under which it writes.
       fence: Key and version that every write demands.
-      sequence: Number of the last segment.
-      previous: Hash of the last segment.
-      waiting: Batches that no attempt has been made to write.
-      writing: Whether a segment is being written.
+      max_waiting_bytes: Size of waiting records from which no new request is
+        accepted, in bytes.
+      last: The place in the chain after the last segment.
+      held: Segments that no snapshot replaces yet, oldest first.
+      held_bytes: Their size in bytes.
+      free: Rows whose segments a snapshot replaces, to be used again.
+      slots: Number of rows in use or free.
+      waiting: Batches of which no write can have taken effect, in order.
+      waiting_bytes: Their size in bytes.
+      in_flight: Batches whose write is under way or not settled.
       wake: Set when there is something to write.
+      written: Notified after each segment.
       fenced: Whether the writer has lost the partition.
     """
 
     partition: str
     epoch: int
     fence: tables.Condition
-    sequence: int = 0
-    previous: bytes = b''
-    waiting: list[Batch] = dataclasses.field(default_factory=list)
-    writing: bool = False
+    max_waiting_bytes: int = DEFAULT_WAITING_BYTES
+    last: segments.Link = dataclasses.field(default_factory=segments.Link)
+    held: collections.deque[Held] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    held_bytes: int = 0
+    free: list[Slot] = dataclasses.field(default_factory=list)
+    slots: int = 0
+    waiting: dict[Batch, None] = dataclasses.field(default_factory=dict)
+    waiting_bytes: int = 0
+    in_flight: list[Batch] = dataclasses.field(default_factory=list)
     wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    written: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     fenced: bool = False
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Context:
-    """What the writer works with.
-
-    Attributes:
-      table: The table service.
-      rng: Source of jitter.
-      commit_ms: Time in ms for which a segment gathers records.
-      timeout_ms: Time limit of a write in ms.
-    """
-
-    table: tables.Table
-    rng: random.Random
-    commit_ms: int
-    timeout_ms: int
-
-
-def get_prefix(partition: str) -> str:
-    """Returns the prefix of a partition's segment rows."""
-    return f'journal/{partition}/'
-
-
-def get_key(partition: str, sequence: int) -> str:
-    """Returns the key of a segment row."""
-    return f'{get_prefix(partition)}{sequence:0{SEQUENCE_DIGITS}d}'
-
-
 def append(journal: Journal, added: list[records.Record]) -> Batch:
     """Queues records; the batch's future tells when they are durable."""
-    batch = Batch(added, asyncio.get_running_loop().create_future())
+    messages = [record_codec.encode_record(one) for one in added]
+    size = sum(message.ByteSize() for message in messages)
+    future = asyncio.get_running_loop().create_future()
+    batch = Batch(added, messages, size, future)
     if journal.fenced:
         batch.written.set_result(Fenced())
         return batch
-    journal.waiting.append(batch)
+    journal.waiting[batch] = None
+    journal.waiting_bytes += size
     journal.wake.set()
     return batch
 
@@ -114,132 +146,79 @@
     """Takes a batch back; False if a write of it may have taken effect."""
     if batch not in journal.waiting:
         return False
-    journal.waiting.remove(batch)
+    _remove(journal, batch)
     batch.written.set_result(Withdrawn())
     return True
 
 
-async def keep_writing(journal: Journal, context: Context) -> None:
-    """Writes queued records until the writer is fenced or cancelled."""
-    while not journal.fenced:
-        await journal.wake.wait()
-        await asyncio.sleep(clock_lib.to_seconds(context.commit_ms))
-        journal.wake.clear()
-        taken, journal.waiting = journal.waiting, []
-        if taken:
-            journal.writing = True
-            await _write(journal, context, taken)
-            journal.writing = False
-
-
-async def _write(
-    journal: Journal, context: Context, taken: list[Batch]
-) -> None:
-    segment = make_segment(journal, taken)
-    content = segment.SerializeToString()
-    key = get_key(journal.partition, segment.sequence)
-    transaction = tables.Transaction(
-        (journal.fence, tables.Condition(key, tables.ABSENT)),
-        (tables.Write(key, content),),
-    )
-    backoff = retries.Backoff(context.rng)
-    while True:
-        result = await context.table.transact(transaction, context.timeout_ms)
-        match result:
-            case tables.Committed():
-                _settle(journal, taken, content, Durable())
-                return
-            case tables.ConditionFailed(failed_key, row):
-                if failed_key == key and row and row.value == content:
-                    _settle(journal, taken, content, Durable())
-                    return
-                if await _is_written(context, key, content):
-                    _settle(journal, taken, content, Durable())
-                _fence(journal, taken)
-                return
-            case _:
-                await asyncio.sleep(
-                    clock_lib.to_seconds(retries.take_wait(backoff))
-                )
-
-
-async def _is_written(context: Context, key: str, content: bytes) -> bool:
-    """Tells whether a write whose answer was lost took effect."""
-    backoff = retries.Backoff(context.rng)
-    while True:
-        result = await context.table.transact(
-            tables.Transaction(reads=(key,)), context.timeout_ms
-        )
-        if isinstance(result, tables.Committed):
-            row = result.rows.get(key)
-            return row is not None and row.value == content
-        await asyncio.sleep(clock_lib.to_seconds(retries.take_wait(backoff)))
-
-
-def make_segment(journal: Journal, taken: list[Batch]) -> journal_pb2.Segment:
-    """Returns the segment after the last one, with a nonce of its own."""
-    return journal_pb2.Segment(
-        partition=journal.partition,
-        sequence=journal.sequence + 1,
-        epoch=journal.epoch,
-        nonce=uuid.uuid4().hex,
-        records=[
-            record_codec.encode_record(record)
-            for batch in taken
-            for record in batch.records
-        ],
-        previous=journal.previous,
-    )
+def _remove(journal: Journal, batch: Batch) -> None:
+    del journal.waiting[batch]
+    journal.waiting_bytes -= batch.size
 
 
-def compute_hash(content: bytes) -> bytes:
-    """Returns the hash that the next segment carries."""
-    return hashlib.sha256(content).digest()
+def take(journal: Journal, max_bytes: int) -> list[Batch]:
+    """Takes the oldest batches that fit into a segment, but at least one."""
+    taken: list[Batch] = []
+    size = 0
+    for batch in journal.waiting:
+        size += batch.size
+        if taken and size > max_bytes:
+            break
+        taken.append(batch)
+    for batch in taken:
+        _remove(journal, batch)
+    if not journal.waiting:
+        journal.wake.clear()
+    journal.in_flight = taken
+    return taken
 
 
-def _settle(
-    journal: Journal, taken: list[Batch], content: bytes, written: Written
-) -> None:
-    journal.sequence += 1
-    journal.previous = compute_hash(content)
-    _answer(taken, written)
+def put_back(journal: Journal, taken: list[Batch]) -> None:
+    """Queues batches again whose write surely had no effect."""
+    journal.in_flight = []
+    journal.waiting = dict.fromkeys(taken) | journal.waiting
+    journal.waiting_bytes += sum(batch.size for batch in taken)
+    journal.wake.set()
 
 
-def _fence(journal: Journal, taken: list[Batch]) -> None:
+def close(journal: Journal) -> None:
+    """Ends the writing and tells all who wait what is known."""
     journal.fenced = True
-    logger.warning('journal_fenced', extra={'partition': journal.partition})
-    _answer(taken + journal.waiting, Fenced())
-    journal.waiting = []
+    answer(journal.in_flight, Unsettled())
+    answer(list(journal.waiting), Fenced())
+    journal.in_flight = []
+    journal.waiting = {}
+    journal.waiting_bytes = 0
+    journal.wake.set()
+    signals.notify(journal.written)
 
 
-def _answer(batches: list[Batch], written: Written) -> None:
+def answer(batches: list[Batch], written: Written) -> None:
+    """Tells those who wait for batches what became of them."""
     for batch in batches:
         if not batch.written.done():
             batch.written.set_result(written)
 
 
-async def recover(
-    journal: Journal, context: Context
-) -> list[records.Record] | tables.Unavailable:
-    """Reads all segments, and leaves the journal ready to write the next.
-
-    Returns:
-      All records in the order in which they were written.
-    """
-    rows = await context.table.scan(
-        get_prefix(journal.partition), context.timeout_ms
-    )
-    if isinstance(rows, tables.Unavailable):
-        return rows
-    found = []
-    for row in rows:
-        segment = journal_pb2.Segment.FromString(row.value)
-        found += [record_codec.decode_record(r) for r in segment.records]
-        journal.sequence = segment.sequence
-        journal.previous = compute_hash(row.value)
-    return found
+def is_full(journal: Journal, factor: int = 1) -> bool:
+    """Tells whether so much waits that no more should be added."""
+    return journal.waiting_bytes >= factor * journal.max_waiting_bytes
 
 
 def is_busy(journal: Journal) -> bool:
     """Tells whether anything is queued or being written."""
-    return not journal.fenced and (bool(journal.waiting) or journal.writing)
+    return not journal.fenced and bool(journal.waiting or journal.in_flight)
+
+
+def hold(journal: Journal, held: Held) -> None:
+    """Takes note of a segment that no snapshot replaces yet."""
+    journal.held.append(held)
+    journal.held_bytes += len(held.content)
+
+
+def free_segments(journal: Journal, sequence: int) -> None:
+    """Frees the rows of all segments up to one that a snapshot replaces."""
+    while journal.held and journal.held[0].sequence <= sequence:
+        held = journal.held.popleft()
+        journal.held_bytes -= len(held.content)
+        journal.free.append(held.slot)
--- a/src/nutmegknot/_internal/ledger/reporting.py
+++ b/src/nutmegknot/_internal/ledger/reporting.py
@@ -1,6 +1,7 @@
 """Taking the reports of fleet partitions into a ledger partition."""
 
 import asyncio
+import dataclasses
 
 from nutmegknot._internal.ledger import accepting
 from nutmegknot._internal.ledger import journals
@@ -10,6 +11,15 @@
 from nutmegknot._internal.models import reports
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outdated:
+    """The report is of an epoch after which the fleet partition has a new one.
+
+    The new owner learns the truth from the workers, so the old one must not
+    let them forget anything on the strength of this report.
+    """
+
+
 async def take_reports(
     ledger: ledgers.Ledger,
     context: accepting.Context,
@@ -23,93 +33,135 @@
     Returns:
       Whether all news is durable.
     """
-    batches = [_take_report(ledger, context, report) for report in given]
+    if journals.is_full(ledger.journal, journals.REPORT_FACTOR):
+        return False
+    taken = [take_report(ledger, context, report) for report in given]
     written = [
-        await asyncio.shield(batch.written)
-        for batch in batches
-        if batch is not None
+        await asyncio.shield(one.written)
+        for one in taken
+        if isinstance(one, journals.Batch)
     ]
-    return all(isinstance(one, journals.Durable) for one in written)
+    is_current = not any(isinstance(one, Outdated) for one in taken)
+    return is_current and all(
+        isinstance(one, journals.Durable) for one in written
+    )
 
 
-def _take_report(
+def take_report(
     ledger: ledgers.Ledger, context: accepting.Context, report: reports.Report
-) -> journals.Batch | None:
+) -> journals.Batch | Outdated | None:
     """Starts the write of a report's news.
 
     Returns:
       The write to wait for, or None if there is nothing new.
     """
-    entry = ledger.entries.get(report.request_key)
-    if entry is not None and entry.ending is not None:
-        return entry.ending
-    step = _choose_step(ledger, context, report)
-    if entry is None or step is None:
-        return None
-    record = records.Record(report.request_key, context.clock.wall_ms(), step)
-    batch = journals.append(ledger.journal, [record])
-    if isinstance(step, records.End | records.Assign):
-        entry.ending = batch
-    batch.written.add_done_callback(
-        lambda done: _apply(ledger, record, done.result())
-    )
-    return batch
-
-
-def _choose_step(
-    ledger: ledgers.Ledger, context: accepting.Context, report: reports.Report
-) -> records.Step | None:
+    if report.fleet_epoch < ledger.fleet_epochs.get(report.fleet, 0):
+        return Outdated()
     entry = ledger.entries.get(report.request_key)
     if entry is None or entry.outcome is not None:
         return None
     if report.attempt != entry.attempt or report.fleet != entry.fleet:
         return None
+    if entry.ending is not None:
+        return entry.ending
     match report.news:
         case reports.Running(workers):
-            if entry.workers == workers:
-                return None
-            return records.Start(report.attempt, workers)
+            return _take_start(ledger, context, entry, workers)
         case reports.Ended(outcome):
-            return records.End(outcome)
+            step: records.End | records.Assign = records.End(outcome)
         case reports.Returned():
-            return _choose_after_return(entry, context, report.news)
+            step = _choose_after_return(entry, context, report.news)
+    return append_step(ledger, context, entry, step)
+
+
+def _take_start(
+    ledger: ledgers.Ledger,
+    context: accepting.Context,
+    entry: ledgers.Entry,
+    workers: tuple[str, ...],
+) -> journals.Batch | None:
+    if entry.starting is not None or entry.workers == workers:
+        return entry.starting
+    start = records.Start(entry.attempt, workers)
+    return append_step(ledger, context, entry, start)
+
+
+def append_step(
+    ledger: ledgers.Ledger,
+    context: accepting.Context,
+    entry: ledgers.Entry,
+    step: records.Start | records.End | records.Assign,
+) -> journals.Batch:
+    """Starts the write of a step, and marks the entry until it is durable."""
+    key = ledgers.get_key(entry)
+    record = records.Record(key, context.clock.wall_ms(), step)
+    batch = journals.append(ledger.journal, [record])
+    if isinstance(step, records.Start):
+        entry.starting = batch
+    else:
+        entry.ending = batch
+
+    def settle(_: asyncio.Future[journals.Written]) -> None:
+        if entry.starting is batch:
+            entry.starting = None
+        if entry.ending is batch:
+            entry.ending = None
+
+    batch.written.add_done_callback(settle)
+    return batch
 
 
 def _choose_after_return(
     entry: ledgers.Entry,
     context: accepting.Context,
     news: reports.Returned,
-) -> records.Step | None:
-    started = news.may_have_run or bool(entry.workers)
-    if entry.cancelled:
+) -> records.End | records.Assign:
+    """Returns what follows an attempt that is over without an outcome."""
+    has_run = news.may_have_run or bool(entry.workers)
+    started = has_run or entry.started or entry.starting is not None
+    if entry.cancelled or entry.cancelling is not None:
         return records.End(outcomes.Cancelled(started))
     if started and not entry.req.repeatable:
         return records.End(outcomes.MayHaveRun(news.detail))
-    if news.reason == 'rejected':
-        reason = outcomes.FailureReason.NEVER_RUNNABLE
+    reason = _find_failure(entry, context, news)
+    if reason is not None:
         return records.End(outcomes.Failed(reason, news.detail, started))
-    avoid = frozenset({entry.fleet})
-    choice = context.choose_fleet(entry.req, avoid)
-    if isinstance(choice, outcomes.Refused):
-        choice = context.choose_fleet(entry.req, frozenset())
-    if isinstance(choice, outcomes.Refused):
+    choice = _choose_next(entry, context, news)
+    if choice is None:
         reason = outcomes.FailureReason.NEVER_RUNNABLE
-        return records.End(outcomes.Failed(reason, choice.detail, started))
+        return records.End(outcomes.Failed(reason, news.detail, started))
     return records.Assign(
-        choice.fleet, choice.epoch, entry.attempt + 1, news.reason
+        choice.fleet, choice.epoch, entry.attempt + 1, news.reason, has_run
     )
 
 
-def _apply(
-    ledger: ledgers.Ledger, record: records.Record, written: journals.Written
-) -> None:
-    entry = ledger.entries.get(record.request_key)
-    if entry is None:
-        return
-    if isinstance(record.step, records.End | records.Assign):
-        entry.ending = None
-    if not isinstance(written, journals.Durable):
-        return
-    ledgers.apply_record(ledger, record)
-    if isinstance(record.step, records.Assign):
-        ledgers.queue_assignment(ledger, entry)
+def _find_failure(
+    entry: ledgers.Entry,
+    context: accepting.Context,
+    news: reports.Returned,
+) -> outcomes.FailureReason | None:
+    """Returns why there is no next attempt, or None."""
+    if news.reason == ledgers.FAILED and entry.failures + 1 >= context.attempts:
+        return outcomes.FailureReason.TASK_FAILED
+    if 0 < entry.req.deadline_ms <= context.clock.wall_ms():
+        return outcomes.FailureReason.DEADLINE_PASSED
+    return None
+
+
+def _choose_next(
+    entry: ledgers.Entry,
+    context: accepting.Context,
+    news: reports.Returned,
+) -> accepting.Choice | None:
+    """Returns the next fleet partition, or None if the request fits none.
+
+    While no failure domain is open it stays where it is.
+    """
+    avoid = frozenset({entry.fleet}) | entry.rejected
+    choice = context.choose_fleet(entry.req, avoid)
+    if not isinstance(choice, outcomes.Refused):
+        return choice
+    any_choice = context.choose_fleet(entry.req, frozenset())
+    if isinstance(any_choice, outcomes.Refused):
+        return accepting.Choice(entry.fleet, entry.fleet_epoch)
+    return None if news.reason == ledgers.REJECTED else any_choice
--- a/src/nutmegknot/_internal/models/partitions.py
+++ b/src/nutmegknot/_internal/models/partitions.py
@@ -34,6 +34,7 @@
         repeatable starts only under this epoch.
       attempt: Attempt number from 0; part of each task id.
       accepted_ms: Wall clock instant of the acceptance in ms.
+      cancelled: Whether it must not start, and is to be stopped if it runs.
     """
 
     req: requests.Request
@@ -42,6 +43,7 @@
     fleet_epoch: int
     attempt: int
     accepted_ms: int
+    cancelled: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/nutmegknot/_internal/models/records.py
+++ b/src/nutmegknot/_internal/models/records.py
@@ -17,12 +17,22 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Assign:
-    """The request was assigned anew, as an earlier attempt is over."""
+    """The request was assigned anew, as an earlier attempt is over.
+
+    Attributes:
+      fleet: Fleet partition of the new attempt.
+      fleet_epoch: Its epoch.
+      attempt: Number of the new attempt.
+      reason: Why the earlier one is over, as in models.reports.Returned, or
+        'moved' if it was never begun and its fleet partition changed owner.
+      started: Whether the earlier one may have run.
+    """
 
     fleet: str
     fleet_epoch: int
     attempt: int
     reason: str
+    started: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/nutmegknot/_internal/schema/peer_grpc.py
+++ b/src/nutmegknot/_internal/schema/peer_grpc.py
@@ -35,6 +35,10 @@
     async def Report(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.peer_pb2.ReportCall, nutmegknot._internal.schema.peer_pb2.ReportReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Begin(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.peer_pb2.BeginCall, nutmegknot._internal.schema.peer_pb2.BeginReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/nutmegknot.v1.Ledger/Submit': grpclib.const.Handler(
@@ -67,6 +71,12 @@
                 nutmegknot._internal.schema.peer_pb2.ReportCall,
                 nutmegknot._internal.schema.peer_pb2.ReportReply,
             ),
+            '/nutmegknot.v1.Ledger/Begin': grpclib.const.Handler(
+                self.Begin,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                nutmegknot._internal.schema.peer_pb2.BeginCall,
+                nutmegknot._internal.schema.peer_pb2.BeginReply,
+            ),
         }
 
 
@@ -103,6 +113,12 @@
             nutmegknot._internal.schema.peer_pb2.ReportCall,
             nutmegknot._internal.schema.peer_pb2.ReportReply,
         )
+        self.Begin = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/nutmegknot.v1.Ledger/Begin',
+            nutmegknot._internal.schema.peer_pb2.BeginCall,
+            nutmegknot._internal.schema.peer_pb2.BeginReply,
+        )
 
 
 class FleetBase(abc.ABC):
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from nutmegknot._internal.platform import objects
 from nutmegknot._internal.platform import tables
 
 
@@ -58,3 +59,46 @@
         versions[write.key] = row.version
     read = {k: fake.rows[k] for k in transaction.reads if k in fake.rows}
     return tables.Committed(versions, read)
+
+
+@dataclasses.dataclass(slots=True)
+class FakeObjects:
+    """An object store in memory whose next answers can be spoilt.
+
+    Attributes:
+      contents: Contents by name.
+      faults: What happens to the next writes and deletions, as in FakeTable.
+    """
+
+    contents: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    faults: list[str] = dataclasses.field(default_factory=list)
+
+
+def connect_objects(fake: FakeObjects) -> objects.Objects:
+    """Returns access to a fake object store."""
+
+    def answer(fault: str) -> objects.PutResult:
+        if fault == 'lost':
+            return tables.Uncertain('lost')
+        return objects.Stored()
+
+    async def put(
+        name: str, value: bytes, timeout_ms: int
+    ) -> objects.PutResult:
+        fault = fake.faults.pop(0) if fake.faults else ''
+        if fault == 'down':
+            return tables.Unavailable('down')
+        fake.contents[name] = value
+        return answer(fault)
+
+    async def get(name: str, timeout_ms: int) -> objects.GetResult:
+        return fake.contents.get(name, objects.Missing())
+
+    async def delete(name: str, timeout_ms: int) -> objects.DeleteResult:
+        fault = fake.faults.pop(0) if fake.faults else ''
+        if fault == 'down':
+            return tables.Unavailable('down')
+        fake.contents.pop(name, None)
+        return answer(fault)
+
+    return objects.Objects(put, get, delete)
--- a/tests/unit/ledger/test_journals.py
+++ b/tests/unit/ledger/test_journals.py
@@ -1,4 +1,4 @@
-"""Tests of ledger/journals.py."""
+"""Tests of ledger/journals.py and ledger/writing.py."""
 
 import asyncio
 import random
@@ -7,8 +7,11 @@
 import pytest
 
 from nutmegknot._internal.ledger import journals
+from nutmegknot._internal.ledger import segments
+from nutmegknot._internal.ledger import writing
 from nutmegknot._internal.models import records
 from nutmegknot._internal.platform import tables
+from nutmegknot._internal.utils import clock as clock_lib
 
 OWNER = 'owner/ledger-0'
 
@@ -18,47 +21,175 @@
     return journals.Journal('ledger-0', 1, tables.Condition(OWNER, 1))
 
 
-def make_context(fake: fakes.FakeTable) -> journals.Context:
-    table = fakes.connect_table(fake)
-    return journals.Context(table, random.Random(1), 0, 100)
+def make_context(
+    table: tables.Table, segment_bytes: int = 1 << 18
+) -> writing.Context:
+    clock = clock_lib.make_manual_clock(clock_lib.ManualTime(1))
+    rng = random.Random(1)
+    return writing.Context(
+        table, rng, clock, 0, 100, segment_bytes, lambda _: None
+    )
+
+
+def start(
+    journal: journals.Journal, context: writing.Context
+) -> asyncio.Task[None]:
+    return asyncio.create_task(writing.keep_writing(journal, context))
 
 
 def make_record(number: int) -> records.Record:
     return records.Record(f'team/{number}', number, records.Cancel())
 
 
-async def recover(fake: fakes.FakeTable) -> list[records.Record]:
-    found = await journals.recover(
-        journals.Journal('ledger-0', 2, tables.Condition(OWNER, 1)),
-        make_context(fake),
-    )
+def read(fake: fakes.FakeTable) -> list[segments.Segment]:
+    prefix = segments.get_prefix('ledger-0')
+    contents = [r.value for k, r in fake.rows.items() if k.startswith(prefix)]
+    found = segments.sort_segments('ledger-0', contents, segments.Link())
     assert isinstance(found, list)
     return found
 
 
+def read_records(fake: fakes.FakeTable) -> list[records.Record]:
+    return [record for one in read(fake) for record in one.records]
+
+
 @pytest.mark.parametrize('faults', [[], ['lost'], ['down', 'lost', 'lost']])
 async def test_append_survives_faults(faults: list[str]) -> None:
     fake = fakes.FakeTable(faults=faults)
     journal = make_journal(fake)
-    writer = asyncio.create_task(
-        journals.keep_writing(journal, make_context(fake))
-    )
+    writer = start(journal, make_context(fakes.connect_table(fake)))
     first = journals.append(journal, [make_record(1)])
     second = journals.append(journal, [make_record(2)])
     assert await first.written == journals.Durable()
     assert await second.written == journals.Durable()
     writer.cancel()
-    assert await recover(fake) == [make_record(1), make_record(2)]
+    assert read_records(fake) == [make_record(1), make_record(2)]
 
 
 async def test_new_owner_fences() -> None:
     fake = fakes.FakeTable()
     journal = make_journal(fake)
     fake.rows[OWNER] = tables.Row(OWNER, b'', 7)
-    writer = asyncio.create_task(
-        journals.keep_writing(journal, make_context(fake))
-    )
+    writer = start(journal, make_context(fakes.connect_table(fake)))
     batch = journals.append(journal, [make_record(1)])
     assert await batch.written == journals.Fenced()
     await writer
-    assert await recover(fake) == []
+    assert read_records(fake) == []
+    late = journals.append(journal, [make_record(2)])
+    assert await late.written == journals.Fenced()
+
+
+async def test_fenced_after_lost_answer_is_durable() -> None:
+    fake = fakes.FakeTable(faults=['lost'])
+    journal = make_journal(fake)
+    table = fakes.connect_table(fake)
+
+    async def transact(
+        transaction: tables.Transaction, timeout_ms: int
+    ) -> tables.Result:
+        result = await table.transact(transaction, timeout_ms)
+        fake.rows[OWNER] = tables.Row(OWNER, b'', 7)
+        return result
+
+    writer = start(journal, make_context(tables.Table(transact, table.scan)))
+    batch = journals.append(journal, [make_record(1)])
+    assert await batch.written == journals.Durable()
+    await writer
+    assert journal.fenced
+    assert read_records(fake) == [make_record(1)]
+
+
+async def test_fenced_without_certainty_is_unsettled() -> None:
+    """A new owner may have replaced the segment by a snapshot already."""
+    fake = fakes.FakeTable(faults=['lost'])
+    journal = make_journal(fake)
+    table = fakes.connect_table(fake)
+
+    async def transact(
+        transaction: tables.Transaction, timeout_ms: int
+    ) -> tables.Result:
+        result = await table.transact(transaction, timeout_ms)
+        fake.rows = {OWNER: tables.Row(OWNER, b'', 7)}
+        return result
+
+    writer = start(journal, make_context(tables.Table(transact, table.scan)))
+    batch = journals.append(journal, [make_record(1)])
+    assert await batch.written == journals.Unsettled()
+    await writer
+
+
+async def test_withdraw_during_outage() -> None:
+    """What surely was not written goes back and can be taken back."""
+    fake = fakes.FakeTable()
+    journal = make_journal(fake)
+    asked = asyncio.Event()
+
+    async def transact(
+        transaction: tables.Transaction, timeout_ms: int
+    ) -> tables.Result:
+        asked.set()
+        return tables.Unavailable('down')
+
+    table = fakes.connect_table(fake)
+    writer = start(journal, make_context(tables.Table(transact, table.scan)))
+    batch = journals.append(journal, [make_record(1)])
+    await asked.wait()
+    while journal.in_flight:
+        await asyncio.sleep(0)
+    assert journals.withdraw(journal, batch)
+    assert await batch.written == journals.Withdrawn()
+    assert journal.waiting_bytes == 0
+    writer.cancel()
+
+
+async def test_withdraw_of_uncertain_write_is_refused() -> None:
+    fake = fakes.FakeTable()
+    journal = make_journal(fake)
+    asked = asyncio.Event()
+
+    async def transact(
+        transaction: tables.Transaction, timeout_ms: int
+    ) -> tables.Result:
+        asked.set()
+        return tables.Uncertain('lost')
+
+    table = fakes.connect_table(fake)
+    writer = start(journal, make_context(tables.Table(transact, table.scan)))
+    batch = journals.append(journal, [make_record(1)])
+    await asked.wait()
+    assert not journals.withdraw(journal, batch)
+    writer.cancel()
+    assert await batch.written == journals.Unsettled()
+
+
+async def test_segments_keep_below_bound() -> None:
+    fake = fakes.FakeTable()
+    journal = make_journal(fake)
+    numbers = range(1, 10)
+    batches = [journals.append(journal, [make_record(n)]) for n in numbers]
+    bound = 3 * batches[0].size
+    writer = start(journal, make_context(fakes.connect_table(fake), bound))
+    for batch in batches:
+        assert await batch.written == journals.Durable()
+    writer.cancel()
+    found = read(fake)
+    assert [len(one.records) for one in found] == [3, 3, 3]
+    assert read_records(fake) == [make_record(n) for n in numbers]
+
+
+async def test_oversized_batch_is_written_alone() -> None:
+    fake = fakes.FakeTable()
+    journal = make_journal(fake)
+    writer = start(journal, make_context(fakes.connect_table(fake), 1))
+    batch = journals.append(journal, [make_record(1), make_record(2)])
+    assert await batch.written == journals.Durable()
+    writer.cancel()
+    assert len(read(fake)) == 1
+
+
+async def test_full_journal_tells_so() -> None:
+    journal = make_journal(fakes.FakeTable())
+    batch = journals.append(journal, [make_record(1)])
+    journal.max_waiting_bytes = batch.size
+    assert journals.is_full(journal)
+    assert not journals.is_full(journal, journals.REPORT_FACTOR)
