--- a/src/nutmegknot/_internal/ledger/ledgers.py
+++ b/src/nutmegknot/_internal/ledger/ledgers.py
@@ -146,15 +146,19 @@
     ledger: Ledger, record: records.Record, step: records.Accept
 ) -> None:
     key = record.request_key
+    pending = ledger.accepting.pop(key, None)
+    if pending is None:
+        fingerprint = hashing.compute_fingerprint(step.req)
+    else:
+        fingerprint = pending.fingerprint
     entry = Entry(
         req=step.req,
-        fingerprint=hashing.compute_fingerprint(step.req),
+        fingerprint=fingerprint,
         accepted_ms=record.at_ms,
         fleet=step.fleet,
         fleet_epoch=step.fleet_epoch,
     )
     ledger.entries[key] = entry
-    ledger.accepting.pop(key, None)
     stem, _, generation = key.rpartition('@')
     if step.req.service and generation.isdecimal():
         newest = ledger.replicas.get(stem, 0)
