--- a/src/nutmegknot/_internal/instance/ledger_opening.py
+++ b/src/nutmegknot/_internal/instance/ledger_opening.py
@@ -27,9 +27,11 @@
 MAX_WAITING_SEGMENTS = 16
 
 
-async def open_ledger(inst: instances.Instance, name: str) -> None:
+async def open_ledger(
+    inst: instances.Instance, name: str, fence: tables.Condition
+) -> None:
     """Recovers a ledger partition and starts its tasks, or releases it."""
-    ledger = _make_ledger(inst, name)
+    ledger = _make_ledger(inst, name, fence)
     store = make_store(inst)
     epochs = await _read_epochs(store)
     recovered: recovery.Recovering
@@ -60,12 +62,10 @@
     )
 
 
-def _make_ledger(inst: instances.Instance, name: str) -> ledgers.Ledger:
-    view = inst.membership.view
-    epoch = views.get_epoch(view, name)
-    fence = tables.Condition(
-        leases.get_owner_key(name), view.owner_versions[name]
-    )
+def _make_ledger(
+    inst: instances.Instance, name: str, fence: tables.Condition
+) -> ledgers.Ledger:
+    epoch = views.get_epoch(inst.membership.view, name)
     segment_bytes = inst.settings.ledger.segment_kib * BYTES_PER_KIB
     journal = journals.Journal(
         name, epoch, fence, MAX_WAITING_SEGMENTS * segment_bytes
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -7,6 +7,7 @@
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import dispatching
 from nutmegknot._internal.fleet import fleets
+from nutmegknot._internal.fleet import granting
 from nutmegknot._internal.fleet import jobs
 from nutmegknot._internal.fleet import listing
 from nutmegknot._internal.fleet import reporting as fleet_reporting
@@ -17,9 +18,11 @@
 from nutmegknot._internal.instance import routing
 from nutmegknot._internal.ledger import journals
 from nutmegknot._internal.ledger import ledgers
+from nutmegknot._internal.membership import leases
 from nutmegknot._internal.membership import owning
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import reports
+from nutmegknot._internal.platform import tables
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
@@ -63,11 +66,17 @@
 async def open_partition(inst: instances.Instance, name: str) -> None:
     """Starts to serve a partition that has just been acquired."""
     if name.startswith('ledger-'):
-        await ledger_opening.open_ledger(inst, name)
+        await ledger_opening.open_ledger(inst, name, get_fence(inst, name))
     else:
         _open_fleet(inst, name)
 
 
+def get_fence(inst: instances.Instance, name: str) -> tables.Condition:
+    """Returns the condition that a partition still has this owner."""
+    version = inst.membership.view.owner_versions[name]
+    return tables.Condition(leases.get_owner_key(name), version)
+
+
 def _open_fleet(inst: instances.Instance, name: str) -> None:
     view = inst.membership.view
     domain = routing.get_domain(name)
@@ -86,6 +95,7 @@
     tasks.spawn(
         part, dispatching.keep_dispatching(fleet, context), f'place {name}'
     )
+    tasks.spawn(part, granting.keep_grants(fleet, context), f'grant {name}')
     tasks.spawn(part, _keep_configuration(inst, fleet), f'configure {name}')
     for ledger in owning.list_partitions(inst.settings):
         if ledger.startswith('ledger-'):
@@ -108,6 +118,8 @@
         rng=inst.rng,
         settings=inst.settings,
         platform=inst.platform.fleet,
+        table=inst.platform.table,
+        get_fence=lambda: get_fence(inst, fleet.name),
         tasks=part,
         may_act=lambda: authority.may_act_for(inst, fleet.name, fleet.epoch),
         send_reports=send_reports,
