--- a/src/nutmegknot/_internal/ledger/reporting.py
+++ b/src/nutmegknot/_internal/ledger/reporting.py
@@ -80,9 +80,12 @@
     entry: ledgers.Entry,
     workers: tuple[str, ...],
 ) -> journals.Batch | None:
-    if entry.starting is not None or entry.workers == workers:
-        return entry.starting
     start = records.Start(entry.attempt, workers)
+    if entry.starting is not None:
+        if entry.starting.records[0].step == start:
+            return entry.starting
+    elif entry.workers == workers:
+        return None
     return append_step(ledger, context, entry, start)
 
 
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -14,7 +14,8 @@
       rows: Rows by key.
       last_version: Highest version given.
       faults: What happens to the next transactions, first one first:
-        'down' (nothing is done), 'lost' (done, but the answer is lost) or ''.
+        'down' (nothing is done), 'lost' (done, but the answer is lost), 'gone'
+        (not done, and the answer is lost) or ''.
     """
 
     rows: dict[str, tables.Row] = dataclasses.field(default_factory=dict)
@@ -31,6 +32,8 @@
         fault = fake.faults.pop(0) if fake.faults else ''
         if fault == 'down':
             return tables.Unavailable('down')
+        if fault == 'gone':
+            return tables.Uncertain('gone')
         result = _transact(fake, transaction)
         return tables.Uncertain('lost') if fault == 'lost' else result
 
