--- a/src/nutmegknot/_internal/instance/ledger_calls.py
+++ b/src/nutmegknot/_internal/instance/ledger_calls.py
@@ -3,6 +3,9 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import grpclib.const
+import grpclib.exceptions
+
 from nutmegknot._internal.codec import reports as report_codec
 from nutmegknot._internal.codec import values
 from nutmegknot._internal.instance import authority
@@ -55,7 +58,11 @@
     ledger = inst.ledgers.get(call.partition)
     if ledger is None:
         return _refuse_foreign(call.partition)
-    req = values.decode_request(call.request)
+    try:
+        req = values.decode_request(call.request)
+    except ValueError as error:
+        reason = outcomes.RefusalReason.BAD_REQUEST
+        return _reply(ledger.name, outcomes.Refused(reason, str(error)))
     context = make_context(inst, ledger)
     outcome = await accepting.submit(ledger, context, req, wait_ms)
     return _reply(ledger.name, outcome)
@@ -110,7 +117,12 @@
     """Takes reports of a fleet partition; answers once they are durable."""
     ledger = inst.ledgers.get(call.partition)
     if ledger is not None:
-        given = [report_codec.decode_report(one) for one in call.reports]
+        try:
+            given = [report_codec.decode_report(one) for one in call.reports]
+        except ValueError as error:
+            raise grpclib.exceptions.GRPCError(
+                grpclib.const.Status.INVALID_ARGUMENT, str(error)
+            ) from error
         context = make_context(inst, ledger)
         if await reporting.take_reports(ledger, context, given):
             return peer_pb2.ReportReply(durable=peer_pb2.Assigned())
--- /dev/null
+++ b/tests/unit/codec/test_damage.py
@@ -0,0 +1,162 @@
+"""Damaged journals, snapshots and messages give tagged outcomes."""
+
+import asyncio
+
+from google.protobuf import message as message_lib
+import hypothesis
+from hypothesis import strategies
+from lib import makers
+from lib import partitions
+import pytest
+
+from nutmegknot._internal.codec import records as record_codec
+from nutmegknot._internal.codec import reports as report_codec
+from nutmegknot._internal.codec import values
+from nutmegknot._internal.ledger import archives
+from nutmegknot._internal.ledger import ledgers
+from nutmegknot._internal.ledger import pointers
+from nutmegknot._internal.ledger import segments
+from nutmegknot._internal.ledger import snapshots
+from nutmegknot._internal.models import outcomes
+from nutmegknot._internal.models import records
+from nutmegknot._internal.models import reports
+from nutmegknot._internal.platform import tables
+from nutmegknot._internal.schema import journal_pb2
+from nutmegknot._internal.schema import peer_pb2
+
+STEPS: list[records.Step] = [
+    records.Accept(makers.make_request('job', service='s'), 'fleet-d-0', 3),
+    records.Assign('fleet-d-0', 4, 1, 'failed', started=True),
+    records.Start(1, ('worker-0', 'worker-1')),
+    records.Cancel(),
+    records.End(outcomes.MayHaveRun('lost')),
+    records.End(outcomes.Finished((b'answer', b''))),
+    records.End(
+        outcomes.Failed(outcomes.FailureReason.TASK_FAILED, 'exit 1', True)
+    ),
+    records.End(outcomes.Cancelled(started=True)),
+    records.Forget(),
+]
+REPORTS = [
+    reports.Report('t/job', 1, 'fleet-d-0', 3, news)
+    for news in (
+        reports.Running(('worker-0',)),
+        reports.Ended(outcomes.Finished((b'answer',))),
+        reports.Returned('failed', 'exit 1', True, 'checkpoint'),
+    )
+]
+LINK = segments.Link(7, b'h' * 32)
+
+settings = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=400
+)
+
+
+@strategies.composite
+def damage(draw: strategies.DrawFn, content: bytes) -> bytes:
+    """Changes, drops or adds some bytes of a content."""
+    changed = bytearray(content)
+    for _ in range(draw(strategies.integers(1, 4))):
+        at = draw(strategies.integers(0, len(changed)))
+        width = draw(strategies.integers(0, 8))
+        changed[at : at + width] = draw(strategies.binary(max_size=8))
+    return bytes(changed)
+
+
+def make_segment() -> bytes:
+    messages = [
+        record_codec.encode_record(records.Record('t/job', 9, step))
+        for step in STEPS
+    ]
+    return journal_pb2.Segment(
+        partition=partitions.NAME,
+        sequence=8,
+        epoch=2,
+        nonce='n',
+        records=messages,
+        previous=LINK.hash,
+    ).SerializeToString()
+
+
+def make_snapshot() -> bytes:
+    ledger = partitions.acquire(partitions.Cell())
+    for step in STEPS[:4]:
+        ledgers.apply_record(ledger, records.Record('t/job@1', 9, step))
+    ledger.journal.last = LINK
+    return asyncio.run(snapshots.encode(snapshots.capture(ledger)))
+
+
+SEGMENT = make_segment()
+SNAPSHOT = make_snapshot()
+ARCHIVE = archives.encode(
+    partitions.NAME, [SEGMENT], pointers.Reference('a', b'h')
+)
+POINTER = pointers.encode(
+    partitions.NAME, pointers.Pointer(LINK, pointers.Reference('s', b'h'))
+)
+
+
+@pytest.mark.parametrize('step', STEPS)
+def test_record_survives_encoding(step: records.Step) -> None:
+    record = records.Record('t/job', 9, step)
+    message = record_codec.encode_record(record)
+    assert record_codec.decode_record(message) == record
+
+
+@settings
+@hypothesis.given(strategies.one_of(damage(SEGMENT), strategies.binary()))
+def test_damaged_segment_is_told(content: bytes) -> None:
+    found = segments.sort_segments(partitions.NAME, [content], LINK)
+    assert isinstance(found, list | segments.Damaged)
+
+
+@settings
+@hypothesis.given(strategies.one_of(damage(SNAPSHOT), strategies.binary()))
+def test_damaged_snapshot_is_told(content: bytes) -> None:
+    ledger = partitions.acquire(partitions.Cell())
+    result = snapshots.apply(ledger, content, LINK)
+    assert result is None or isinstance(result, segments.Damaged)
+
+
+@settings
+@hypothesis.given(strategies.one_of(damage(ARCHIVE), strategies.binary()))
+def test_damaged_archive_is_told(content: bytes) -> None:
+    result = archives.decode(partitions.NAME, content)
+    assert isinstance(result, archives.Archive | segments.Damaged)
+
+
+@settings
+@hypothesis.given(strategies.one_of(damage(POINTER), strategies.binary()))
+def test_damaged_pointer_is_told(content: bytes) -> None:
+    row = tables.Row('snapshot/ledger-0', content, 1)
+    result = pointers.decode(partitions.NAME, row)
+    assert isinstance(result, pointers.Pointer | segments.Damaged)
+
+
+@settings
+@hypothesis.given(strategies.data(), strategies.sampled_from(REPORTS))
+def test_damaged_report_is_refused(
+    data: strategies.DataObject, report: reports.Report
+) -> None:
+    """Whatever parses is decoded or refused by ValueError alone."""
+    whole = report_codec.encode_report(report)
+    assert report_codec.decode_report(whole) == report
+    content = data.draw(damage(whole.SerializeToString()))
+    try:
+        report_codec.decode_report(peer_pb2.Report.FromString(content))
+    except (ValueError, message_lib.DecodeError):
+        return
+
+
+@settings
+@hypothesis.given(strategies.data())
+def test_damaged_assignment_is_refused(data: strategies.DataObject) -> None:
+    """Whatever parses is decoded or refused by ValueError alone."""
+    given = makers.make_assignment('job', payload=b'x')
+    whole = values.encode_assignment(given)
+    assert values.decode_assignment(whole) == given
+    content = data.draw(damage(whole.SerializeToString()))
+    try:
+        values.decode_assignment(peer_pb2.Assignment.FromString(content))
+    except (ValueError, message_lib.DecodeError):
+        return
