Re-route calls whose owner moves, and end held calls at a stop

Cause: a call forwarded to a hung owner used up the caller's whole deadline; a Wait that was held kept a stopping instance busy until it gave up; a refusal by an owner could follow an unanswered call that was still under way there, so that "not run" was not certain; a refused Wait said the same of a request that had been accepted. Change: instance/forwarding.py ends an attempt once the owner has moved or no longer answers digests, waits for a change of owners instead of a blind backoff, and takes retries from a budget. Replies echo the request key. A refusal after an unanswered call to the same owner becomes Unknown, as does an unavailable authority for Wait, Cancel and Describe. A held Wait answers with the present outcome when a stop begins, and is sent on when the partition moves. Requests go to fleet partitions by free capacity; one that no partition's workers could hold is refused once all loads are known. instance/entry.py: forwards through the new module. Conclusion: an owner forwards nothing, so that no call can go in a circle.

--- a/src/nutmegknot/_internal/instance/entry.py
+++ b/src/nutmegknot/_internal/instance/entry.py
@@ -7,9 +7,9 @@
 
 from nutmegknot._internal.codec import values
 from nutmegknot._internal.instance import authority
+from nutmegknot._internal.instance import forwarding
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import ledger_calls
-from nutmegknot._internal.instance import routing
 from nutmegknot._internal.models import cells
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import requests
@@ -17,6 +17,7 @@
 from nutmegknot._internal.schema import common_pb2
 from nutmegknot._internal.schema import peer_grpc
 from nutmegknot._internal.schema import peer_pb2
+from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import hashing
 
 MAX_ID_CHARS = 200
@@ -111,17 +112,17 @@
     forward = peer_pb2.LedgerSubmit(partition=partition, request=call.request)
 
     async def call_local(left_ms: int) -> peer_pb2.LedgerReply:
-        return await ledger_calls.submit(inst, forward, left_ms)
+        return await forwarding.answer_submit(inst, forward, left_ms)
 
     async def call_remote(
-        channel: grpclib.client.Channel, timeout: float
+        channel: grpclib.client.Channel, left_ms: int
     ) -> peer_pb2.LedgerReply:
         stub = peer_grpc.LedgerStub(channel)
-        return await stub.Submit(forward, timeout=timeout)
+        return await stub.Submit(forward, timeout=clock_lib.to_seconds(left_ms))
 
     return _read_reply(
-        await routing.call_ledger(
-            inst, partition, wait_ms, call_local, call_remote
+        await forwarding.call_ledger(
+            inst, partition, request_key, wait_ms, call_local, call_remote
         )
     )
 
@@ -135,28 +136,52 @@
     """Forwards 'Wait', 'Cancel' or 'Describe' to the ledger's owner."""
     team = authorize(inst, call.queue, call.key)
     if isinstance(team, outcomes.Refused):
-        return values.encode_outcome(team)
+        return values.encode_outcome(_weaken(team))
     request_key = f'{team}/{call.request_id}'
+
+    async def ask_owner(
+        held_ms: int,
+    ) -> outcomes.Outcome | peer_pb2.LedgerReply:
+        return await _ask_owner(inst, method, request_key, held_ms, wait_ms)
+
+    held_ms = min(call.wait_ms, wait_ms) if method == 'Wait' else 0
+    reply = await forwarding.ask_until_stop(inst, ask_owner, held_ms)
+    if isinstance(reply, outcomes.Refused):
+        reply = _weaken(reply)
+    return _read_reply(reply)
+
+
+def _weaken(refused: outcomes.Refused) -> outcomes.Outcome:
+    """Returns what a refused question tells: nothing about its request."""
+    if refused.reason is outcomes.RefusalReason.UNAVAILABLE:
+        return outcomes.Unknown(refused.detail)
+    return refused
+
+
+async def _ask_owner(
+    inst: instances.Instance,
+    method: str,
+    request_key: str,
+    held_ms: int,
+    wait_ms: int,
+) -> outcomes.Outcome | peer_pb2.LedgerReply:
     partition = _choose_ledger(inst, request_key)
     forward = peer_pb2.LedgerRequest(
-        partition=partition,
-        request_key=request_key,
-        wait_ms=min(call.wait_ms, wait_ms),
+        partition=partition, request_key=request_key, wait_ms=held_ms
     )
 
     async def call_local(left_ms: int) -> peer_pb2.LedgerReply:
-        return await ledger_calls.CALLS[method](inst, forward, left_ms)
+        handle = ledger_calls.CALLS[method]
+        return await forwarding.answer_ledger(inst, handle, forward, left_ms)
 
     async def call_remote(
-        channel: grpclib.client.Channel, timeout: float
+        channel: grpclib.client.Channel, left_ms: int
     ) -> peer_pb2.LedgerReply:
         stub_call = getattr(peer_grpc.LedgerStub(channel), method)
-        return await stub_call(forward, timeout=timeout)
+        return await stub_call(forward, timeout=clock_lib.to_seconds(left_ms))
 
-    return _read_reply(
-        await routing.call_ledger(
-            inst, partition, wait_ms, call_local, call_remote
-        )
+    return await forwarding.call_ledger(
+        inst, partition, request_key, wait_ms, call_local, call_remote
     )
 
 
--- a/src/nutmegknot/_internal/instance/instances.py
+++ b/src/nutmegknot/_internal/instance/instances.py
@@ -16,6 +16,7 @@
 from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import settings_pb2
 from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import retries
 from nutmegknot._internal.utils import tasks as task_lib
 
 
@@ -46,6 +47,9 @@
       calls: Calls being handled.
       moving: Held while partitions are acquired, opened or handed over.
       opened: Epoch last opened of each partition.
+      retry_budget: Bounds the forwarding of calls anew.
+      unreached: Other members that did not answer the last digest.
+      stop_began: Set when a graceful stop begins.
       received: What the digests of each other instance have told.
       loads: Last known load of each fleet partition, by name.
     """
@@ -69,6 +73,11 @@
     calls: services.Calls = dataclasses.field(default_factory=services.Calls)
     moving: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
     opened: dict[str, int] = dataclasses.field(default_factory=dict)
+    retry_budget: retries.Budget = dataclasses.field(
+        default_factory=retries.Budget
+    )
+    unreached: set[str] = dataclasses.field(default_factory=set)
+    stop_began: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     received: dict[str, digests.Receiver] = dataclasses.field(
         default_factory=dict
     )
--- a/src/nutmegknot/_internal/instance/links.py
+++ b/src/nutmegknot/_internal/instance/links.py
@@ -6,10 +6,10 @@
 
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import loads
-from nutmegknot._internal.instance import routing
 from nutmegknot._internal.membership import digests
 from nutmegknot._internal.membership import leases
 from nutmegknot._internal.membership import views
+from nutmegknot._internal.network import calls
 from nutmegknot._internal.network import channels
 from nutmegknot._internal.schema import digest_grpc
 from nutmegknot._internal.schema import digest_pb2
@@ -31,13 +31,11 @@
       member: Its instance id.
       address: Its peer address.
       sender: What it has acknowledged.
-      is_up: Whether the last call was answered.
     """
 
     member: str
     address: str
     sender: digests.Sender
-    is_up: bool = False
 
 
 async def keep_loads(inst: instances.Instance) -> None:
@@ -60,6 +58,7 @@
         for id in set(running) - others:
             await tasks.cancel(running.pop(id))
             inst.received.pop(id, None)
+            inst.unreached.discard(id)
             view.answers.pop(id, None)
         for id in others - set(running):
             address = view.members[id].member.address
@@ -97,19 +96,17 @@
         reply = await stub.Exchange(
             made.message, timeout=clock_lib.to_seconds(timeout_ms)
         )
-    except routing.CALL_ERRORS as error:
-        if link.is_up:
-            logger.info(
-                'link_down', extra={'member': link.member, 'why': repr(error)}
-            )
-        link.is_up = False
+    except calls.CALL_ERRORS as error:
+        _note_unreached(inst, link, repr(error))
         return
     if reply.standing.member != link.member:
         # Another instance has the address now; the lease row will tell.
         return
     if reply.number != link.sender.number:
         return
-    link.is_up = True
+    if link.member in inst.unreached:
+        inst.unreached.discard(link.member)
+        signals.notify(inst.membership.view.routes)
     if reply.reset:
         digests.reset(link.sender)
     else:
@@ -121,6 +118,13 @@
     )
 
 
+def _note_unreached(inst: instances.Instance, link: Link, why: str) -> None:
+    if link.member not in inst.unreached:
+        logger.info('link_down', extra={'member': link.member, 'why': why})
+        inst.unreached.add(link.member)
+        signals.notify(inst.membership.view.routes)
+
+
 def make_standing(inst: instances.Instance) -> digest_pb2.Standing:
     """Returns what every digest and reply says of this instance."""
     view = inst.membership.view
--- a/src/nutmegknot/_internal/instance/routing.py
+++ b/src/nutmegknot/_internal/instance/routing.py
@@ -1,39 +1,22 @@
-"""Choosing partitions, and calls to their owners with retries."""
-
-import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
-import logging
-
-import grpclib.client
-import grpclib.exceptions
+"""Choosing the fleet partition that a request is assigned to."""
 
 from nutmegknot._internal.instance import instances
+from nutmegknot._internal.instance import loads as load_calls
 from nutmegknot._internal.ledger import accepting
+from nutmegknot._internal.membership import owning
 from nutmegknot._internal.membership import views
+from nutmegknot._internal.models import loads
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import requests
+from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.network import channels
-from nutmegknot._internal.schema import peer_pb2
-from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.network import calls
 from nutmegknot._internal.utils import hashing
-from nutmegknot._internal.utils import retries
-
-logger = logging.getLogger(__name__)
 
-CALL_ERRORS = (
-    grpclib.exceptions.GRPCError,
-    grpclib.exceptions.StreamTerminatedError,
-    grpclib.exceptions.ProtocolError,
-    OSError,
-    asyncio.TimeoutError,
-)
+CALL_ERRORS = calls.CALL_ERRORS
 
-Remote = Callable[
-    [grpclib.client.Channel, float], Awaitable[peer_pb2.LedgerReply]
-]
-Local = Callable[[int], Awaitable[peer_pb2.LedgerReply]]
+# Even a full partition gets some work, as its load is up to a second old.
+MIN_WEIGHT = 0.01
 
 
 def choose_fleet(
@@ -41,14 +24,26 @@
 ) -> accepting.Choice | outcomes.Refused:
     """Chooses the fleet partition that a request is assigned to."""
     view = inst.membership.view
-    open_names = [
+    known = {load.partition: load for load in load_calls.list_recent(inst)}
+    if _is_never_runnable(inst, req, known):
+        return outcomes.Refused(
+            outcomes.RefusalReason.NEVER_RUNNABLE,
+            'no workers of one failure domain are large enough for it',
+        )
+    names = [
         name
         for name in sorted(view.owners)
         if name.startswith('fleet-')
         and name not in avoid
         and _is_open(view, name)
     ]
-    chosen = hashing.choose_owner(requests.get_key(req), open_names)
+    fitting = [n for n in names if n in known and can_hold(known[n], req)]
+    if fitting:
+        weights = [_compute_weight(known[name]) for name in fitting]
+        chosen = inst.rng.choices(fitting, weights)[0]
+    else:
+        unknown = [name for name in names if name not in known]
+        chosen = hashing.choose_owner(requests.get_key(req), unknown or names)
     if not chosen:
         return outcomes.Refused(
             outcomes.RefusalReason.UNAVAILABLE, 'no failure domain is open'
@@ -56,6 +51,48 @@
     return accepting.Choice(chosen, views.get_epoch(view, chosen))
 
 
+def _is_never_runnable(
+    inst: instances.Instance,
+    req: requests.Request,
+    known: dict[str, loads.Load],
+) -> bool:
+    """Tells whether no partition's workers could hold the request, all free."""
+    names = owning.list_partitions(inst.settings)
+    fleets = [name for name in names if name.startswith('fleet-')]
+    if not all(name in known and known[name].is_whole for name in fleets):
+        return False
+    return not any(can_hold(known[name], req) for name in fleets)
+
+
+def can_hold(load: loads.Load, req: requests.Request) -> bool:
+    """Tells whether a partition's workers could hold a request, all free."""
+    room = sum(
+        shape.count * _count_fits(req.size, shape.capacity)
+        for shape in load.shapes
+    )
+    return room >= max(1, req.members)
+
+
+def _count_fits(size: resources.Resources, room: resources.Resources) -> int:
+    """Returns how many tasks of a size one worker has room for."""
+    parts = (
+        (size.millicores, room.millicores),
+        (size.memory_mib, room.memory_mib),
+        (size.accelerators, room.accelerators),
+        (size.slots, room.slots),
+    )
+    return min((have // want for want, have in parts if want > 0), default=0)
+
+
+def _compute_weight(load: loads.Load) -> float:
+    """Returns the free part of a partition less what waits there."""
+    held = resources.subtract(load.capacity, load.free)
+    for amount in load.queued.values():
+        held = resources.add(held, amount)
+    used = resources.compute_dominant_share(held, load.capacity)
+    return max(MIN_WEIGHT, 1.0 - used)
+
+
 def get_domain(fleet: str) -> str:
     """Returns the failure domain of a fleet partition, 'fleet-DOMAIN-N'."""
     return fleet.removeprefix('fleet-').rpartition('-')[0]
@@ -64,58 +101,3 @@
 def _is_open(view: views.View, fleet: str) -> bool:
     domain = view.configuration.domains.get(get_domain(fleet))
     return domain is None or domain.state is workers.DomainState.OPEN
-
-
-async def call_ledger(
-    inst: instances.Instance,
-    partition: str,
-    wait_ms: int,
-    local: Local,
-    remote: Remote,
-) -> outcomes.Outcome | peer_pb2.LedgerReply:
-    """Calls the owner of a ledger partition until it answers.
-
-    Args:
-      inst: The instance.
-      partition: The ledger partition.
-      wait_ms: Time left in ms.
-      local: Makes the call if this instance owns the partition.
-      remote: Makes it over a channel, with a time limit in s.
-
-    Returns:
-      The owner's reply, or Refused if no owner was ever reached, or Unknown if
-      one may have been.
-    """
-    until_ms = inst.clock.now_ms() + wait_ms
-    backoff = retries.Backoff(inst.rng)
-    may_have_reached = False
-    while (left_ms := until_ms - inst.clock.now_ms()) > 0:
-        reply = None
-        if partition in inst.ledgers:
-            reply = await local(left_ms)
-        else:
-            owner = inst.membership.view.owners.get(partition)
-            if owner and owner.owner and owner.owner != _get_id(inst):
-                channel = channels.get(inst.channels, owner.address)
-                try:
-                    reply = await remote(channel, clock_lib.to_seconds(left_ms))
-                except CALL_ERRORS as error:
-                    may_have_reached = True
-                    logger.info(
-                        'owner_unreached',
-                        extra={'partition': partition, 'why': repr(error)},
-                    )
-        if reply is not None and not reply.HasField('not_owner'):
-            return reply
-        left_ms = max(0, until_ms - inst.clock.now_ms())
-        wait = min(retries.take_wait(backoff), left_ms)
-        await asyncio.sleep(clock_lib.to_seconds(wait))
-    if may_have_reached:
-        return outcomes.Unknown('the owner did not answer in time')
-    return outcomes.Refused(
-        outcomes.RefusalReason.UNAVAILABLE, 'no owner was found in time', 1000
-    )
-
-
-def _get_id(inst: instances.Instance) -> str:
-    return inst.membership.view.me.id
--- a/src/nutmegknot/_internal/instance/running.py
+++ b/src/nutmegknot/_internal/instance/running.py
@@ -12,6 +12,7 @@
 
 from nutmegknot._internal.instance import entry
 from nutmegknot._internal.instance import fleet_calls
+from nutmegknot._internal.instance import forwarding
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import ledger_calls
 from nutmegknot._internal.instance import links
@@ -129,11 +130,12 @@
     inst: instances.Instance,
 ) -> dict[str, services.Handle]:
     """Returns the function of each method of the ledger interface."""
+    answer = forwarding.answer_ledger
     return {
-        'Submit': functools.partial(ledger_calls.submit, inst),
-        'Wait': functools.partial(ledger_calls.wait, inst),
-        'Cancel': functools.partial(ledger_calls.cancel, inst),
-        'Describe': functools.partial(ledger_calls.describe, inst),
+        'Submit': functools.partial(forwarding.answer_submit, inst),
+        'Wait': functools.partial(answer, inst, ledger_calls.wait),
+        'Cancel': functools.partial(answer, inst, ledger_calls.cancel),
+        'Describe': functools.partial(answer, inst, ledger_calls.describe),
         'Report': functools.partial(ledger_calls.report, inst),
     }
 
@@ -215,6 +217,7 @@
     """Stops gracefully: partitions are handed over, running calls finish."""
     view = inst.membership.view
     view.stopping = True
+    inst.stop_began.set()
     leases.begin_leaving(inst.membership)
     signals.notify(view.changed)
     logger.info('stopping', extra={'id': view.me.id})
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -120,6 +120,7 @@
     part = tasks.Tasks(broken=inst.tasks.broken)
     inst.ledgers[name] = ledger
     inst.part_tasks[name] = part
+    signals.notify(view.routes)
     tasks.spawn(part, journals.keep_writing(journal, context), f'write {name}')
     tasks.spawn(part, replicas.keep_services(inst, ledger), f'keep {name}')
     for fleet in owning.list_partitions(inst.settings):
@@ -222,6 +223,7 @@
 ) -> None:
     """Waits until nothing is left to be written, but not for long."""
     del inst.ledgers[ledger.name]
+    signals.notify(inst.membership.view.routes)
     until_ms = inst.clock.now_ms() + FLUSH_MS
     while inst.clock.now_ms() < until_ms and journals.is_busy(ledger.journal):
         await asyncio.sleep(clock_lib.to_seconds(FLUSH_STEP_MS))
@@ -250,6 +252,7 @@
     """Stops serving a partition at once."""
     inst.ledgers.pop(name, None)
     inst.fleets.pop(name, None)
+    signals.notify(inst.membership.view.routes)
     part = inst.part_tasks.pop(name, None)
     if part is not None:
         await tasks.cancel_all(part)
--- a/src/nutmegknot/_internal/membership/leases.py
+++ b/src/nutmegknot/_internal/membership/leases.py
@@ -288,9 +288,10 @@
 def take_owner_row(view: views.View, row: tables.Row) -> None:
     """Puts an owner row into the view, unless a newer one is known."""
     owner = rows.decode_owner(row)
-    if row.version >= view.owner_versions.get(owner.partition, 0):
+    if row.version > view.owner_versions.get(owner.partition, 0):
         view.owners[owner.partition] = owner
         view.owner_versions[owner.partition] = row.version
+        signals.notify(view.routes)
 
 
 async def read_configuration(context: Context) -> bool:
--- a/src/nutmegknot/_internal/membership/views.py
+++ b/src/nutmegknot/_internal/membership/views.py
@@ -62,6 +62,7 @@
       answers: What other instances last said, by instance id.
       stopping: Whether a graceful stop has begun.
       changed: Notified when any of these changes.
+      routes: Notified when an owner changes or is reached or not reached.
       news: Notified when other instances should hear of a change at once.
     """
 
@@ -82,6 +83,7 @@
     answers: dict[str, Answer] = dataclasses.field(default_factory=dict)
     stopping: bool = False
     changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
+    routes: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     news: signals.Signal = dataclasses.field(default_factory=signals.Signal)
 
 
--- a/src/nutmegknot/_internal/utils/retries.py
+++ b/src/nutmegknot/_internal/utils/retries.py
@@ -34,3 +34,35 @@
 def reset(backoff: Backoff) -> None:
     """Starts anew after a success."""
     backoff.attempts = 0
+
+
+DEFAULT_RETRIES_PER_CALL = 0.2
+DEFAULT_MOST_RETRIES = 50.0
+
+
+@dataclasses.dataclass(slots=True)
+class Budget:
+    """Bounds retries to a part of the calls, so that they can't add up.
+
+    Attributes:
+      per_call: Retries that each call adds.
+      most: The most that can be saved up.
+      left: Retries that may be made now.
+    """
+
+    per_call: float = DEFAULT_RETRIES_PER_CALL
+    most: float = DEFAULT_MOST_RETRIES
+    left: float = DEFAULT_MOST_RETRIES
+
+
+def add_call(budget: Budget) -> None:
+    """Counts a call."""
+    budget.left = min(budget.most, budget.left + budget.per_call)
+
+
+def take_retry(budget: Budget) -> bool:
+    """Counts a retry; tells whether it may be made at once."""
+    if budget.left < 1:
+        return False
+    budget.left -= 1
+    return True
