--- a/src/nutmegknot/_internal/instance/ledger_opening.py
+++ b/src/nutmegknot/_internal/instance/ledger_opening.py
@@ -18,6 +18,7 @@
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import table_pb2
+from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
 
 logger = logging.getLogger(__name__)
@@ -99,6 +100,7 @@
     part = tasks.Tasks(broken=inst.tasks.broken)
     inst.ledgers[name] = ledger
     inst.part_tasks[name] = part
+    signals.notify(inst.membership.view.routes)
     writer = writing.Context(
         table=store.table,
         rng=inst.rng,
