--- a/src/nutmegknot/_internal/audit/histories.py
+++ b/src/nutmegknot/_internal/audit/histories.py
@@ -54,7 +54,7 @@
         yield pointer
         return
     contents = [row.value for row in rows]
-    found = segments.sort_segments(partition, contents, pointer.link)
+    found = await segments.sort_segments(partition, contents, pointer.link)
     if isinstance(found, segments.Damaged):
         yield found
         return
@@ -66,7 +66,7 @@
         if not isinstance(archive, archives.Archive):
             yield archive
             return
-        part = _check_archive(partition, archive, until)
+        part = await _check_archive(partition, archive, until)
         yield part
         if isinstance(part, segments.Damaged):
             return
@@ -92,7 +92,7 @@
             return content
 
 
-def _check_archive(
+async def _check_archive(
     partition: str, archive: archives.Archive, until: segments.Link
 ) -> Part | segments.Damaged:
     """Returns an archive's segments if they are whole and lead to a place."""
@@ -102,7 +102,7 @@
     if isinstance(first, segments.Damaged):
         return first
     after = segments.Link(first.sequence - 1, first.previous)
-    found = segments.sort_segments(partition, archive.contents, after)
+    found = await segments.sort_segments(partition, archive.contents, after)
     if isinstance(found, segments.Damaged):
         return found
     if found[-1].link != until or len(found) != len(archive.contents):
--- a/src/nutmegknot/_internal/ledger/recovery.py
+++ b/src/nutmegknot/_internal/ledger/recovery.py
@@ -101,7 +101,7 @@
     content = await read_object(store, pointer.snapshot)
     if not isinstance(content, bytes):
         return content
-    fault = snapshots.apply(ledger, content, pointer.link)
+    fault = await snapshots.apply(ledger, content, pointer.link)
     return len(content) if fault is None else fault
 
 
@@ -113,7 +113,7 @@
     if isinstance(rows, tables.Unavailable):
         return rows
     contents = [row.value for row in rows]
-    found = segments.sort_segments(ledger.name, contents, pointer.link)
+    found = await segments.sort_segments(ledger.name, contents, pointer.link)
     if isinstance(found, segments.Damaged):
         return found
     for segment in found:
--- a/src/nutmegknot/_internal/ledger/segments.py
+++ b/src/nutmegknot/_internal/ledger/segments.py
@@ -1,5 +1,6 @@
 """Segments of a journal: their rows, their hash chain, damage."""
 
+import asyncio
 from collections.abc import Iterable
 import dataclasses
 import hashlib
@@ -92,13 +93,13 @@
         return Damaged(message.sequence, f'a record does not parse: {error}')
 
 
-def sort_segments(
+async def sort_segments(
     partition: str, contents: Iterable[bytes], after: Link
 ) -> list[Segment] | Damaged:
     """Returns the segments after a place, oldest first.
 
-    Segments at or before that place are ones whose rows have not been used
-    again yet, and are left out.
+    It gives way to other tasks after each segment. Segments at or before that
+    place are ones whose rows have not been used again yet, and are left out.
 
     Returns:
       The segments, or Damaged if one of them is changed or missing. Nothing
@@ -118,6 +119,7 @@
         fault = _find_fault(message, after, epoch)
         if fault:
             return Damaged(after.sequence + 1, fault)
+        await asyncio.sleep(0)
         decoded = decode_records(message)
         if isinstance(decoded, Damaged):
             return decoded
--- a/src/nutmegknot/_internal/ledger/snapshots.py
+++ b/src/nutmegknot/_internal/ledger/snapshots.py
@@ -1,21 +1,42 @@
 """Snapshots: the state of a ledger partition after a segment."""
 
 import asyncio
-import copy
 import dataclasses
+import operator
 
 from google.protobuf import message as message_lib
 
 from nutmegknot._internal.codec import records as record_codec
 from nutmegknot._internal.ledger import ledgers
 from nutmegknot._internal.ledger import segments
+from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import records
+from nutmegknot._internal.models import requests
 from nutmegknot._internal.schema import journal_pb2
 
-# Entries encoded before other tasks get their turn.
+# Entries encoded or applied before other tasks get their turn.
 ENTRIES_AT_ONCE = 200
 
 
+@dataclasses.dataclass(slots=True)
+class Image:
+    """The durable part of an entry; its fields are those of ledgers.Entry."""
+
+    req: requests.Request
+    accepted_ms: int
+    fleet: str
+    fleet_epoch: int
+    attempt: int
+    reason: str
+    workers: tuple[str, ...]
+    started: bool
+    failures: int
+    rejected: frozenset[str]
+    cancelled: bool
+    outcome: outcomes.Final | None
+    ended_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Capture:
     """A consistent copy of a partition's state.
@@ -23,12 +44,18 @@
     Attributes:
       partition: Name of the partition.
       link: The place in the chain that it is the state of.
-      entries: Copies of the entries by request key.
+      entries: Images of the entries by request key.
     """
 
     partition: str
     link: segments.Link
-    entries: dict[str, ledgers.Entry]
+    entries: dict[str, Image]
+
+
+# Reads all fields at once, since nothing else can run during a capture.
+_read_fields = operator.attrgetter(
+    *(field.name for field in dataclasses.fields(Image))
+)
 
 
 def capture(ledger: ledgers.Ledger) -> Capture:
@@ -38,7 +65,7 @@
     of their segment, so that it belongs to the journal's last segment at any
     time.
     """
-    entries = {key: copy.copy(e) for key, e in ledger.entries.items()}
+    entries = {k: Image(*_read_fields(e)) for k, e in ledger.entries.items()}
     return Capture(ledger.name, ledger.journal.last, entries)
 
 
@@ -56,7 +83,7 @@
     return message.SerializeToString()
 
 
-def _encode_entry(key: str, entry: ledgers.Entry) -> journal_pb2.SnapshotEntry:
+def _encode_entry(key: str, entry: Image) -> journal_pb2.SnapshotEntry:
     return journal_pb2.SnapshotEntry(
         request_key=key,
         records=[
@@ -69,7 +96,7 @@
     )
 
 
-def _list_steps(entry: ledgers.Entry) -> list[tuple[int, records.Step]]:
+def _list_steps(entry: Image) -> list[tuple[int, records.Step]]:
     """Returns the fewest steps that lead to the state of an entry."""
     at_ms = entry.accepted_ms
     steps: list[tuple[int, records.Step]] = [
@@ -89,11 +116,13 @@
     return steps
 
 
-def apply(
+async def apply(
     ledger: ledgers.Ledger, content: bytes, link: segments.Link
 ) -> segments.Damaged | None:
     """Brings an empty partition to the state of a snapshot.
 
+    It gives way to other tasks now and then.
+
     Args:
       ledger: The partition.
       content: The snapshot.
@@ -112,8 +141,10 @@
             link.sequence, 'the snapshot is of another segment'
         )
     try:
-        for one in message.entries:
+        for number, one in enumerate(message.entries):
             _apply_entry(ledger, one)
+            if number % ENTRIES_AT_ONCE == 0:
+                await asyncio.sleep(0)
     except ValueError as error:
         return segments.Damaged(
             link.sequence, f'a snapshot entry does not parse: {error}'
--- a/tests/unit/codec/test_damage.py
+++ b/tests/unit/codec/test_damage.py
@@ -106,7 +106,9 @@
 @settings
 @hypothesis.given(strategies.one_of(damage(SEGMENT), strategies.binary()))
 def test_damaged_segment_is_told(content: bytes) -> None:
-    found = segments.sort_segments(partitions.NAME, [content], LINK)
+    found = asyncio.run(
+        segments.sort_segments(partitions.NAME, [content], LINK)
+    )
     assert isinstance(found, list | segments.Damaged)
 
 
@@ -114,7 +116,7 @@
 @hypothesis.given(strategies.one_of(damage(SNAPSHOT), strategies.binary()))
 def test_damaged_snapshot_is_told(content: bytes) -> None:
     ledger = partitions.acquire(partitions.Cell())
-    result = snapshots.apply(ledger, content, LINK)
+    result = asyncio.run(snapshots.apply(ledger, content, LINK))
     assert result is None or isinstance(result, segments.Damaged)
 
 
--- a/tests/unit/ledger/test_journals.py
+++ b/tests/unit/ledger/test_journals.py
@@ -41,16 +41,16 @@
     return records.Record(f'team/{number}', number, records.Cancel())
 
 
-def read(fake: fakes.FakeTable) -> list[segments.Segment]:
+async def read(fake: fakes.FakeTable) -> list[segments.Segment]:
     prefix = segments.get_prefix('ledger-0')
     contents = [r.value for k, r in fake.rows.items() if k.startswith(prefix)]
-    found = segments.sort_segments('ledger-0', contents, segments.Link())
+    found = await segments.sort_segments('ledger-0', contents, segments.Link())
     assert isinstance(found, list)
     return found
 
 
-def read_records(fake: fakes.FakeTable) -> list[records.Record]:
-    return [record for one in read(fake) for record in one.records]
+async def read_records(fake: fakes.FakeTable) -> list[records.Record]:
+    return [record for one in await read(fake) for record in one.records]
 
 
 @pytest.mark.parametrize('faults', [[], ['lost'], ['down', 'lost', 'lost']])
@@ -63,7 +63,7 @@
     assert await first.written == journals.Durable()
     assert await second.written == journals.Durable()
     writer.cancel()
-    assert read_records(fake) == [make_record(1), make_record(2)]
+    assert await read_records(fake) == [make_record(1), make_record(2)]
 
 
 async def test_new_owner_fences() -> None:
@@ -74,7 +74,7 @@
     batch = journals.append(journal, [make_record(1)])
     assert await batch.written == journals.Fenced()
     await writer
-    assert read_records(fake) == []
+    assert await read_records(fake) == []
     late = journals.append(journal, [make_record(2)])
     assert await late.written == journals.Fenced()
 
@@ -96,7 +96,7 @@
     assert await batch.written == journals.Durable()
     await writer
     assert journal.fenced
-    assert read_records(fake) == [make_record(1)]
+    assert await read_records(fake) == [make_record(1)]
 
 
 async def test_fenced_without_certainty_is_unsettled() -> None:
@@ -172,9 +172,9 @@
     for batch in batches:
         assert await batch.written == journals.Durable()
     writer.cancel()
-    found = read(fake)
+    found = await read(fake)
     assert [len(one.records) for one in found] == [3, 3, 3]
-    assert read_records(fake) == [make_record(n) for n in numbers]
+    assert await read_records(fake) == [make_record(n) for n in numbers]
 
 
 async def test_oversized_batch_is_written_alone() -> None:
@@ -184,7 +184,7 @@
     batch = journals.append(journal, [make_record(1), make_record(2)])
     assert await batch.written == journals.Durable()
     writer.cancel()
-    assert len(read(fake)) == 1
+    assert len(await read(fake)) == 1
 
 
 async def test_full_journal_tells_so() -> None:
