--- /dev/null
+++ b/src/nutmegknot/_internal/decisions/ordering.py
@@ -0,0 +1,123 @@
+"""Order of the waiting requests.
+
+Priority class goes first, then the team that is furthest below its share,
+then age. Every few placements an aged request of a lower class goes before
+the others, so that a class that never runs dry starves nobody.
+"""
+
+import dataclasses
+import heapq
+
+from nutmegknot._internal.decisions import queues
+from nutmegknot._internal.decisions import shares
+from nutmegknot._internal.decisions import states
+from nutmegknot._internal.models import partitions
+from nutmegknot._internal.models import requests
+
+_HeapEntry = tuple[float, int, str]
+
+
+@dataclasses.dataclass(slots=True)
+class Turn:
+    """State of one pass over the waiting requests.
+
+    Attributes:
+      now_ms: Wall clock instant in ms.
+      heaps: Teams by distance from share and age, by priority class.
+      skipped: Shapes that a team may not start in this pass.
+    """
+
+    now_ms: int
+    heaps: dict[requests.PriorityClass, list[_HeapEntry]]
+    skipped: set[tuple[str, queues.Shape]]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Candidate:
+    """The request that goes next."""
+
+    line: queues.Line
+    shape: queues.Shape
+    given: partitions.Assignment
+
+
+def begin_turn(sched: states.Scheduler, now_ms: int) -> Turn:
+    """Returns the state of a new pass."""
+    heaps: dict[requests.PriorityClass, list[_HeapEntry]] = {
+        priority: [] for priority in requests.PriorityClass
+    }
+    for (priority, team), line in sched.queue.lines.items():
+        age = _find_age(line)
+        entry = (shares.compute_distance(sched, team), age, team)
+        heaps[priority].append(entry)
+    for heap in heaps.values():
+        heapq.heapify(heap)
+    return Turn(now_ms, heaps, set())
+
+
+def _find_age(line: queues.Line) -> int:
+    return min(part.peekitem(0)[0][0] for part in line.parts.values())
+
+
+def take_next(sched: states.Scheduler, turn: Turn) -> Candidate | None:
+    """Returns the request to be tried next, None if there is none."""
+    if sched.turns % sched.policy.aged_turn == 0:
+        aged = _take_aged(sched, turn)
+        if aged is not None:
+            return aged
+    for priority in requests.PriorityClass:
+        candidate = _take_from(sched, turn, priority)
+        if candidate is not None:
+            return candidate
+    return None
+
+
+def _take_from(
+    sched: states.Scheduler, turn: Turn, priority: requests.PriorityClass
+) -> Candidate | None:
+    """Returns the next request of a class, and puts its team back in order."""
+    heap = turn.heaps[priority]
+    while heap:
+        distance, age, team = heap[0]
+        line = sched.queue.lines.get((priority, team))
+        now = shares.compute_distance(sched, team)
+        if line is None:
+            heapq.heappop(heap)
+        elif now != distance:
+            heapq.heapreplace(heap, (now, age, team))
+        else:
+            candidate = _find_oldest(turn, line)
+            if candidate is not None:
+                return candidate
+            heapq.heappop(heap)
+    return None
+
+
+def _take_aged(sched: states.Scheduler, turn: Turn) -> Candidate | None:
+    """Returns an aged request of a class that is not the first waiting."""
+    used = [p for p in requests.PriorityClass if turn.heaps[p]]
+    for priority in reversed(used[1:]):
+        for _, age, team in sorted(turn.heaps[priority]):
+            line = sched.queue.lines.get((priority, team))
+            if line is None or turn.now_ms - age < sched.policy.ageing_ms:
+                continue
+            candidate = _find_oldest(turn, line)
+            if candidate is not None:
+                return candidate
+    return None
+
+
+def _find_oldest(turn: Turn, line: queues.Line) -> Candidate | None:
+    """Returns the oldest request of a line that may find room."""
+    best = None
+    best_place: tuple[int, str] | None = None
+    for shape, part in line.parts.items():
+        if shape.blocked or turn.now_ms < shape.retry_ms:
+            continue
+        if turn.skipped and (line.team, shape) in turn.skipped:
+            continue
+        place, given = part.peekitem(0)
+        if best_place is None or place < best_place:
+            best = Candidate(line, shape, given)
+            best_place = place
+    return best
--- /dev/null
+++ b/src/nutmegknot/_internal/decisions/placement.py
@@ -0,0 +1,170 @@
+"""Choice of workers for the members of a request."""
+
+from collections.abc import Iterator
+import itertools
+
+from nutmegknot._internal.decisions import holdings
+from nutmegknot._internal.decisions import indexes
+from nutmegknot._internal.decisions import queues
+from nutmegknot._internal.decisions import states
+from nutmegknot._internal.models import partitions
+from nutmegknot._internal.models import requests
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import workers
+
+_Candidate = tuple[str, resources.Resources]
+
+
+def place(
+    sched: states.Scheduler,
+    given: partitions.Assignment,
+    shape: queues.Shape,
+    now_ms: int,
+) -> tuple[str, ...] | None:
+    """Holds room for every member of a request, or for none.
+
+    Args:
+      sched: The state; what is placed is held, and noted as running.
+      given: The assignment.
+      shape: Its shape.
+      now_ms: Wall clock instant in ms.
+
+    Returns:
+      The workers in member order, or None if there is no room.
+    """
+    req = given.req
+    if req.members > 1 and not _has_rooms(sched, shape):
+        return None
+    key = requests.get_key(req)
+    chosen: list[str] = []
+    run = states.Run(given, now_ms, shape.run_ms, set())
+    for member in range(req.members):
+        worker_id = find_worker(sched, shape)
+        if worker_id is None:
+            _undo(sched, run)
+            return None
+        task = workers.TaskId(key, member, given.attempt)
+        held = states.Held(worker_id, req.team, shape.size)
+        holdings.hold(sched, task, held)
+        run.members.add(task)
+        chosen.append(worker_id)
+    holdings.note_running(sched, run)
+    if shape.size.accelerators:
+        # Other work leaves less room beside fewer free accelerators.
+        for worker_id in chosen:
+            queues.unblock_fitting(sched.queue, sched.free[worker_id])
+    return tuple(chosen)
+
+
+def _undo(sched: states.Scheduler, run: states.Run) -> None:
+    for task in run.members:
+        holdings.free(sched, task)
+
+
+def _has_rooms(sched: states.Scheduler, shape: queues.Shape) -> bool:
+    """Tells whether there is room for all members, without holding any."""
+    missing = shape.members
+    for _, free in _find_candidates(sched, shape):
+        missing -= resources.count_fitting(shape.size, free)
+        if missing <= 0:
+            return True
+    return False
+
+
+def find_worker(sched: states.Scheduler, shape: queues.Shape) -> str | None:
+    """Returns the best worker for one member, None if none has room."""
+    candidates = _find_candidates(sched, shape)
+    if shape.service:
+        return _choose_spread(sched, shape, candidates)
+    best = None
+    best_score = 0.0
+    few = itertools.islice(candidates, sched.policy.candidates)
+    for worker_id, free in few:
+        score = _score(sched, worker_id, free, shape.size)
+        if best is None or score < best_score:
+            best = worker_id
+            best_score = score
+    return best
+
+
+def _find_candidates(
+    sched: states.Scheduler, shape: queues.Shape
+) -> Iterator[_Candidate]:
+    """Yields workers with room, the tightest first."""
+    size = shape.size
+    first = size.accelerators or indexes.PLAIN_GROUP
+    sparing = not size.accelerators and is_sparing(sched)
+    for worker_id, free in indexes.find(sched.index, size, first):
+        if worker_id in shape.avoided:
+            continue
+        if sparing and not _leaves_headroom(sched, worker_id, free, size):
+            continue
+        yield worker_id, free
+
+
+def is_sparing(sched: states.Scheduler) -> bool:
+    """Tells whether other work has to leave room beside free accelerators."""
+    return sched.queue.accelerated > 0 or sched.used.accelerators > 0
+
+
+def _leaves_headroom(
+    sched: states.Scheduler,
+    worker_id: str,
+    free: resources.Resources,
+    size: resources.Resources,
+) -> bool:
+    """Tells whether free accelerators keep their processors and memory."""
+    if free.accelerators <= 0:
+        return True
+    capacity = sched.machines[worker_id].capacity
+    kept = free.accelerators / capacity.accelerators
+    kept *= sched.policy.accelerator_headroom
+    cores = free.millicores - size.millicores
+    memory = free.memory_mib - size.memory_mib
+    return (
+        cores >= kept * capacity.millicores
+        and memory >= kept * capacity.memory_mib
+        and free.slots - size.slots >= free.accelerators
+    )
+
+
+def _score(
+    sched: states.Scheduler,
+    worker_id: str,
+    free: resources.Resources,
+    size: resources.Resources,
+) -> float:
+    """Returns how badly a worker suits a task.
+
+    What a worker has left is of use only if its parts are in balance, so both
+    what is left and how uneven it is count.
+    """
+    capacity = sched.machines[worker_id].capacity
+    cores = (free.millicores - size.millicores) / capacity.millicores
+    memory = (free.memory_mib - size.memory_mib) / capacity.memory_mib
+    return cores + memory + 2 * abs(cores - memory)
+
+
+def _choose_spread(
+    sched: states.Scheduler,
+    shape: queues.Shape,
+    candidates: Iterator[_Candidate],
+) -> str | None:
+    """Returns the worker that spreads a service over racks and workers."""
+    racks: dict[str, int] = {}
+    on_worker = sched.replicas.get(shape.service, {})
+    for worker_id, count in on_worker.items():
+        worker = sched.machines.get(worker_id)
+        if worker is not None:
+            racks[worker.rack] = racks.get(worker.rack, 0) + count
+    best = None
+    best_score: tuple[int, int] = (0, 0)
+    for worker_id, _ in candidates:
+        rack = sched.machines[worker_id].rack
+        score = (racks.get(rack, 0), on_worker.get(worker_id, 0))
+        if best is None or score < best_score:
+            best = worker_id
+            best_score = score
+        if best_score == (0, 0):
+            break
+    return best
--- /dev/null
+++ b/src/nutmegknot/_internal/decisions/states.py
@@ -0,0 +1,115 @@
+"""State of the decisions of one fleet partition."""
+
+import dataclasses
+
+from nutmegknot._internal.decisions import indexes
+from nutmegknot._internal.decisions import policies
+from nutmegknot._internal.decisions import queues
+from nutmegknot._internal.models import cells
+from nutmegknot._internal.models import partitions
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import workers
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Held:
+    """What a task takes of a worker.
+
+    Attributes:
+      worker_id: The worker.
+      team: Team that it counts for.
+      size: Resources set aside.
+    """
+
+    worker_id: str
+    team: str
+    size: resources.Resources
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A request of which members run or may run.
+
+    Attributes:
+      given: Its assignment.
+      started_ms: Wall clock instant in ms at which it was placed.
+      run_ms: Upper bound of the run time expected, in ms; 0 if unknown.
+      members: Tasks that have not ended.
+      stopping: Why it is being stopped, or ''.
+    """
+
+    given: partitions.Assignment
+    started_ms: int
+    run_ms: int
+    members: set[workers.TaskId]
+    stopping: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class Scheduler:
+    """State of the decisions of one fleet partition.
+
+    Attributes:
+      domain: Its failure domain.
+      configuration: The configuration in force.
+      machines: Workers that may be given work, by id.
+      free: What each worker has left, those that get no work included.
+      held: What each task takes, by task.
+      waiting: Waiting assignments by request key.
+      grants: The most that each team may hold in this partition, by team; a
+        team that is not named may hold nothing, unless grants is None.
+      fleet_usage: What each team holds in the whole fleet, by team.
+      fleet_capacity: What the whole fleet has.
+      policy: Parameters of the decisions.
+      index: Workers that may be given work, by what they have left.
+      queue: Waiting requests, by class, team and shape.
+      running: Requests of which members run or may run, by key.
+      tasks: Tasks that each worker holds, by worker.
+      usage: What each team holds here, by team.
+      usage_base: What each team held here when fleet_usage was set.
+      capacity: What the workers that may be given work have together.
+      used: What all tasks hold together.
+      distances: Distance from share of the teams for which it is known.
+      replicas: Replicas of each service on each worker, by service.
+      turns: Placements made.
+      checked_ms: Instant in ms of the last work that is done once a second.
+    """
+
+    domain: str
+    configuration: cells.Configuration
+    machines: dict[str, workers.Worker] = dataclasses.field(
+        default_factory=dict
+    )
+    free: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    held: dict[workers.TaskId, Held] = dataclasses.field(default_factory=dict)
+    waiting: dict[str, partitions.Assignment] = dataclasses.field(
+        default_factory=dict
+    )
+    grants: dict[str, resources.Resources] | None = None
+    fleet_usage: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    fleet_capacity: resources.Resources = resources.NOTHING
+    policy: policies.Policy = dataclasses.field(default_factory=policies.Policy)
+    index: indexes.Index = dataclasses.field(default_factory=indexes.Index)
+    queue: queues.Queue = dataclasses.field(default_factory=queues.Queue)
+    running: dict[str, Run] = dataclasses.field(default_factory=dict)
+    tasks: dict[str, dict[workers.TaskId, Held]] = dataclasses.field(
+        default_factory=dict
+    )
+    usage: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    usage_base: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    capacity: resources.Resources = resources.NOTHING
+    used: resources.Resources = resources.NOTHING
+    distances: dict[str, float] = dataclasses.field(default_factory=dict)
+    replicas: dict[str, dict[str, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    turns: int = 0
+    checked_ms: int = 0
--- a/src/nutmegknot/_internal/models/resources.py
+++ b/src/nutmegknot/_internal/models/resources.py
@@ -75,3 +75,14 @@
         (amount.slots, total.slots),
     )
     return max((used / have for used, have in parts if have > 0), default=0.0)
+
+
+def count_fitting(amount: Resources, room: Resources) -> int:
+    """Returns how many times amount, not nothing, fits into room."""
+    parts = (
+        (amount.millicores, room.millicores),
+        (amount.memory_mib, room.memory_mib),
+        (amount.accelerators, room.accelerators),
+        (amount.slots, room.slots),
+    )
+    return max(0, min(have // part for part, have in parts if part > 0))
--- /dev/null
+++ b/tests/unit/decisions/builders.py
@@ -0,0 +1,63 @@
+"""Short ways to make the values that the tests of decisions need."""
+
+from typing import Any
+
+from nutmegknot._internal.decisions import scheduling
+from nutmegknot._internal.models import cells
+from nutmegknot._internal.models import partitions
+from nutmegknot._internal.models import requests
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import workers
+
+UNLIMITED = resources.Resources(10**9, 10**9, 10**9, 10**9)
+
+
+def make_size(
+    cores: int = 1, gib: int = 1, accelerators: int = 0
+) -> resources.Resources:
+    return resources.Resources(cores * 1000, gib * 1024, accelerators, 1)
+
+
+def make_worker(
+    name: str,
+    cores: int = 8,
+    gib: int = 32,
+    accelerators: int = 0,
+    rack: str = 'rack',
+) -> workers.Worker:
+    capacity = resources.Resources(cores * 1000, gib * 1024, accelerators, 8)
+    return workers.Worker(name, 'region', 'domain', rack, capacity)
+
+
+def make_configuration(
+    *teams: str, closed: bool = False
+) -> cells.Configuration:
+    state = workers.DomainState.CLOSED if closed else workers.DomainState.OPEN
+    return cells.Configuration(
+        teams={name: cells.Team(name, 1.0, UNLIMITED) for name in teams},
+        domains={'domain': cells.Domain('domain', 'region', state)},
+    )
+
+
+def make_given(
+    number: int,
+    size: resources.Resources,
+    accepted_ms: int = 0,
+    attempt: int = 0,
+    **fields: Any,  # noqa: ANN401 - fields of a request
+) -> partitions.Assignment:
+    """Returns an assignment of team a, unless fields say otherwise."""
+    fields.setdefault('team', 'a')
+    req = requests.Request(id=str(number), queue='queue', size=size, **fields)
+    return partitions.Assignment(
+        req, 'ledger-0', 'fleet-domain-0', 1, attempt, accepted_ms
+    )
+
+
+def make_scheduler(
+    *given: workers.Worker, teams: tuple[str, ...] = ('a', 'b', 'c')
+) -> scheduling.Scheduler:
+    sched = scheduling.Scheduler('domain', make_configuration(*teams))
+    for worker in given:
+        scheduling.add_worker(sched, worker)
+    return sched
--- /dev/null
+++ b/tests/unit/decisions/test_scheduling.py
@@ -0,0 +1,224 @@
+"""Differential tests of decisions/scheduling.py, with invariants."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+from unit.decisions import builders
+
+from nutmegknot._internal.decisions import scheduling
+from nutmegknot._internal.decisions import states
+from nutmegknot._internal.models import requests
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import workers
+
+TEAMS = ('a', 'b', 'c')
+GRANT = resources.Resources(20_000, 40 * 1024, 4, 12)
+
+
+def check_capacity(sched: scheduling.Scheduler) -> None:
+    """Adds up every worker anew from what is held."""
+    for worker_id, worker in sched.machines.items():
+        held = resources.NOTHING
+        for one in sched.held.values():
+            if one.worker_id == worker_id:
+                held = resources.add(held, one.size)
+        assert resources.fits(held, worker.capacity)
+        assert sched.free[worker_id] == resources.subtract(
+            worker.capacity, held
+        )
+
+
+def check_grants(sched: scheduling.Scheduler) -> None:
+    usage: dict[str, resources.Resources] = {}
+    for one in sched.held.values():
+        before = usage.get(one.team, resources.NOTHING)
+        usage[one.team] = resources.add(before, one.size)
+    assert usage == scheduling.compute_usage(sched)
+    if sched.grants is not None:
+        for team, amount in usage.items():
+            assert resources.fits(amount, sched.grants[team])
+
+
+def check_whole(sched: scheduling.Scheduler) -> None:
+    """Every request that holds anything was placed with all its members."""
+    for run in sched.running.values():
+        assert run.members <= sched.held.keys()
+    assert not sched.running.keys() & sched.waiting.keys()
+
+
+def keeps_half(left: resources.Resources, worker: workers.Worker) -> bool:
+    """Tells whether each free accelerator keeps half its part of the rest."""
+    cards = worker.capacity.accelerators
+    if left.accelerators <= 0:
+        return True
+    return (
+        2 * left.millicores * cards
+        >= left.accelerators * worker.capacity.millicores
+        and 2 * left.memory_mib * cards
+        >= left.accelerators * worker.capacity.memory_mib
+        and left.slots >= left.accelerators
+    )
+
+
+def has_room_by_scan(sched: scheduling.Scheduler, key: str) -> bool:
+    """Tells whether a scan of all workers would find room for a request."""
+    req = sched.waiting[key].req
+    whole = resources.multiply(req.size, req.members)
+    usage = sched.usage.get(req.team, resources.NOTHING)
+    if sched.grants is not None and not resources.fits(
+        resources.add(usage, whole), sched.grants[req.team]
+    ):
+        return False
+    sparing = not req.size.accelerators and (
+        any(given.req.size.accelerators for given in sched.waiting.values())
+        or any(one.size.accelerators for one in sched.held.values())
+    )
+    rooms = 0
+    for worker_id in sched.machines:
+        free = sched.free[worker_id]
+        while resources.fits(req.size, free):
+            left = resources.subtract(free, req.size)
+            if sparing and not keeps_half(left, sched.machines[worker_id]):
+                break
+            free = left
+            rooms += 1
+    return rooms >= req.members
+
+
+def add_random(sched: scheduling.Scheduler, rng: random.Random) -> None:
+    number = rng.randrange(10**9)
+    size = builders.make_size(
+        rng.choice([1, 2, 4, 8]),
+        rng.choice([1, 4, 16]),
+        rng.choice([0, 0, 0, 1, 2]),
+    )
+    given = builders.make_given(
+        number,
+        size,
+        team=rng.choice(TEAMS),
+        members=rng.choice([1, 1, 1, 2, 5]),
+        priority=rng.choice(list(requests.PriorityClass)),
+        accepted_ms=number % 50,
+        service=rng.choice(['', '', 's']),
+    )
+    scheduling.add_waiting(sched, given)
+
+
+def take_step(sched: scheduling.Scheduler, rng: random.Random) -> None:
+    kind = rng.randrange(10)
+    if kind < 5:
+        add_random(sched, rng)
+    elif kind < 8 and sched.held:
+        scheduling.release(sched, rng.choice(list(sched.held)))
+    elif kind == 8 and sched.waiting:
+        key = rng.choice(list(sched.waiting))
+        assert scheduling.remove_waiting(sched, key)
+    elif sched.machines:
+        worker_id = rng.choice(list(sched.machines))
+        worker = sched.machines[worker_id]
+        scheduling.remove_worker(sched, worker_id)
+        if rng.random() < 0.3:
+            scheduling.forget_worker(sched, worker_id)
+        if rng.random() < 0.8:
+            scheduling.add_worker(sched, worker)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+@hypothesis.given(
+    seed=strategies.integers(0, 10**6), limited=strategies.booleans()
+)
+def test_places_whatever_a_scan_could_place(seed: int, limited: bool) -> None:
+    rng = random.Random(seed)
+    sched = builders.make_scheduler(
+        *(builders.make_worker(f'p{n}', rack=f'r{n % 2}') for n in range(4)),
+        builders.make_worker('x0', accelerators=4),
+        builders.make_worker('x1', accelerators=2),
+    )
+    if limited:
+        scheduling.set_grants(sched, dict.fromkeys(TEAMS, GRANT))
+    for step in range(60):
+        take_step(sched, rng)
+        # All-at-once jobs are tried again after a pause.
+        decisions = scheduling.decide(sched, step * 1000)
+        decisions += scheduling.decide(sched, step * 1000 + 500)
+        for decision in decisions:
+            assert isinstance(decision, scheduling.Place)
+            tasks = sched.running[decision.request_key].members
+            assert len(tasks) == len(decision.workers)
+        check_capacity(sched)
+        check_grants(sched)
+        check_whole(sched)
+        for key in sched.waiting:
+            assert not has_room_by_scan(sched, key), key
+
+
+def test_closed_domain_gives_everything_back() -> None:
+    sched = builders.make_scheduler(builders.make_worker('p'))
+    scheduling.add_waiting(sched, builders.make_given(1, builders.make_size()))
+    scheduling.set_configuration(
+        sched, builders.make_configuration('a', closed=True)
+    )
+    assert scheduling.decide(sched, 0) == [
+        scheduling.GiveBack('a/1', 'domain', 'domain is closed')
+    ]
+    assert not sched.waiting
+
+
+def test_class_goes_before_share_and_share_before_age() -> None:
+    sched = builders.make_scheduler(builders.make_worker('p', cores=4))
+    running = builders.make_given(0, builders.make_size(1))
+    scheduling.add_waiting(sched, running)
+    scheduling.decide(sched, 0)
+    size = builders.make_size(1)
+    urgent = requests.PriorityClass.URGENT
+    for given in (
+        builders.make_given(1, size, team='a', accepted_ms=1),
+        builders.make_given(2, size, team='b', accepted_ms=2),
+        builders.make_given(3, size, team='a', accepted_ms=3, priority=urgent),
+    ):
+        scheduling.add_waiting(sched, given)
+    placed = [d.request_key for d in scheduling.decide(sched, 10)]
+    assert placed == ['a/3', 'b/2', 'a/1']
+
+
+def test_share_follows_weight_and_fleet_usage() -> None:
+    sched = builders.make_scheduler(builders.make_worker('p', cores=2))
+    usage = {'a': builders.make_size(10, 10), 'b': builders.make_size(5, 5)}
+    scheduling.set_fleet_usage(sched, usage, builders.UNLIMITED)
+    size = builders.make_size(1)
+    for number, team in enumerate(('a', 'b', 'c')):
+        scheduling.add_waiting(
+            sched, builders.make_given(number, size, team=team)
+        )
+    placed = [d.request_key for d in scheduling.decide(sched, 0)]
+    assert placed == ['c/2', 'b/1']
+
+
+def test_accelerator_workers_are_kept_for_accelerator_work() -> None:
+    sched = builders.make_scheduler(
+        builders.make_worker('x', accelerators=1), builders.make_worker('p')
+    )
+    scheduling.add_waiting(sched, builders.make_given(1, builders.make_size(1)))
+    decisions = scheduling.decide(sched, 0)
+    assert decisions == [scheduling.Place('a/1', ('p',), builders.make_size(1))]
+
+
+def test_replicas_are_spread_over_racks() -> None:
+    sched = builders.make_scheduler(
+        *(builders.make_worker(f'p{n}', rack=f'r{n // 2}') for n in range(6))
+    )
+    for number in range(3):
+        given = builders.make_given(number, builders.make_size(), service='s')
+        scheduling.add_waiting(sched, given)
+    scheduling.decide(sched, 0)
+    racks = {sched.machines[h.worker_id].rack for h in sched.held.values()}
+    assert racks == {'r0', 'r1', 'r2'}
+
+
+def test_tasks_that_are_found_count_before_their_worker_is_known() -> None:
+    sched = builders.make_scheduler()
+    size = builders.make_size(6)
+    scheduling.hold(sched, workers.TaskId('a/1'), states.Held('p', 'a', size))
+    scheduling.add_worker(sched, builders.make_worker('p', cores=8))
+    assert sched.free['p'].millicores == 2000
