Search the placement index once for each size that finds no room

Cause: at 940 workers a pass repeated failed searches for every shape, and other work searched through the room kept beside free accelerators.

Change: sizes that found no room are remembered until a worker has room for them; workers with accelerators stand in two indexes, one of them without the room that other work has to leave; parts of lines are plain lists.

--- a/src/nutmegknot/_internal/decisions/holdings.py
+++ b/src/nutmegknot/_internal/decisions/holdings.py
@@ -22,7 +22,7 @@
         free = resources.subtract(free, held.size)
     sched.free[worker.id] = free
     refresh_index(sched, worker.id)
-    queues.unblock_fitting(sched.queue, free)
+    reopen(sched, worker.id)
 
 
 def remove_worker(sched: states.Scheduler, worker_id: str) -> None:
@@ -67,8 +67,7 @@
     if held is None:
         return
     free(sched, task)
-    if held.worker_id in sched.machines:
-        queues.unblock_fitting(sched.queue, sched.free[held.worker_id])
+    reopen(sched, held.worker_id)
 
 
 def free(sched: states.Scheduler, task: workers.TaskId) -> None:
@@ -126,13 +125,62 @@
 
 
 def refresh_index(sched: states.Scheduler, worker_id: str) -> None:
-    """Brings the index up to date with what a worker has left."""
+    """Brings the indexes up to date with what a worker has left."""
     worker = sched.machines.get(worker_id)
     if worker is None:
         indexes.remove(sched.index, worker_id)
+        indexes.remove(sched.accelerator_index, worker_id)
         return
-    has_accelerators = worker.capacity.accelerators > 0
-    indexes.put(sched.index, worker_id, sched.free[worker_id], has_accelerators)
+    free = sched.free[worker_id]
+    if not worker.capacity.accelerators:
+        indexes.put(sched.index, worker_id, free, indexes.PLAIN_GROUP)
+        return
+    group = max(0, free.accelerators)
+    indexes.put(sched.accelerator_index, worker_id, free, group)
+    room = compute_other_room(sched, worker)
+    indexes.put(sched.index, worker_id, room, group)
+
+
+def compute_other_room(
+    sched: states.Scheduler, worker: workers.Worker
+) -> resources.Resources:
+    """Returns what a worker has left for work without accelerators.
+
+    While there is work that needs accelerators, each free accelerator keeps a
+    part of the processors and memory that belong to it by proportion.
+    """
+    free = sched.free[worker.id]
+    cards = free.accelerators
+    if not sched.sparing or cards <= 0:
+        return free
+    capacity = worker.capacity
+    part = sched.policy.accelerator_headroom * cards / capacity.accelerators
+    kept = resources.Resources(
+        int(capacity.millicores * part),
+        int(capacity.memory_mib * part),
+        0,
+        cards,
+    )
+    return resources.subtract(free, kept)
+
+
+def reopen(sched: states.Scheduler, worker_id: str) -> None:
+    """Lets waiting requests that fit on a worker be tried again."""
+    worker = sched.machines.get(worker_id)
+    if worker is not None:
+        room = compute_other_room(sched, worker)
+        queues.unblock_fitting(sched.queue, sched.free[worker_id], room)
+
+
+def set_sparing(sched: states.Scheduler, sparing: bool) -> None:
+    """Sets whether room beside free accelerators is kept."""
+    if sched.sparing == sparing:
+        return
+    sched.sparing = sparing
+    for worker in sched.machines.values():
+        if worker.capacity.accelerators:
+            refresh_index(sched, worker.id)
+    queues.unblock_all(sched.queue)
 
 
 def compute_usage(sched: states.Scheduler) -> dict[str, resources.Resources]:
--- a/src/nutmegknot/_internal/decisions/indexes.py
+++ b/src/nutmegknot/_internal/decisions/indexes.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Iterator
 import dataclasses
-import itertools
 
 import sortedcontainers
 
@@ -44,15 +43,21 @@
     index: Index,
     worker_id: str,
     free: resources.Resources,
-    has_accelerators: bool,
+    group: int,
 ) -> None:
-    """Adds a worker, or moves it to where its free resources belong."""
+    """Adds a worker, or moves it to where its free resources belong.
+
+    Args:
+      index: The index.
+      worker_id: The worker.
+      free: What it has left.
+      group: Its free accelerators, or PLAIN_GROUP.
+    """
     if free.slots <= 0:
         remove(index, worker_id)
         index.full[worker_id] = free
         return
     index.full.pop(worker_id, None)
-    group = max(0, free.accelerators) if has_accelerators else PLAIN_GROUP
     cores = _compute_level(free.millicores)
     memory = _compute_level(free.memory_mib)
     position = (group, (cores + memory, cores, memory))
@@ -119,10 +124,3 @@
         for worker_id, free in index.full.items():
             if resources.fits(size, free):
                 yield worker_id, free
-
-
-def find_some(
-    index: Index, size: resources.Resources, first_group: int, count: int
-) -> list[tuple[str, resources.Resources]]:
-    """Returns the first workers, at most count, that find yields."""
-    return list(itertools.islice(find(index, size, first_group), count))
--- a/src/nutmegknot/_internal/decisions/ordering.py
+++ b/src/nutmegknot/_internal/decisions/ordering.py
@@ -14,7 +14,7 @@
 from nutmegknot._internal.models import partitions
 from nutmegknot._internal.models import requests
 
-_HeapEntry = tuple[float, int, str]
+_HeapEntry = tuple[float, queues.Age, str]
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,18 +47,13 @@
         priority: [] for priority in requests.PriorityClass
     }
     for (priority, team), line in sched.queue.lines.items():
-        age = _find_age(line)
-        entry = (shares.compute_distance(sched, team), age, team)
-        heaps[priority].append(entry)
+        distance = shares.compute_distance(sched, team)
+        heaps[priority].append((distance, line.oldest, team))
     for heap in heaps.values():
         heapq.heapify(heap)
     return Turn(now_ms, heaps, set())
 
 
-def _find_age(line: queues.Line) -> int:
-    return min(part.peekitem(0)[0][0] for part in line.parts.values())
-
-
 def take_next(sched: states.Scheduler, turn: Turn) -> Candidate | None:
     """Returns the request to be tried next, None if there is none."""
     if sched.turns % sched.policy.aged_turn == 0:
@@ -86,7 +81,7 @@
         elif now != distance:
             heapq.heapreplace(heap, (now, age, team))
         else:
-            candidate = _find_oldest(turn, line)
+            candidate = _find_oldest(sched, turn, line)
             if candidate is not None:
                 return candidate
             heapq.heappop(heap)
@@ -99,25 +94,26 @@
     for priority in reversed(used[1:]):
         for _, age, team in sorted(turn.heaps[priority]):
             line = sched.queue.lines.get((priority, team))
-            if line is None or turn.now_ms - age < sched.policy.ageing_ms:
+            if line is None or turn.now_ms - age[0] < sched.policy.ageing_ms:
                 continue
-            candidate = _find_oldest(turn, line)
+            candidate = _find_oldest(sched, turn, line)
             if candidate is not None:
                 return candidate
     return None
 
 
-def _find_oldest(turn: Turn, line: queues.Line) -> Candidate | None:
+def _find_oldest(
+    sched: states.Scheduler, turn: Turn, line: queues.Line
+) -> Candidate | None:
     """Returns the oldest request of a line that may find room."""
-    best = None
-    best_place: tuple[int, str] | None = None
+    best: tuple[queues.Age, queues.Shape] | None = None
     for shape, part in line.parts.items():
         if shape.blocked or turn.now_ms < shape.retry_ms:
             continue
         if turn.skipped and (line.team, shape) in turn.skipped:
             continue
-        place, given = part.peekitem(0)
-        if best_place is None or place < best_place:
-            best = Candidate(line, shape, given)
-            best_place = place
-    return best
+        if best is None or part[0] < best[0]:
+            best = (part[0], shape)
+    if best is None:
+        return None
+    return Candidate(line, best[1], sched.waiting[best[0][1]])
--- a/src/nutmegknot/_internal/decisions/placement.py
+++ b/src/nutmegknot/_internal/decisions/placement.py
@@ -52,7 +52,7 @@
     if shape.size.accelerators:
         # Other work leaves less room beside fewer free accelerators.
         for worker_id in chosen:
-            queues.unblock_fitting(sched.queue, sched.free[worker_id])
+            holdings.reopen(sched, worker_id)
     return tuple(chosen)
 
 
@@ -92,40 +92,19 @@
 ) -> Iterator[_Candidate]:
     """Yields workers with room, the tightest first."""
     size = shape.size
-    first = size.accelerators or indexes.PLAIN_GROUP
-    sparing = not size.accelerators and is_sparing(sched)
-    for worker_id, free in indexes.find(sched.index, size, first):
-        if worker_id in shape.avoided:
-            continue
-        if sparing and not _leaves_headroom(sched, worker_id, free, size):
-            continue
-        yield worker_id, free
-
-
-def is_sparing(sched: states.Scheduler) -> bool:
-    """Tells whether other work has to leave room beside free accelerators."""
-    return sched.queue.accelerated > 0 or sched.used.accelerators > 0
-
-
-def _leaves_headroom(
-    sched: states.Scheduler,
-    worker_id: str,
-    free: resources.Resources,
-    size: resources.Resources,
-) -> bool:
-    """Tells whether free accelerators keep their processors and memory."""
-    if free.accelerators <= 0:
-        return True
-    capacity = sched.machines[worker_id].capacity
-    kept = free.accelerators / capacity.accelerators
-    kept *= sched.policy.accelerator_headroom
-    cores = free.millicores - size.millicores
-    memory = free.memory_mib - size.memory_mib
-    return (
-        cores >= kept * capacity.millicores
-        and memory >= kept * capacity.memory_mib
-        and free.slots - size.slots >= free.accelerators
-    )
+    if queues.has_failed(sched.queue, size):
+        return
+    found = False
+    if size.accelerators:
+        every = indexes.find(sched.accelerator_index, size, size.accelerators)
+    else:
+        every = indexes.find(sched.index, size, indexes.PLAIN_GROUP)
+    for worker_id, free in every:
+        found = True
+        if worker_id not in shape.avoided:
+            yield worker_id, free
+    if not found:
+        sched.queue.failed[size] = None
 
 
 def _score(
--- a/src/nutmegknot/_internal/decisions/queues.py
+++ b/src/nutmegknot/_internal/decisions/queues.py
@@ -4,14 +4,16 @@
 neither do the others, until something changes. The shape remembers that.
 """
 
+import bisect
 import dataclasses
 
-import sortedcontainers
-
 from nutmegknot._internal.models import partitions
 from nutmegknot._internal.models import requests
 from nutmegknot._internal.models import resources
 
+# Instant of acceptance in ms and key of a request.
+Age = tuple[int, str]
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Shape:
@@ -45,14 +47,14 @@
     Attributes:
       team: The team.
       priority: The class.
-      parts: Assignments of each shape, by instant of acceptance and key.
+      parts: Requests of each shape, in order of age.
+      oldest: The oldest request of all.
     """
 
     team: str
     priority: requests.PriorityClass
-    parts: dict[Shape, sortedcontainers.SortedDict] = dataclasses.field(
-        default_factory=dict
-    )
+    parts: dict[Shape, list[Age]] = dataclasses.field(default_factory=dict)
+    oldest: Age = (0, '')
 
 
 _ShapeKey = tuple[
@@ -69,6 +71,7 @@
       shapes: By what they are made of.
       entries: Shape of each waiting request and its place in the line.
       blocked: Shapes that are marked as blocked.
+      failed: Sizes for which no worker has room.
       demand: What the waiting requests of each team ask for.
       reopened: Whether a mark was cleared since this was last set to False.
       accelerated: Waiting requests that need accelerators.
@@ -78,10 +81,13 @@
         default_factory=dict
     )
     shapes: dict[_ShapeKey, Shape] = dataclasses.field(default_factory=dict)
-    entries: dict[str, tuple[Line, Shape, tuple[int, str]]] = dataclasses.field(
+    entries: dict[str, tuple[Line, Shape, Age]] = dataclasses.field(
         default_factory=dict
     )
     blocked: dict[Shape, None] = dataclasses.field(default_factory=dict)
+    failed: dict[resources.Resources, None] = dataclasses.field(
+        default_factory=dict
+    )
     demand: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
@@ -108,16 +114,14 @@
     req = given.req
     key = requests.get_key(req)
     shape = _get_shape(queue, req, size, _round_up(run_ms), avoided)
+    age = (given.accepted_ms, key)
     line = queue.lines.get((req.priority, req.team))
     if line is None:
-        line = Line(req.team, req.priority)
+        line = Line(req.team, req.priority, oldest=age)
         queue.lines[req.priority, req.team] = line
-    part = line.parts.get(shape)
-    if part is None:
-        part = line.parts[shape] = sortedcontainers.SortedDict()
-    place = (given.accepted_ms, key)
-    part[place] = given
-    queue.entries[key] = (line, shape, place)
+    line.oldest = min(line.oldest, age)
+    bisect.insort(line.parts.setdefault(shape, []), age)
+    queue.entries[key] = (line, shape, age)
     shape.count += 1
     whole = resources.multiply(req.size, req.members)
     before = queue.demand.get(req.team, resources.NOTHING)
@@ -145,18 +149,13 @@
     return 1 << (run_ms - 1).bit_length() if run_ms > 0 else 0
 
 
-def remove(queue: Queue, request_key: str) -> bool:
-    """Takes a request out; tells whether it was there."""
-    entry = queue.entries.pop(request_key, None)
+def remove(queue: Queue, req: requests.Request) -> None:
+    """Takes a request out; one that is not there changes nothing."""
+    entry = queue.entries.pop(requests.get_key(req), None)
     if entry is None:
-        return False
-    line, shape, place = entry
-    part = line.parts[shape]
-    req = part.pop(place).req
-    if not part:
-        del line.parts[shape]
-    if not line.parts:
-        del queue.lines[line.priority, line.team]
+        return
+    line, shape, age = entry
+    _remove_from_line(queue, line, shape, age)
     shape.count -= 1
     if not shape.count:
         _drop_shape(queue, shape, req.priority)
@@ -167,7 +166,17 @@
     else:
         queue.demand[req.team] = left
     queue.accelerated -= req.size.accelerators > 0
-    return True
+
+
+def _remove_from_line(queue: Queue, line: Line, shape: Shape, age: Age) -> None:
+    part = line.parts[shape]
+    del part[bisect.bisect_left(part, age)]
+    if not part:
+        del line.parts[shape]
+    if not line.parts:
+        del queue.lines[line.priority, line.team]
+    elif age == line.oldest:
+        line.oldest = min(part[0] for part in line.parts.values())
 
 
 def _drop_shape(
@@ -190,19 +199,46 @@
     queue.blocked[shape] = None
 
 
-def unblock_fitting(queue: Queue, room: resources.Resources) -> None:
-    """Clears the mark of the shapes that fit into room."""
-    for shape in [s for s in queue.blocked if resources.fits(s.size, room)]:
+def unblock_fitting(
+    queue: Queue, room: resources.Resources, other_room: resources.Resources
+) -> None:
+    """Clears the marks of what fits into the room of a worker.
+
+    Args:
+      queue: The queue.
+      room: Room of the worker for work that needs accelerators.
+      other_room: Its room for other work.
+    """
+
+    def does_fit(size: resources.Resources) -> bool:
+        return resources.fits(size, room if size.accelerators else other_room)
+
+    for size in [size for size in queue.failed if does_fit(size)]:
+        del queue.failed[size]
+    for shape in [shape for shape in queue.blocked if does_fit(shape.size)]:
         shape.blocked = False
         del queue.blocked[shape]
         queue.reopened = True
 
 
 def unblock_all(queue: Queue) -> None:
-    """Clears the mark of all shapes."""
+    """Clears all marks."""
     for shape in queue.blocked:
         shape.blocked = False
     queue.blocked.clear()
+    queue.failed.clear()
+
+
+def has_failed(queue: Queue, size: resources.Resources) -> bool:
+    """Tells whether size, or a smaller one of its kind, found no room.
+
+    Work without accelerators finds less room, and so says nothing of the rest.
+    """
+    has_cards = size.accelerators > 0
+    return any(
+        (failed.accelerators > 0) == has_cards and resources.fits(failed, size)
+        for failed in queue.failed
+    )
 
 
 def get_shape(queue: Queue, request_key: str) -> Shape:
--- a/src/nutmegknot/_internal/decisions/scheduling.py
+++ b/src/nutmegknot/_internal/decisions/scheduling.py
@@ -45,12 +45,17 @@
     remove_waiting(sched, key)
     sched.waiting[key] = given
     queues.add(sched.queue, given, req.size, req.run_ms, frozenset())
+    if req.size.accelerators:
+        holdings.set_sparing(sched, sparing=True)
 
 
 def remove_waiting(sched: Scheduler, request_key: str) -> bool:
     """Takes an assignment out of the queue; tells whether it was there."""
-    queues.remove(sched.queue, request_key)
-    return sched.waiting.pop(request_key, None) is not None
+    given = sched.waiting.pop(request_key, None)
+    if given is None:
+        return False
+    queues.remove(sched.queue, given.req)
+    return True
 
 
 def set_configuration(
@@ -100,6 +105,8 @@
         return _empty_queue(sched)
     if now_ms - sched.checked_ms >= _CHECK_MS:
         sched.checked_ms = now_ms
+        needed = sched.queue.accelerated + sched.used.accelerators
+        holdings.set_sparing(sched, needed > 0)
         queues.unblock_all(sched.queue)
     return _place_waiting(sched, now_ms)
 
--- a/src/nutmegknot/_internal/decisions/states.py
+++ b/src/nutmegknot/_internal/decisions/states.py
@@ -61,7 +61,10 @@
       fleet_usage: What each team holds in the whole fleet, by team.
       fleet_capacity: What the whole fleet has.
       policy: Parameters of the decisions.
-      index: Workers that may be given work, by what they have left.
+      index: Workers that may be given work, by what they have left for work
+        without accelerators.
+      accelerator_index: Those with accelerators, by what they have left.
+      sparing: Whether room beside free accelerators is kept.
       queue: Waiting requests, by class, team and shape.
       running: Requests of which members run or may run, by key.
       tasks: Tasks that each worker holds, by worker.
@@ -94,6 +97,10 @@
     fleet_capacity: resources.Resources = resources.NOTHING
     policy: policies.Policy = dataclasses.field(default_factory=policies.Policy)
     index: indexes.Index = dataclasses.field(default_factory=indexes.Index)
+    accelerator_index: indexes.Index = dataclasses.field(
+        default_factory=indexes.Index
+    )
+    sparing: bool = False
     queue: queues.Queue = dataclasses.field(default_factory=queues.Queue)
     running: dict[str, Run] = dataclasses.field(default_factory=dict)
     tasks: dict[str, dict[workers.TaskId, Held]] = dataclasses.field(
