Add limits, preemption, reservations and closed domains to the decisions

Cause: a large or all-at-once job could wait for ever behind small ones, a lowered limit stopped nothing, a closed domain kept its running work, and nothing divided a team's limit among the fleet partitions.

Change: reservations with backfill by expected run times; preemption for limits, urgent requests and owed shares, the cheapest lost work first; a closed domain moves its work in batches, services first, and a reopened one fills up gradually; propose_grants and step_grant keep the sum of the grants within the limit. decide takes an optional bound on its placements, and note_running tells it of adopted requests.

--- a/src/nutmegknot/_internal/decisions/holdings.py
+++ b/src/nutmegknot/_internal/decisions/holdings.py
@@ -17,6 +17,7 @@
         remove_worker(sched, worker.id)
     sched.machines[worker.id] = worker
     sched.capacity = resources.add(sched.capacity, worker.capacity)
+    sched.largest = resources.take_most(sched.largest, worker.capacity)
     free = worker.capacity
     for held in sched.tasks.get(worker.id, {}).values():
         free = resources.subtract(free, held.size)
@@ -127,7 +128,7 @@
 def refresh_index(sched: states.Scheduler, worker_id: str) -> None:
     """Brings the indexes up to date with what a worker has left."""
     worker = sched.machines.get(worker_id)
-    if worker is None:
+    if worker is None or worker_id in sched.earmarks:
         indexes.remove(sched.index, worker_id)
         indexes.remove(sched.accelerator_index, worker_id)
         return
--- a/src/nutmegknot/_internal/decisions/placement.py
+++ b/src/nutmegknot/_internal/decisions/placement.py
@@ -6,6 +6,7 @@
 from nutmegknot._internal.decisions import holdings
 from nutmegknot._internal.decisions import indexes
 from nutmegknot._internal.decisions import queues
+from nutmegknot._internal.decisions import reservations
 from nutmegknot._internal.decisions import states
 from nutmegknot._internal.models import partitions
 from nutmegknot._internal.models import requests
@@ -33,19 +34,20 @@
       The workers in member order, or None if there is no room.
     """
     req = given.req
-    if req.members > 1 and not _has_rooms(sched, shape):
-        return None
     key = requests.get_key(req)
+    if req.members > 1 and not _has_rooms(sched, shape, key):
+        return None
     chosen: list[str] = []
-    run = states.Run(given, now_ms, shape.run_ms, set())
+    run = states.Run(given, now_ms, shape.run_ms, set(), shape.size)
     for member in range(req.members):
-        worker_id = find_worker(sched, shape)
+        worker_id = _find_worker(sched, shape, key, now_ms)
         if worker_id is None:
             _undo(sched, run)
             return None
         task = workers.TaskId(key, member, given.attempt)
         held = states.Held(worker_id, req.team, shape.size)
         holdings.hold(sched, task, held)
+        reservations.note_backfill(sched, worker_id, shape, now_ms)
         run.members.add(task)
         chosen.append(worker_id)
     holdings.note_running(sched, run)
@@ -59,20 +61,43 @@
 def _undo(sched: states.Scheduler, run: states.Run) -> None:
     for task in run.members:
         holdings.free(sched, task)
+    sched.queue.failed.clear()
 
 
-def _has_rooms(sched: states.Scheduler, shape: queues.Shape) -> bool:
+def _has_rooms(sched: states.Scheduler, shape: queues.Shape, key: str) -> bool:
     """Tells whether there is room for all members, without holding any."""
     missing = shape.members
+    if key in sched.reservations:
+        for worker_id in sched.reservations[key].rooms:
+            free = sched.free[worker_id]
+            missing -= resources.count_fitting(shape.size, free)
     for _, free in _find_candidates(sched, shape):
-        missing -= resources.count_fitting(shape.size, free)
         if missing <= 0:
-            return True
-    return False
+            break
+        missing -= resources.count_fitting(shape.size, free)
+    return missing <= 0
+
 
+def _find_worker(
+    sched: states.Scheduler, shape: queues.Shape, key: str, now_ms: int
+) -> str | None:
+    """Returns the best worker for one member, None if none has room.
 
-def find_worker(sched: states.Scheduler, shape: queues.Shape) -> str | None:
-    """Returns the best worker for one member, None if none has room."""
+    A request with a reservation uses its own workers first.
+    """
+    if key not in sched.reservations:
+        found = find_best(sched, shape)
+        if found is not None or not sched.earmarks:
+            return found
+    kept = reservations.find_backfill(sched, shape, key, now_ms)
+    found = next(kept, None)
+    if found is None and key in sched.reservations:
+        found = find_best(sched, shape)
+    return found
+
+
+def find_best(sched: states.Scheduler, shape: queues.Shape) -> str | None:
+    """Returns the best worker that is not earmarked, None if none has room."""
     candidates = _find_candidates(sched, shape)
     if shape.service:
         return _choose_spread(sched, shape, candidates)
--- a/src/nutmegknot/_internal/decisions/scheduling.py
+++ b/src/nutmegknot/_internal/decisions/scheduling.py
@@ -5,10 +5,13 @@
 """
 
 from nutmegknot._internal.decisions import actions
+from nutmegknot._internal.decisions import domains
 from nutmegknot._internal.decisions import holdings
 from nutmegknot._internal.decisions import ordering
 from nutmegknot._internal.decisions import placement
+from nutmegknot._internal.decisions import preemption
 from nutmegknot._internal.decisions import queues
+from nutmegknot._internal.decisions import reservations
 from nutmegknot._internal.decisions import shares
 from nutmegknot._internal.decisions import states
 from nutmegknot._internal.models import cells
@@ -55,6 +58,7 @@
     if given is None:
         return False
     queues.remove(sched.queue, given.req)
+    reservations.drop(sched, request_key)
     return True
 
 
@@ -73,6 +77,31 @@
     sched.grants = grants
 
 
+def note_running(
+    sched: Scheduler, given: partitions.Assignment, started_ms: int
+) -> None:
+    """Takes note of the assignment that tasks found running belong to.
+
+    Without it they are held, but never preempted or moved.
+
+    Args:
+      sched: The state.
+      given: The assignment; its tasks are held already.
+      started_ms: Instant in ms from which on they are known to run.
+    """
+    key = requests.get_key(given.req)
+    tasks = {
+        workers.TaskId(key, member, given.attempt)
+        for member in range(given.req.members)
+    }
+    members = tasks & sched.held.keys()
+    if not members or key in sched.running:
+        return
+    size = sched.held[min(members, key=lambda task: task.member)].size
+    run = states.Run(given, started_ms, given.req.run_ms, members, size)
+    holdings.note_running(sched, run)
+
+
 def note_failure(
     sched: Scheduler, worker_id: str, request_key: str, now_ms: int
 ) -> None:
@@ -90,25 +119,42 @@
     return 'capacity: no worker has room for it'
 
 
-def decide(sched: Scheduler, now_ms: int) -> list[Decision]:
+def decide(sched: Scheduler, now_ms: int, limit: int = 0) -> list[Decision]:
     """Decides on waiting assignments, and holds what it places.
 
     Args:
       sched: The state.
       now_ms: Wall clock instant in ms.
+      limit: The most placements of this call, 0 for no bound; a caller that
+        sets it calls again if it got as many.
 
     Returns:
       Decisions in the order in which they are to be carried out.
     """
-    domain = sched.configuration.domains.get(sched.domain)
-    if domain is not None and domain.state is workers.DomainState.CLOSED:
-        return _empty_queue(sched)
+    domains.follow_state(sched, now_ms)
+    decisions = preemption.preempt_for_limits(sched, now_ms)
+    if domains.is_closed(sched):
+        return decisions + _empty_queue(sched) + domains.drain(sched, now_ms)
     if now_ms - sched.checked_ms >= _CHECK_MS:
         sched.checked_ms = now_ms
-        needed = sched.queue.accelerated + sched.used.accelerators
-        holdings.set_sparing(sched, needed > 0)
-        queues.unblock_all(sched.queue)
-    return _place_waiting(sched, now_ms)
+        _check(sched, now_ms)
+    decisions += _place_waiting(sched, now_ms, limit)
+    decisions += preemption.preempt_for_urgent(
+        sched,
+        now_ms,
+        lambda worker_id, key, size: reservations.earmark(
+            sched, key, {worker_id: size}, now_ms, now_ms
+        ),
+    )
+    return decisions + preemption.preempt_for_shares(sched, now_ms)
+
+
+def _check(sched: Scheduler, now_ms: int) -> None:
+    """Does what depends on time only, once a second."""
+    needed = sched.queue.accelerated + sched.used.accelerators
+    holdings.set_sparing(sched, needed > 0)
+    reservations.keep_reservations(sched, now_ms)
+    queues.unblock_all(sched.queue)
 
 
 def _empty_queue(sched: Scheduler) -> list[Decision]:
@@ -118,7 +164,7 @@
     return [GiveBack(key, 'domain', 'domain is closed') for key in keys]
 
 
-def _place_waiting(sched: Scheduler, now_ms: int) -> list[Decision]:
+def _place_waiting(sched: Scheduler, now_ms: int, limit: int) -> list[Decision]:
     """Tries the waiting requests in order until none finds room."""
     decisions: list[Decision] = []
     sched.queue.reopened = True
@@ -129,6 +175,8 @@
             placed = _try_to_place(sched, turn, candidate)
             if placed is not None:
                 decisions.append(placed)
+                if len(decisions) == limit:
+                    return decisions
     return decisions
 
 
@@ -142,6 +190,9 @@
     if not holdings.is_granted(sched, req.team, whole):
         turn.skipped.add((req.team, shape))
         return None
+    if not domains.may_fill(sched, whole, turn.now_ms):
+        queues.block(sched.queue, shape)
+        return None
     places = placement.place(sched, candidate.given, shape, turn.now_ms)
     if places is None:
         queues.block(sched.queue, shape)
--- a/src/nutmegknot/_internal/decisions/states.py
+++ b/src/nutmegknot/_internal/decisions/states.py
@@ -1,6 +1,7 @@
 """State of the decisions of one fleet partition."""
 
 import dataclasses
+import random
 
 from nutmegknot._internal.decisions import indexes
 from nutmegknot._internal.decisions import policies
@@ -35,14 +36,33 @@
       started_ms: Wall clock instant in ms at which it was placed.
       run_ms: Upper bound of the run time expected, in ms; 0 if unknown.
       members: Tasks that have not ended.
+      size: What each member holds.
       stopping: Why it is being stopped, or ''.
+      ran_ms: How long it had run when its lost work was last computed, in ms.
     """
 
     given: partitions.Assignment
     started_ms: int
     run_ms: int
     members: set[workers.TaskId]
+    size: resources.Resources
     stopping: str = ''
+    ran_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Reservation:
+    """Room that is kept for a waiting request.
+
+    Attributes:
+      start_ms: Instant in ms at which there is expected to be room.
+      rooms: What is kept, by worker.
+      spare: What each worker is expected to have besides at that instant.
+    """
+
+    start_ms: int
+    rooms: dict[str, resources.Resources]
+    spare: dict[str, resources.Resources]
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +95,17 @@
       distances: Distance from share of the teams for which it is known.
       replicas: Replicas of each service on each worker, by service.
       turns: Placements made.
+      reservations: Reservations by request key.
+      earmarks: Key of the request that each reserved worker is kept for.
+      largest: The largest amount of each resource that a worker has.
+      rng: Source of random numbers.
+      closed_ms: Instant in ms at which the domain was closed; 0 if it is open.
+      opened_ms: Instant in ms at which the domain was reopened; 0 once it has
+        filled up.
+      to_drain: Requests that ran when the domain was closed.
+      drained: Of these, those that were stopped.
+      urgent_ms: Instant in ms of the last preemption for urgent requests.
+      shared_ms: Instant in ms of the last preemption for shares.
       checked_ms: Instant in ms of the last work that is done once a second.
     """
 
@@ -119,4 +150,18 @@
         default_factory=dict
     )
     turns: int = 0
+    reservations: dict[str, Reservation] = dataclasses.field(
+        default_factory=dict
+    )
+    earmarks: dict[str, str] = dataclasses.field(default_factory=dict)
+    largest: resources.Resources = resources.NOTHING
+    rng: random.Random = dataclasses.field(
+        default_factory=lambda: random.Random(1)
+    )
+    closed_ms: int = 0
+    opened_ms: int = 0
+    to_drain: int = 0
+    drained: int = 0
+    urgent_ms: int = 0
+    shared_ms: int = 0
     checked_ms: int = 0
--- a/src/nutmegknot/_internal/models/resources.py
+++ b/src/nutmegknot/_internal/models/resources.py
@@ -86,3 +86,23 @@
         (amount.slots, room.slots),
     )
     return max(0, min(have // part for part, have in parts if part > 0))
+
+
+def take_least(left: Resources, right: Resources) -> Resources:
+    """Returns the smaller amount of each resource."""
+    return Resources(
+        min(left.millicores, right.millicores),
+        min(left.memory_mib, right.memory_mib),
+        min(left.accelerators, right.accelerators),
+        min(left.slots, right.slots),
+    )
+
+
+def take_most(left: Resources, right: Resources) -> Resources:
+    """Returns the larger amount of each resource."""
+    return Resources(
+        max(left.millicores, right.millicores),
+        max(left.memory_mib, right.memory_mib),
+        max(left.accelerators, right.accelerators),
+        max(left.slots, right.slots),
+    )
--- /dev/null
+++ b/tests/unit/decisions/test_grants.py
@@ -0,0 +1,149 @@
+"""Tests of decisions/grants.py."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+from unit.decisions import builders
+
+from nutmegknot._internal.decisions import grants
+from nutmegknot._internal.models import resources
+
+LIMIT = resources.Resources(20_000, 40 * 1024, 4, 20)
+UNIT = builders.make_size(2, 4)
+
+
+def add_all(amounts: list[resources.Resources]) -> resources.Resources:
+    total = resources.NOTHING
+    for amount in amounts:
+        total = resources.add(total, amount)
+    return total
+
+
+def make_standing(rng: random.Random) -> grants.Standing:
+    unit = builders.make_size(rng.randint(1, 6), rng.randint(1, 8))
+    return grants.Standing(
+        granted=builders.make_size(rng.randint(0, 9), rng.randint(0, 20)),
+        held=resources.multiply(builders.make_size(), rng.randint(0, 9)),
+        demand=resources.multiply(unit, rng.randint(0, 5)),
+        unit=unit,
+    )
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+@hypothesis.given(
+    seed=strategies.integers(0, 10**6), count=strategies.integers(1, 6)
+)
+def test_grants_never_exceed_the_limit(seed: int, count: int) -> None:
+    rng = random.Random(seed)
+    standings = {f'f{n}': make_standing(rng) for n in range(count)}
+    proposed = grants.propose_grants(LIMIT, standings)
+    assert proposed.keys() == standings.keys()
+    assert all(resources.fits(resources.NOTHING, v) for v in proposed.values())
+    assert resources.fits(add_all(list(proposed.values())), LIMIT)
+    again = grants.propose_grants(LIMIT, dict(reversed(standings.items())))
+    assert again == proposed
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+@hypothesis.given(seed=strategies.integers(0, 10**6))
+def test_single_steps_in_any_order_keep_the_sum(seed: int) -> None:
+    """Partitions write only their own rows, and see old rows of others."""
+    rng = random.Random(seed)
+    names = ['f0', 'f1', 'f2']
+    rows = dict.fromkeys(names, resources.NOTHING)
+    held = dict.fromkeys(names, resources.NOTHING)
+    for _ in range(30):
+        standings = {
+            name: grants.Standing(
+                rows[name],
+                held[name],
+                resources.multiply(UNIT, rng.randint(0, 6)),
+                UNIT,
+            )
+            for name in names
+        }
+        proposed = grants.propose_grants(LIMIT, standings)
+        for name in rng.sample(names, rng.randint(1, 3)):
+            rows[name] = grants.step_grant(name, proposed, rows, LIMIT)
+            if not resources.fits(held[name], rows[name]):
+                held[name] = resources.NOTHING
+            more = resources.add(held[name], UNIT)
+            if resources.fits(more, rows[name]):
+                held[name] = more
+            assert resources.fits(add_all(list(rows.values())), LIMIT)
+            assert resources.fits(add_all(list(held.values())), LIMIT)
+
+
+def run_rounds(
+    standings: dict[str, grants.Standing], limit: resources.Resources
+) -> dict[str, resources.Resources]:
+    rows = {name: one.granted for name, one in standings.items()}
+    for _ in range(10):
+        now = {
+            name: grants.Standing(rows[name], one.held, one.demand, one.unit)
+            for name, one in standings.items()
+        }
+        proposed = grants.propose_grants(limit, now)
+        for name in rows:
+            rows[name] = grants.step_grant(name, proposed, rows, limit)
+    return rows
+
+
+def test_grants_follow_demand() -> None:
+    standings = {
+        'f0': grants.Standing(granted=LIMIT),
+        'f1': grants.Standing(demand=resources.multiply(UNIT, 9), unit=UNIT),
+    }
+    rows = run_rounds(standings, LIMIT)
+    assert resources.fits(resources.multiply(UNIT, 9), rows['f1'])
+
+
+def test_small_limit_is_not_split_below_one_request() -> None:
+    limit = builders.make_size(4, 4)
+    unit = builders.make_size(3, 2)
+    standings = {
+        f'f{n}': grants.Standing(demand=unit, unit=unit) for n in range(5)
+    }
+    rows = run_rounds(standings, limit)
+    assert sum(resources.fits(unit, row) for row in rows.values()) == 1
+
+
+def test_lowered_limit_cuts_every_partition() -> None:
+    held = resources.multiply(UNIT, 4)
+    standings = {
+        f'f{n}': grants.Standing(granted=held, held=held) for n in range(2)
+    }
+    rows = run_rounds(standings, held)
+    assert rows['f0'] == rows['f1']
+    assert resources.fits(add_all(list(rows.values())), held)
+
+
+def test_small_differences_are_left_alone() -> None:
+    half = resources.Resources(10_000, 20 * 1024, 2, 10)
+    standings = {
+        'f0': grants.Standing(half, builders.make_size(), UNIT, UNIT),
+        'f1': grants.Standing(half),
+    }
+    assert grants.propose_grants(LIMIT, standings, hysteresis=0.2) == {
+        'f0': half,
+        'f1': half,
+    }
+
+
+def test_grant_that_stays_bounds_what_another_gets() -> None:
+    core = builders.make_size(1, 2)
+    limit = resources.multiply(core, 20)
+    standings = {
+        'f0': grants.Standing(
+            resources.multiply(core, 11), resources.multiply(core, 9)
+        ),
+        'f1': grants.Standing(
+            resources.multiply(core, 9),
+            demand=resources.multiply(core, 10),
+            unit=core,
+        ),
+    }
+    proposed = grants.propose_grants(limit, standings, hysteresis=0.1)
+    assert proposed['f0'] == standings['f0'].granted
+    assert resources.fits(add_all(list(proposed.values())), limit)
--- /dev/null
+++ b/tests/unit/decisions/test_reservations.py
@@ -0,0 +1,93 @@
+"""Tests of decisions/reservations.py."""
+
+from unit.decisions import builders
+
+from nutmegknot._internal.decisions import policies
+from nutmegknot._internal.decisions import scheduling
+
+SMALL = builders.make_size(1)
+POLICY = policies.Policy(reserve_after_ms=2_000, share_after_ms=10**9)
+
+
+def test_large_request_is_not_starved_by_small_ones() -> None:
+    sched = builders.make_scheduler(
+        builders.make_worker('p0'), builders.make_worker('p1'), policy=POLICY
+    )
+    number = 0
+    ends: dict[str, int] = {}
+    placed_ms = None
+    for now_ms in range(0, 60_000, 250):
+        for key in [key for key, end_ms in ends.items() if end_ms <= now_ms]:
+            builders.end(sched, key)
+            del ends[key]
+        while len(sched.waiting) < 40:
+            number += 1
+            run_ms = 3_000 + 500 * (number % 5)
+            builders.put(
+                sched,
+                builders.make_given(number, SMALL, now_ms, run_ms=run_ms),
+            )
+        if now_ms == 5_000:
+            large = builders.make_given(
+                0, builders.make_size(8), now_ms, team='b', run_ms=1_000
+            )
+            builders.put(sched, large)
+        for key in builders.list_placed(scheduling.decide(sched, now_ms)):
+            ends[key] = now_ms + sched.running[key].given.req.run_ms
+            if key == 'b/0':
+                placed_ms = now_ms
+    assert placed_ms is not None
+    assert placed_ms < 20_000
+
+
+def make_reserved() -> scheduling.Scheduler:
+    """Returns a state where a gang waits for the end of a task at 20 s."""
+    sched = builders.make_scheduler(
+        builders.make_worker('p0'), builders.make_worker('p1'), policy=POLICY
+    )
+    builders.put(
+        sched,
+        builders.make_given(1, builders.make_size(5), run_ms=16_384),
+        builders.make_given(2, builders.make_size(5), run_ms=16_384),
+    )
+    scheduling.decide(sched, 0)
+    gang = builders.make_given(
+        3, builders.make_size(6), team='b', members=2, run_ms=1_000
+    )
+    builders.put(sched, gang)
+    scheduling.decide(sched, 0)
+    scheduling.decide(sched, 3_000)
+    assert list(sched.reservations) == ['b/3']
+    return sched
+
+
+def test_backfill_lets_only_short_or_small_work_pass() -> None:
+    sched = make_reserved()
+    builders.put(
+        sched,
+        builders.make_given(4, builders.make_size(3), 4_000, run_ms=60_000),
+        builders.make_given(5, builders.make_size(3), 4_000, run_ms=8_000),
+        builders.make_given(6, builders.make_size(2), 4_000, run_ms=60_000),
+    )
+    placed = builders.list_placed(scheduling.decide(sched, 4_000))
+    assert sorted(placed) == ['a/5', 'a/6']
+
+
+def test_reserved_gang_starts_as_a_whole() -> None:
+    sched = make_reserved()
+    builders.end(sched, 'a/1')
+    builders.put(sched, builders.make_given(4, builders.make_size(4), 4_000))
+    assert builders.list_placed(scheduling.decide(sched, 5_000)) == []
+    builders.end(sched, 'a/2')
+    placed = builders.list_placed(scheduling.decide(sched, 6_000))
+    assert placed[0] == 'b/3'
+    assert len(sched.running['b/3'].members) == 2
+    assert not sched.earmarks
+
+
+def test_reservation_of_a_withdrawn_request_is_dropped() -> None:
+    sched = make_reserved()
+    assert scheduling.remove_waiting(sched, 'b/3')
+    assert not sched.earmarks
+    builders.put(sched, builders.make_given(4, builders.make_size(3), 4_000))
+    assert builders.list_placed(scheduling.decide(sched, 4_000)) == ['a/4']
--- a/tests/unit/decisions/test_scheduling.py
+++ b/tests/unit/decisions/test_scheduling.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 from unit.decisions import builders
 
+from nutmegknot._internal.decisions import domains
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.decisions import states
 from nutmegknot._internal.models import requests
@@ -131,6 +132,7 @@
         *(builders.make_worker(f'p{n}', rack=f'r{n % 2}') for n in range(4)),
         builders.make_worker('x0', accelerators=4),
         builders.make_worker('x1', accelerators=2),
+        policy=builders.PLAIN_POLICY,
     )
     if limited:
         scheduling.set_grants(sched, dict.fromkeys(TEAMS, GRANT))
@@ -152,6 +154,56 @@
             assert not has_room_by_scan(sched, key), key
 
 
+def take_wild_step(
+    sched: scheduling.Scheduler, rng: random.Random, stopping: list[str]
+) -> None:
+    """Changes anything, also what takes work away."""
+    kind = rng.randrange(8)
+    if kind == 0:
+        closed = rng.random() < 0.5
+        scheduling.set_configuration(
+            sched, builders.make_configuration(*TEAMS, closed=closed)
+        )
+    elif kind == 1 and stopping:
+        key = stopping.pop(0)
+        if key in sched.running:
+            builders.end(sched, key)
+    else:
+        take_step(sched, rng)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+@hypothesis.given(seed=strategies.integers(0, 10**6))
+def test_invariants_hold_with_every_policy(seed: int) -> None:
+    rng = random.Random(seed)
+    sched = builders.make_scheduler(
+        *(builders.make_worker(f'p{n}', rack=f'r{n % 2}') for n in range(4)),
+        builders.make_worker('x0', accelerators=4),
+    )
+    scheduling.set_grants(sched, dict.fromkeys(TEAMS, GRANT))
+    stopping: list[str] = []
+    for step in range(80):
+        take_wild_step(sched, rng, stopping)
+        now_ms = step * rng.choice([300, 1000])
+        for decision in scheduling.decide(sched, now_ms):
+            match decision:
+                case scheduling.Place(key, places, _):
+                    assert not domains.is_closed(sched)
+                    assert len(sched.running[key].members) == len(places)
+                case scheduling.Preempt(key, reason):
+                    assert key not in stopping
+                    assert reason == 'domain' or not domains.is_closed(sched)
+                    stopping.append(key)
+                case scheduling.GiveBack(key, _, _):
+                    assert key not in sched.running
+        check_capacity(sched)
+        check_grants(sched)
+        check_whole(sched)
+        assert not (domains.is_closed(sched) and sched.waiting)
+        for worker_id, key in sched.earmarks.items():
+            assert worker_id in sched.reservations[key].rooms
+
+
 def test_closed_domain_gives_everything_back() -> None:
     sched = builders.make_scheduler(builders.make_worker('p'))
     scheduling.add_waiting(sched, builders.make_given(1, builders.make_size()))
