--- a/src/nutmegknot/_internal/decisions/holdings.py
+++ b/src/nutmegknot/_internal/decisions/holdings.py
@@ -1,6 +1,7 @@
 """Accounts of what workers have, what tasks hold and what is left."""
 
 from nutmegknot._internal.decisions import indexes
+from nutmegknot._internal.decisions import probation
 from nutmegknot._internal.decisions import queues
 from nutmegknot._internal.decisions import states
 from nutmegknot._internal.models import requests
@@ -128,7 +129,7 @@
 def refresh_index(sched: states.Scheduler, worker_id: str) -> None:
     """Brings the indexes up to date with what a worker has left."""
     worker = sched.machines.get(worker_id)
-    if worker is None or worker_id in sched.earmarks:
+    if worker is None or not _is_usable(sched, worker_id):
         indexes.remove(sched.index, worker_id)
         indexes.remove(sched.accelerator_index, worker_id)
         return
@@ -142,6 +143,13 @@
     indexes.put(sched.index, worker_id, room, group)
 
 
+def _is_usable(sched: states.Scheduler, worker_id: str) -> bool:
+    if worker_id in sched.earmarks:
+        return False
+    is_idle = worker_id not in sched.tasks
+    return probation.is_usable(sched.failures, worker_id, is_idle, sched.at_ms)
+
+
 def compute_other_room(
     sched: states.Scheduler, worker: workers.Worker
 ) -> resources.Resources:
--- a/src/nutmegknot/_internal/decisions/placement.py
+++ b/src/nutmegknot/_internal/decisions/placement.py
@@ -149,6 +149,15 @@
     return cores + memory + 2 * abs(cores - memory)
 
 
+def could_ever_fit(sched: states.Scheduler, shape: queues.Shape) -> bool:
+    """Tells whether the partition, all of it free, would have room."""
+    whole = resources.multiply(shape.size, shape.members)
+    return resources.fits(whole, sched.capacity) and any(
+        resources.fits(shape.size, worker.capacity)
+        for worker in sched.machines.values()
+    )
+
+
 def _choose_spread(
     sched: states.Scheduler,
     shape: queues.Shape,
--- a/src/nutmegknot/_internal/decisions/policies.py
+++ b/src/nutmegknot/_internal/decisions/policies.py
@@ -27,8 +27,8 @@
       task_failures: Different workers on which a request may fail.
       probation_score: Failure score at which a worker goes on probation.
       probation_ms: Half-life of a worker's failure score, in ms.
-      service_fill: Part of a worker that services may take while other
-        workers have room.
+      too_large_ms: Wait after which a request that is too large for every
+        worker of the partition is given back, in ms.
       accelerator_headroom: Part of the processors and memory that belong to a
         free accelerator by proportion which other work leaves free.
     """
@@ -48,5 +48,5 @@
     task_failures: int = 3
     probation_score: float = 3.0
     probation_ms: int = 60_000
-    service_fill: float = 0.8
+    too_large_ms: int = 10_000
     accelerator_headroom: float = 0.5
--- a/src/nutmegknot/_internal/decisions/queues.py
+++ b/src/nutmegknot/_internal/decisions/queues.py
@@ -244,3 +244,13 @@
 def get_shape(queue: Queue, request_key: str) -> Shape:
     """Returns the shape of a waiting request."""
     return queue.entries[request_key][1]
+
+
+def list_heads(queue: Queue) -> list[tuple[Shape, str]]:
+    """Returns the oldest request of each line and blocked shape."""
+    return [
+        (shape, part[0][1])
+        for line in queue.lines.values()
+        for shape, part in line.parts.items()
+        if shape.blocked
+    ]
--- a/src/nutmegknot/_internal/decisions/scheduling.py
+++ b/src/nutmegknot/_internal/decisions/scheduling.py
@@ -6,10 +6,13 @@
 
 from nutmegknot._internal.decisions import actions
 from nutmegknot._internal.decisions import domains
+from nutmegknot._internal.decisions import estimates
+from nutmegknot._internal.decisions import explanations
 from nutmegknot._internal.decisions import holdings
 from nutmegknot._internal.decisions import ordering
 from nutmegknot._internal.decisions import placement
 from nutmegknot._internal.decisions import preemption
+from nutmegknot._internal.decisions import probation
 from nutmegknot._internal.decisions import queues
 from nutmegknot._internal.decisions import reservations
 from nutmegknot._internal.decisions import shares
@@ -35,6 +38,7 @@
 compute_usage = holdings.compute_usage
 compute_demand = holdings.compute_demand
 set_fleet_usage = shares.set_fleet_usage
+explain = explanations.explain
 
 # Pause in ms between attempts to place all-at-once jobs of one shape.
 _GANG_RETRY_MS = 100
@@ -47,7 +51,13 @@
     key = requests.get_key(req)
     remove_waiting(sched, key)
     sched.waiting[key] = given
-    queues.add(sched.queue, given, req.size, req.run_ms, frozenset())
+    estimate = sched.learned.get(req.queue)
+    size = estimates.choose_size(estimate, req, given.attempt, sched.largest)
+    run_ms = 0
+    if not req.service:
+        run_ms = estimates.expect_run(estimate, req.run_ms)
+    avoided = probation.get_avoided(sched.failures, key)
+    queues.add(sched.queue, given, size, run_ms, avoided)
     if req.size.accelerators:
         holdings.set_sparing(sched, sparing=True)
 
@@ -106,17 +116,62 @@
     sched: Scheduler, worker_id: str, request_key: str, now_ms: int
 ) -> None:
     """Takes note that a task failed on a worker."""
+    policy = sched.policy
+    probation.note_failure(
+        sched.failures,
+        worker_id,
+        request_key,
+        now_ms,
+        policy.probation_ms,
+        policy.task_failures,
+    )
+    _update_probation(sched, worker_id, now_ms)
 
 
-def note_success(sched: Scheduler, worker_id: str, now_ms: int) -> None:
-    """Takes note that a task finished on a worker."""
-
+def note_success(
+    sched: Scheduler, worker_id: str, now_ms: int, request_key: str = ''
+) -> None:
+    """Takes note that a task finished on a worker.
 
-def explain(sched: Scheduler, request_key: str, now_ms: int) -> str:
-    """Returns what a waiting request waits for, one line; '' if it doesn't."""
-    if request_key not in sched.waiting:
-        return ''
-    return 'capacity: no worker has room for it'
+    Args:
+      sched: The state.
+      worker_id: The worker.
+      now_ms: Wall clock instant in ms.
+      request_key: The request, to learn its run time; it must be noted before
+        the task is released.
+    """
+    if worker_id in sched.failures.workers:
+        probation.note_success(sched.failures, worker_id)
+        holdings.refresh_index(sched, worker_id)
+        holdings.reopen(sched, worker_id)
+    run = sched.running.get(request_key)
+    if run is not None and not run.given.req.service:
+        req = run.given.req
+        estimate = sched.learned.setdefault(req.queue, estimates.Estimate())
+        estimates.note_run(estimate, req.run_ms, now_ms - run.started_ms)
+
+
+def note_memory(sched: Scheduler, request_key: str, used_mib: int) -> None:
+    """Takes note of the most memory in MiB that a member has used."""
+    run = sched.running.get(request_key)
+    if run is not None:
+        req = run.given.req
+        estimate = sched.learned.setdefault(req.queue, estimates.Estimate())
+        estimates.note_memory(estimate, req.size.memory_mib, used_mib)
+
+
+def _update_probation(sched: Scheduler, worker_id: str, now_ms: int) -> None:
+    policy = sched.policy
+    sched.at_ms = max(sched.at_ms, now_ms)
+    probation.update(
+        sched.failures,
+        worker_id,
+        now_ms,
+        policy.probation_score,
+        policy.probation_ms,
+    )
+    if worker_id in sched.machines:
+        holdings.refresh_index(sched, worker_id)
 
 
 def decide(sched: Scheduler, now_ms: int, limit: int = 0) -> list[Decision]:
@@ -131,12 +186,14 @@
     Returns:
       Decisions in the order in which they are to be carried out.
     """
+    sched.at_ms = now_ms
     domains.follow_state(sched, now_ms)
     decisions = preemption.preempt_for_limits(sched, now_ms)
     if domains.is_closed(sched):
         return decisions + _empty_queue(sched) + domains.drain(sched, now_ms)
     if now_ms - sched.checked_ms >= _CHECK_MS:
         sched.checked_ms = now_ms
+        decisions += _give_back(sched, now_ms)
         _check(sched, now_ms)
     decisions += _place_waiting(sched, now_ms, limit)
     decisions += preemption.preempt_for_urgent(
@@ -146,17 +203,42 @@
             sched, key, {worker_id: size}, now_ms, now_ms
         ),
     )
-    return decisions + preemption.preempt_for_shares(sched, now_ms)
+    decisions += preemption.preempt_for_shares(sched, now_ms)
+    return decisions
 
 
 def _check(sched: Scheduler, now_ms: int) -> None:
     """Does what depends on time only, once a second."""
     needed = sched.queue.accelerated + sched.used.accelerators
     holdings.set_sparing(sched, needed > 0)
+    for worker_id in list(sched.failures.workers):
+        _update_probation(sched, worker_id, now_ms)
     reservations.keep_reservations(sched, now_ms)
     queues.unblock_all(sched.queue)
 
 
+def _give_back(sched: Scheduler, now_ms: int) -> list[Decision]:
+    """Gives back what failed too often, or is too large for every worker."""
+    decisions: list[Decision] = []
+    for key in list(sched.failures.requests):
+        if key in sched.waiting and probation.is_at_fault(
+            sched.failures, key, sched.policy.task_failures
+        ):
+            count = sched.policy.task_failures
+            detail = f'failed on {count} different workers'
+            decisions.append(GiveBack(key, 'failed', detail))
+    for shape, key in queues.list_heads(sched.queue):
+        waited_ms = now_ms - sched.waiting[key].accepted_ms
+        if waited_ms < sched.policy.too_large_ms or not sched.machines:
+            continue
+        if not placement.could_ever_fit(sched, shape):
+            detail = 'no worker of the partition is large enough'
+            decisions.append(GiveBack(key, 'domain', detail))
+    for one in decisions:
+        remove_waiting(sched, one.request_key)
+    return decisions
+
+
 def _empty_queue(sched: Scheduler) -> list[Decision]:
     keys = list(sched.waiting)
     for key in keys:
--- a/src/nutmegknot/_internal/decisions/states.py
+++ b/src/nutmegknot/_internal/decisions/states.py
@@ -3,8 +3,10 @@
 import dataclasses
 import random
 
+from nutmegknot._internal.decisions import estimates
 from nutmegknot._internal.decisions import indexes
 from nutmegknot._internal.decisions import policies
+from nutmegknot._internal.decisions import probation
 from nutmegknot._internal.decisions import queues
 from nutmegknot._internal.models import cells
 from nutmegknot._internal.models import partitions
@@ -95,6 +97,8 @@
       distances: Distance from share of the teams for which it is known.
       replicas: Replicas of each service on each worker, by service.
       turns: Placements made.
+      learned: What is known of the tasks of each queue.
+      failures: Failures of workers and requests.
       reservations: Reservations by request key.
       earmarks: Key of the request that each reserved worker is kept for.
       largest: The largest amount of each resource that a worker has.
@@ -106,6 +110,7 @@
       drained: Of these, those that were stopped.
       urgent_ms: Instant in ms of the last preemption for urgent requests.
       shared_ms: Instant in ms of the last preemption for shares.
+      at_ms: Instant in ms of the last decision.
       checked_ms: Instant in ms of the last work that is done once a second.
     """
 
@@ -150,6 +155,12 @@
         default_factory=dict
     )
     turns: int = 0
+    learned: dict[str, estimates.Estimate] = dataclasses.field(
+        default_factory=dict
+    )
+    failures: probation.Record = dataclasses.field(
+        default_factory=probation.Record
+    )
     reservations: dict[str, Reservation] = dataclasses.field(
         default_factory=dict
     )
@@ -164,4 +175,5 @@
     drained: int = 0
     urgent_ms: int = 0
     shared_ms: int = 0
+    at_ms: int = 0
     checked_ms: int = 0
--- a/tests/unit/decisions/builders.py
+++ b/tests/unit/decisions/builders.py
@@ -57,7 +57,10 @@
 
 # Only places, so that the result can be compared with a scan.
 PLAIN_POLICY = policies.Policy(
-    reservations=0, urgent_after_ms=10**9, share_after_ms=10**9
+    reservations=0,
+    urgent_after_ms=10**9,
+    share_after_ms=10**9,
+    too_large_ms=10**9,
 )
 
 
