--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 SCHEMA := src/nutmegknot/_internal/schema
-export PYTHONPATH := src
+STANDINS := src/nutmegknot_standins
+export PYTHONPATH := src:tests:.
 export PYTHONHASHSEED := 0
 
 .PHONY: setup run test check generate check-generated format bench bench-cluster slopes binary model
@@ -27,7 +28,7 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(PY) tools/imports.py
-	$(VENV)/bin/mypy src tests tools
+	$(VENV)/bin/mypy src tests tools benchmarks
 
 format: setup
 	$(VENV)/bin/ruff check --fix --quiet . || true
@@ -36,19 +37,20 @@
 # Writes the generated code beside the schema files.
 generate: setup
 	PATH="$(VENV)/bin:$$PATH" $(PY) -m grpc_tools.protoc -I src --python_out=src --pyi_out=src --grpclib_python_out=src $(SCHEMA)/*.proto
+	PATH="$(VENV)/bin:$$PATH" $(PY) -m grpc_tools.protoc -I src --python_out=src --pyi_out=src $(STANDINS)/*.proto
 
 check-generated: generate
-	git diff --exit-code -- $(SCHEMA)
-	test -z "$$(git ls-files --others --exclude-standard -- $(SCHEMA))"
+	git diff --exit-code -- $(SCHEMA) $(STANDINS)
+	test -z "$$(git ls-files --others --exclude-standard -- $(SCHEMA) $(STANDINS))"
 
 bench: setup
-	$(PY) benchmarks/decisions.py
+	$(PY) -m benchmarks.decisions
 
 bench-cluster: setup
-	$(PY) benchmarks/cluster.py
+	$(PY) -m benchmarks.cluster
 
 slopes: setup
-	$(PY) benchmarks/slopes.py
+	$(PY) -m benchmarks.slopes
 
 binary: setup
 	tools/binary.sh $(PY)
--- a/src/nutmegknot/_internal/decisions/preemption.py
+++ b/src/nutmegknot/_internal/decisions/preemption.py
@@ -34,14 +34,16 @@
 ) -> list[actions.Decision]:
     """Stops the cheapest work of teams that hold more than their grants.
 
-    Only here requests are stopped that are not repeatable, and last.
+    Only here requests are stopped that are not repeatable, and last. A team
+    that is not named in the grants starts nothing, but nothing of it is
+    stopped, since its grant may not have been read yet.
     """
     decisions: list[actions.Decision] = []
     if sched.grants is None:
         return decisions
     for team, usage in list(sched.usage.items()):
-        grant = sched.grants.get(team, resources.NOTHING)
-        if resources.fits(usage, grant):
+        grant = sched.grants.get(team)
+        if grant is None or resources.fits(usage, grant):
             continue
         runs = [
             run for run in sched.running.values() if run.given.req.team == team
--- a/src/nutmegknot/_internal/decisions/routing.py
+++ b/src/nutmegknot/_internal/decisions/routing.py
@@ -10,56 +10,20 @@
 import dataclasses
 import random
 
+from nutmegknot._internal.models import loads
 from nutmegknot._internal.models import requests
 from nutmegknot._internal.models import resources
 
 # Partitions compared for each request.
 CHOICES = 2
 # Age in ms beyond which a load counts as stale, and its free resources as used.
-STALE_MS = 10_000
+STALE_MS = 5_000
 # Queue in parts of the capacity that weighs as much as a request that cannot
 # start at once.
 _NO_ROOM = 1.0
 _NO_HOLE = 0.25
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class PartitionLoad:
-    """Load of a fleet partition, as its owner last reported it.
-
-    Attributes:
-      name: Name of the partition.
-      domain: Its failure domain.
-      region: Its region.
-      epoch: Epoch of the ownership.
-      open: Whether tasks may start in it.
-      capacity: What its workers have.
-      free: What its workers have left.
-      largest_hole: The free resources of the worker that has most left.
-      shapes: Capacities of its workers, each once.
-      queued: What its waiting requests ask for, by priority class.
-      services: Replicas that it runs or queues, by service.
-      at_ms: Wall clock instant in ms at which the load was taken.
-    """
-
-    name: str
-    domain: str
-    region: str
-    epoch: int
-    open: bool = True
-    capacity: resources.Resources = resources.NOTHING
-    free: resources.Resources = resources.NOTHING
-    largest_hole: resources.Resources = resources.NOTHING
-    shapes: tuple[resources.Resources, ...] = ()
-    queued: tuple[resources.Resources, ...] = (
-        resources.NOTHING,
-        resources.NOTHING,
-        resources.NOTHING,
-    )
-    services: dict[str, int] = dataclasses.field(default_factory=dict)
-    at_ms: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class Assigned:
     """What this instance has assigned since the loads were taken.
@@ -81,7 +45,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Chosen:
-    """The request goes to this fleet partition."""
+    """The request goes to this fleet partition, under this epoch."""
 
     name: str
     epoch: int
@@ -106,7 +70,7 @@
 
 def choose_partition(
     req: requests.Request,
-    loads: Sequence[PartitionLoad],
+    seen: Sequence[loads.SeenLoad],
     rng: random.Random,
     now_ms: int,
     assigned: Assigned | None = None,
@@ -116,11 +80,10 @@
 
     Args:
       req: The request.
-      loads: A load of every fleet partition of the cell. If some are not known
-        yet, the answer may be NeverRunnable too early; leave such requests
-        to the fleet partitions until all are known.
+      seen: The last load of every fleet partition of the cell. As long as one
+        is not whole, no request is said to be never runnable.
       rng: Seeded source of random numbers.
-      now_ms: Wall clock instant in ms.
+      now_ms: Monotonic instant in ms.
       assigned: What was assigned since; the choice is added to it.
       avoid: Names of partitions that gave the request back lately; they are
         chosen only if there is no other.
@@ -128,34 +91,37 @@
     Returns:
       The partition, or why there is none.
     """
-    able = [load for load in loads if _could_run(req, load)]
-    if loads and not able:
-        return NeverRunnable(_explain_never(req, loads))
-    open_loads = [load for load in able if load.open]
-    if not open_loads:
+    able = [one for one in seen if _could_run(req, one.load)]
+    if not able:
+        if seen and all(one.load.is_whole for one in seen):
+            return NeverRunnable(_explain_never(req, seen))
+        able = [one for one in seen if not one.load.is_whole]
+    opened = [one for one in able if one.load.is_open]
+    if not opened:
         return NoneOpen('no open failure domain has a worker that fits it')
-    preferred = [load for load in open_loads if load.name not in avoid]
-    best = _choose_best(req, preferred or open_loads, rng, now_ms, assigned)
+    preferred = [one for one in opened if one.load.partition not in avoid]
+    best = _choose_best(req, preferred or opened, rng, now_ms, assigned)
     if assigned is not None:
         _add_assigned(assigned, req, best)
-    return Chosen(best.name, best.epoch)
+    return Chosen(best.load.partition, best.load.epoch)
 
 
-def _could_run(req: requests.Request, load: PartitionLoad) -> bool:
+def _could_run(req: requests.Request, load: loads.Load) -> bool:
     """Tells whether the partition, all of it free, has room for a request."""
-    if not any(resources.fits(req.size, shape) for shape in load.shapes):
-        return False
-    whole = resources.multiply(req.size, req.members)
-    return resources.fits(whole, load.capacity)
+    rooms = sum(
+        shape.count * resources.count_fitting(req.size, shape.capacity)
+        for shape in load.shapes
+    )
+    return rooms >= req.members
 
 
 def _explain_never(
-    req: requests.Request, loads: Sequence[PartitionLoad]
+    req: requests.Request, seen: Sequence[loads.SeenLoad]
 ) -> str:
     if any(
-        resources.fits(req.size, shape)
-        for load in loads
-        for shape in load.shapes
+        resources.fits(req.size, shape.capacity)
+        for one in seen
+        for shape in one.load.shapes
     ):
         return (
             f'no fleet partition is large enough for {req.members} members '
@@ -166,61 +132,67 @@
 
 def _choose_best(
     req: requests.Request,
-    loads: list[PartitionLoad],
+    seen: list[loads.SeenLoad],
     rng: random.Random,
     now_ms: int,
     assigned: Assigned | None,
-) -> PartitionLoad:
+) -> loads.SeenLoad:
     if req.service:
-        fewest = min(_count_replicas(req, load, assigned) for load in loads)
-        loads = [
-            load
-            for load in loads
-            if _count_replicas(req, load, assigned) == fewest
+        fewest = min(_count_replicas(req, one, assigned) for one in seen)
+        seen = [
+            one for one in seen if _count_replicas(req, one, assigned) == fewest
         ]
     if req.members == 1:
-        loads = _draw(loads, rng)
-    scores = [_compute_wait(req, load, now_ms, assigned) for load in loads]
-    return loads[scores.index(min(scores))]
+        seen = _draw(seen, rng)
+    scores = [_compute_wait(req, one, now_ms, assigned) for one in seen]
+    return seen[scores.index(min(scores))]
 
 
 def _draw(
-    loads: list[PartitionLoad], rng: random.Random
-) -> list[PartitionLoad]:
+    seen: list[loads.SeenLoad], rng: random.Random
+) -> list[loads.SeenLoad]:
     """Draws some partitions without replacement, weighted by capacity."""
-    left = list(loads)
-    drawn: list[PartitionLoad] = []
+    left = list(seen)
+    drawn: list[loads.SeenLoad] = []
     while left and len(drawn) < CHOICES:
-        weights = [1 + load.capacity.millicores for load in left]
+        weights = [1 + one.load.capacity.millicores for one in left]
         number = rng.choices(range(len(left)), weights)[0]
         drawn.append(left.pop(number))
     return drawn
 
 
 def _count_replicas(
-    req: requests.Request, load: PartitionLoad, assigned: Assigned | None
+    req: requests.Request, one: loads.SeenLoad, assigned: Assigned | None
 ) -> int:
-    count = load.services.get(req.service, 0)
-    if assigned is None or assigned.since_ms.get(load.name) != load.at_ms:
+    count = one.load.services.get(req.service, 0)
+    if not _is_current(assigned, one) or assigned is None:
         return count
-    return count + assigned.services.get((load.name, req.service), 0)
+    return count + assigned.services.get((one.load.partition, req.service), 0)
+
+
+def _is_current(assigned: Assigned | None, one: loads.SeenLoad) -> bool:
+    """Tells whether what was assigned is not yet part of the load."""
+    if assigned is None:
+        return False
+    return assigned.since_ms.get(one.load.partition) == one.at_ms
 
 
 def _compute_wait(
     req: requests.Request,
-    load: PartitionLoad,
+    one: loads.SeenLoad,
     now_ms: int,
     assigned: Assigned | None,
 ) -> float:
     """Returns a number that rises with the wait to be expected."""
+    load = one.load
     ahead = resources.NOTHING
-    for queued in load.queued[: req.priority + 1]:
-        ahead = resources.add(ahead, queued)
-    if assigned is not None and assigned.since_ms.get(load.name) == load.at_ms:
-        before = assigned.amounts.get(load.name, resources.NOTHING)
-        ahead = resources.add(ahead, before)
+    for priority, queued in load.queued.items():
+        if priority <= req.priority:
+            ahead = resources.add(ahead, queued)
+    if assigned is not None and _is_current(assigned, one):
+        ahead = resources.add(ahead, assigned.amounts[load.partition])
     free = load.free
-    if now_ms - load.at_ms > STALE_MS:
+    if now_ms - one.at_ms > STALE_MS:
         free = resources.NOTHING
     whole = resources.multiply(req.size, req.members)
     needed = resources.add(ahead, whole)
@@ -233,16 +205,16 @@
 
 
 def _add_assigned(
-    assigned: Assigned, req: requests.Request, load: PartitionLoad
+    assigned: Assigned, req: requests.Request, one: loads.SeenLoad
 ) -> None:
-    if assigned.since_ms.get(load.name) != load.at_ms:
-        assigned.since_ms[load.name] = load.at_ms
-        assigned.amounts[load.name] = resources.NOTHING
-        for pair in [p for p in assigned.services if p[0] == load.name]:
+    name = one.load.partition
+    if not _is_current(assigned, one):
+        assigned.since_ms[name] = one.at_ms
+        assigned.amounts[name] = resources.NOTHING
+        for pair in [p for p in assigned.services if p[0] == name]:
             del assigned.services[pair]
     whole = resources.multiply(req.size, req.members)
-    before = assigned.amounts[load.name]
-    assigned.amounts[load.name] = resources.add(before, whole)
+    assigned.amounts[name] = resources.add(assigned.amounts[name], whole)
     if req.service:
-        pair = (load.name, req.service)
+        pair = (name, req.service)
         assigned.services[pair] = assigned.services.get(pair, 0) + 1
--- a/tests/unit/decisions/test_routing.py
+++ b/tests/unit/decisions/test_routing.py
@@ -1,12 +1,14 @@
 """Tests of decisions/routing.py."""
 
 import random
+from typing import Any
 
 import hypothesis
 from hypothesis import strategies
 from unit.decisions import builders
 
 from nutmegknot._internal.decisions import routing
+from nutmegknot._internal.models import loads
 from nutmegknot._internal.models import requests
 from nutmegknot._internal.models import resources
 
@@ -18,19 +20,19 @@
     number: int,
     *,
     free: float = 0.5,
-    shapes: tuple[resources.Resources, ...] = (WORKER,),
-    services: dict[str, int] | None = None,
-    is_open: bool = True,
-    at_ms: int = 0,
-) -> routing.PartitionLoad:
+    shape: resources.Resources = WORKER,
+    is_whole: bool = True,
+    **fields: Any,  # noqa: ANN401 - fields of a load
+) -> loads.SeenLoad:
     """Returns the load of a partition of ten workers."""
-    capacity = resources.multiply(shapes[0], 10)
-    return routing.PartitionLoad(
-        name=f'fleet-d{number}-0',
+    at_ms = fields.pop('at_ms', 0)
+    capacity = resources.multiply(shape, 10)
+    load = loads.Load(
+        partition=f'fleet-d{number}-0',
         domain=f'd{number}',
         region='region',
         epoch=number + 1,
-        open=is_open,
+        is_whole=is_whole,
         capacity=capacity,
         free=resources.Resources(
             int(capacity.millicores * free),
@@ -38,11 +40,11 @@
             int(capacity.accelerators * free),
             int(capacity.slots * free),
         ),
-        largest_hole=shapes[0],
-        shapes=shapes,
-        services=services or {},
-        at_ms=at_ms,
+        largest_hole=shape,
+        shapes=(loads.Shape(shape, 10),),
+        **fields,
     )
+    return loads.SeenLoad(load, at_ms)
 
 
 def make_request(
@@ -66,43 +68,57 @@
     cards: int,
     members: int,
 ) -> None:
-    loads = [
-        make_load(number, shapes=(shape,), is_open=opened[number % 10])
+    seen = [
+        make_load(number, shape=shape, is_open=opened[number % 10])
         for number, shape in enumerate(shapes[:10])
     ]
     size = builders.make_size(cores, 1, cards)
     choice = routing.choose_partition(
-        make_request(size, members), loads, random.Random(1), 0
+        make_request(size, members), seen, random.Random(1), 0
     )
-    able = {
-        load.name
-        for load in loads
-        if resources.fits(size, load.shapes[0])
-        and resources.fits(resources.multiply(size, members), load.capacity)
-    }
-    now = {load.name for load in loads if load.open} & able
+    able = set()
+    for one in seen:
+        rooms = 0
+        for _ in range(10):
+            free = one.load.shapes[0].capacity
+            while resources.fits(size, free):
+                free = resources.subtract(free, size)
+                rooms += 1
+        if rooms >= members:
+            able.add(one.load.partition)
+    now = {one.load.partition for one in seen if one.load.is_open} & able
     match choice:
         case routing.Chosen(name, epoch):
             assert name in now
             assert name == f'fleet-d{epoch - 1}-0'
         case routing.NeverRunnable():
-            assert loads
+            assert seen
             assert not able
         case routing.NoneOpen():
             assert not now
-            assert able or not loads
+            assert able or not seen
+
+
+def test_nothing_is_never_runnable_while_workers_are_unknown() -> None:
+    req = make_request(builders.make_size(99))
+    rng = random.Random(1)
+    seen = [make_load(0), make_load(1, is_whole=False)]
+    choice = routing.choose_partition(req, seen, rng, 0)
+    assert choice == routing.Chosen('fleet-d1-0', 2)
+    choice = routing.choose_partition(req, seen[:1], rng, 0)
+    assert isinstance(choice, routing.NeverRunnable)
 
 
 def test_empty_partition_is_preferred_to_full_one() -> None:
-    loads = [make_load(0, free=0.0), make_load(1, free=0.9)]
+    seen = [make_load(0, free=0.0), make_load(1, free=0.9)]
     req = make_request(builders.make_size())
     for seed in range(20):
-        choice = routing.choose_partition(req, loads, random.Random(seed), 0)
+        choice = routing.choose_partition(req, seen, random.Random(seed), 0)
         assert choice == routing.Chosen('fleet-d1-0', 2)
 
 
 def test_stale_loads_do_not_gather_everything() -> None:
-    loads = [make_load(0, free=0.9)] + [
+    seen = [make_load(0, free=0.9)] + [
         make_load(number, free=0.5) for number in range(1, 5)
     ]
     rng = random.Random(1)
@@ -110,7 +126,7 @@
     counts: dict[str, int] = {}
     req = make_request(builders.make_size(2, 8))
     for _ in range(200):
-        choice = routing.choose_partition(req, loads, rng, 0, assigned)
+        choice = routing.choose_partition(req, seen, rng, 0, assigned)
         assert isinstance(choice, routing.Chosen)
         counts[choice.name] = counts.get(choice.name, 0) + 1
     assert len(counts) == 5
@@ -127,14 +143,14 @@
 
 
 def test_replicas_go_where_fewest_are() -> None:
-    loads = [
+    seen = [
         make_load(0, free=1.0, services={'s': 2}),
         make_load(1, free=0.1, services={'s': 1}),
     ]
     req = make_request(builders.make_size(), service='s')
     assigned = routing.Assigned()
     rng = random.Random(1)
-    first = routing.choose_partition(req, loads, rng, 0, assigned)
+    first = routing.choose_partition(req, seen, rng, 0, assigned)
     assert first == routing.Chosen('fleet-d1-0', 2)
 
 
