--- a/src/nutmegknot/_internal/decisions/placement.py
+++ b/src/nutmegknot/_internal/decisions/placement.py
@@ -138,15 +138,15 @@
     free: resources.Resources,
     size: resources.Resources,
 ) -> float:
-    """Returns how badly a worker suits a task.
+    """Returns how uneven a task leaves what a worker has left.
 
-    What a worker has left is of use only if its parts are in balance, so both
-    what is left and how uneven it is count.
+    Processors without memory or slots beside them are of no use to others.
     """
     capacity = sched.machines[worker_id].capacity
-    cores = (free.millicores - size.millicores) / capacity.millicores
-    memory = (free.memory_mib - size.memory_mib) / capacity.memory_mib
-    return cores + memory + 2 * abs(cores - memory)
+    cores = (free.millicores - size.millicores) / max(1, capacity.millicores)
+    memory = (free.memory_mib - size.memory_mib) / max(1, capacity.memory_mib)
+    slots = (free.slots - size.slots) / max(1, capacity.slots)
+    return abs(cores - memory) + max(0.0, cores - slots)
 
 
 def could_ever_fit(sched: states.Scheduler, shape: queues.Shape) -> bool:
--- a/src/nutmegknot/_internal/decisions/policies.py
+++ b/src/nutmegknot/_internal/decisions/policies.py
@@ -37,7 +37,7 @@
     aged_turn: int = 8
     reserve_after_ms: int = 5_000
     reservations: int = 8
-    candidates: int = 8
+    candidates: int = 16
     min_run_ms: int = 2_000
     urgent_after_ms: int = 300
     share_after_ms: int = 3_000
