--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -8,6 +8,7 @@
 import time
 
 from benchmarks import decisions_placement
+from benchmarks import decisions_policies
 from benchmarks import lines
 
 SEED = 20_261
@@ -21,6 +22,9 @@
     for measure in (
         decisions_placement.measure_cost,
         decisions_placement.measure_packing,
+        decisions_policies.measure_waiting,
+        decisions_policies.measure_shares,
+        decisions_policies.measure_domains,
     ):
         figures = measure(SEED)
         lines.show(figures)
