Start reserved requests as soon as their workers have room

Cause: a request whose reserved workers had room was not tried while another of its shape was marked as blocked; a late reservation moved to other workers and lost what it had gathered; all-at-once jobs took one worker for each member and so hit the bound on reserved workers; replicas of services waited behind batch work of their team's class; a worker that had been removed could be used through a reservation.

Change: ready reservations go first; late ones keep their workers; few workers are reserved for an all-at-once job; reservations are planned with mean run times, backfill with upper ones; replicas go first in their class.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -23,6 +23,7 @@
         decisions_placement.measure_cost,
         decisions_placement.measure_packing,
         decisions_policies.measure_waiting,
+        decisions_policies.measure_starvation,
         decisions_policies.measure_shares,
         decisions_policies.measure_domains,
     ):
--- a/src/nutmegknot/_internal/decisions/estimates.py
+++ b/src/nutmegknot/_internal/decisions/estimates.py
@@ -72,14 +72,24 @@
     estimate.memory = min(_MOST_GROWTH, max(used, faded))
 
 
-def expect_run(estimate: Estimate | None, declared_ms: int) -> int:
-    """Returns the run time in ms that most tasks stay below; 0 if unknown."""
+def expect_run(
+    estimate: Estimate | None,
+    declared_ms: int,
+    deviations: float = _DEVIATIONS,
+) -> int:
+    """Returns the run time in ms that most tasks stay below; 0 if unknown.
+
+    Args:
+      estimate: The estimate of the queue, if there is one.
+      declared_ms: Declared run time in ms, 0 if there is none.
+      deviations: Mean deviations to add to the mean.
+    """
     if estimate is None or estimate.count < _ENOUGH:
         return declared_ms
     if declared_ms <= 0:
-        upper = estimate.run_ms + _DEVIATIONS * estimate.run_deviation_ms
+        upper = estimate.run_ms + deviations * estimate.run_deviation_ms
         return max(1, int(upper))
-    ratio = estimate.ratio + _DEVIATIONS * estimate.ratio_deviation
+    ratio = estimate.ratio + deviations * estimate.ratio_deviation
     return max(1, int(declared_ms * max(_LEAST_RATIO, ratio)))
 
 
--- a/src/nutmegknot/_internal/decisions/ordering.py
+++ b/src/nutmegknot/_internal/decisions/ordering.py
@@ -1,8 +1,10 @@
 """Order of the waiting requests.
 
 Priority class goes first, then the team that is furthest below its share,
-then age. Every few placements an aged request of a lower class goes before
-the others, so that a class that never runs dry starves nobody.
+then age; replicas of services go before the other requests of their class, as
+there are few and others depend on them. Every few placements an aged request
+of a lower class goes before the others, so that a class that never runs dry
+starves nobody.
 """
 
 import dataclasses
@@ -14,7 +16,8 @@
 from nutmegknot._internal.models import partitions
 from nutmegknot._internal.models import requests
 
-_HeapEntry = tuple[float, queues.Age, str]
+# Whether no replica waits, distance from share, age and team.
+_HeapEntry = tuple[bool, float, queues.Age, str]
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,7 +51,8 @@
     }
     for (priority, team), line in sched.queue.lines.items():
         distance = shares.compute_distance(sched, team)
-        heaps[priority].append((distance, line.oldest, team))
+        entry = (line.services == 0, distance, line.oldest, team)
+        heaps[priority].append(entry)
     for heap in heaps.values():
         heapq.heapify(heap)
     return Turn(now_ms, heaps, set())
@@ -73,13 +77,14 @@
     """Returns the next request of a class, and puts its team back in order."""
     heap = turn.heaps[priority]
     while heap:
-        distance, age, team = heap[0]
+        plain, distance, age, team = heap[0]
         line = sched.queue.lines.get((priority, team))
-        now = shares.compute_distance(sched, team)
         if line is None:
             heapq.heappop(heap)
-        elif now != distance:
-            heapq.heapreplace(heap, (now, age, team))
+            continue
+        now = (line.services == 0, shares.compute_distance(sched, team))
+        if now != (plain, distance):
+            heapq.heapreplace(heap, (*now, age, team))
         else:
             candidate = _find_oldest(sched, turn, line)
             if candidate is not None:
@@ -92,7 +97,7 @@
     """Returns an aged request of a class that is not the first waiting."""
     used = [p for p in requests.PriorityClass if turn.heaps[p]]
     for priority in reversed(used[1:]):
-        for _, age, team in sorted(turn.heaps[priority]):
+        for _, _, age, team in sorted(turn.heaps[priority]):
             line = sched.queue.lines.get((priority, team))
             if line is None or turn.now_ms - age[0] < sched.policy.ageing_ms:
                 continue
@@ -106,14 +111,15 @@
     sched: states.Scheduler, turn: Turn, line: queues.Line
 ) -> Candidate | None:
     """Returns the oldest request of a line that may find room."""
-    best: tuple[queues.Age, queues.Shape] | None = None
+    best: tuple[bool, queues.Age, queues.Shape] | None = None
     for shape, part in line.parts.items():
         if shape.blocked or turn.now_ms < shape.retry_ms:
             continue
         if turn.skipped and (line.team, shape) in turn.skipped:
             continue
-        if best is None or part[0] < best[0]:
-            best = (part[0], shape)
+        plain = not shape.service
+        if best is None or (plain, part[0]) < best[:2]:
+            best = (plain, part[0], shape)
     if best is None:
         return None
-    return Candidate(line, best[1], sched.waiting[best[0][1]])
+    return Candidate(line, best[2], sched.waiting[best[1][1]])
--- a/src/nutmegknot/_internal/decisions/placement.py
+++ b/src/nutmegknot/_internal/decisions/placement.py
@@ -67,10 +67,8 @@
 def _has_rooms(sched: states.Scheduler, shape: queues.Shape, key: str) -> bool:
     """Tells whether there is room for all members, without holding any."""
     missing = shape.members
-    if key in sched.reservations:
-        for worker_id in sched.reservations[key].rooms:
-            free = sched.free[worker_id]
-            missing -= resources.count_fitting(shape.size, free)
+    for _, free in reservations.list_reserved(sched, key):
+        missing -= resources.count_fitting(shape.size, free)
     for _, free in _find_candidates(sched, shape):
         if missing <= 0:
             break
--- a/src/nutmegknot/_internal/decisions/policies.py
+++ b/src/nutmegknot/_internal/decisions/policies.py
@@ -35,16 +35,16 @@
 
     ageing_ms: int = 60_000
     aged_turn: int = 8
-    reserve_after_ms: int = 5_000
-    reservations: int = 8
+    reserve_after_ms: int = 3_000
+    reservations: int = 24
     candidates: int = 16
     min_run_ms: int = 2_000
     urgent_after_ms: int = 300
     share_after_ms: int = 3_000
-    share_margin: float = 0.002
-    preempt_batch: float = 0.02
-    drain_ms: int = 10_000
-    ramp_ms: int = 15_000
+    share_margin: float = 0.005
+    preempt_batch: float = 0.01
+    drain_ms: int = 20_000
+    ramp_ms: int = 10_000
     task_failures: int = 3
     probation_score: float = 3.0
     probation_ms: int = 60_000
--- a/src/nutmegknot/_internal/decisions/queues.py
+++ b/src/nutmegknot/_internal/decisions/queues.py
@@ -49,12 +49,14 @@
       priority: The class.
       parts: Requests of each shape, in order of age.
       oldest: The oldest request of all.
+      services: Replicas among them, which go before other requests.
     """
 
     team: str
     priority: requests.PriorityClass
     parts: dict[Shape, list[Age]] = dataclasses.field(default_factory=dict)
     oldest: Age = (0, '')
+    services: int = 0
 
 
 _ShapeKey = tuple[
@@ -121,6 +123,7 @@
         queue.lines[req.priority, req.team] = line
     line.oldest = min(line.oldest, age)
     bisect.insort(line.parts.setdefault(shape, []), age)
+    line.services += bool(req.service)
     queue.entries[key] = (line, shape, age)
     shape.count += 1
     whole = resources.multiply(req.size, req.members)
@@ -145,8 +148,11 @@
 
 
 def _round_up(run_ms: int) -> int:
-    """Returns the next power of two, so that there are few shapes."""
-    return 1 << (run_ms - 1).bit_length() if run_ms > 0 else 0
+    """Returns the next number with two leading bits: there are few shapes."""
+    if run_ms <= 0:
+        return 0
+    shift = max(0, run_ms.bit_length() - 2)
+    return -(-run_ms >> shift) << shift
 
 
 def remove(queue: Queue, req: requests.Request) -> None:
@@ -170,6 +176,7 @@
 
 def _remove_from_line(queue: Queue, line: Line, shape: Shape, age: Age) -> None:
     part = line.parts[shape]
+    line.services -= bool(shape.service)
     del part[bisect.bisect_left(part, age)]
     if not part:
         del line.parts[shape]
@@ -246,6 +253,11 @@
     return queue.entries[request_key][1]
 
 
+def get_line(queue: Queue, request_key: str) -> Line:
+    """Returns the line of a waiting request."""
+    return queue.entries[request_key][0]
+
+
 def list_heads(queue: Queue) -> list[tuple[Shape, str]]:
     """Returns the oldest request of each line and blocked shape."""
     return [
--- a/src/nutmegknot/_internal/decisions/reservations.py
+++ b/src/nutmegknot/_internal/decisions/reservations.py
@@ -5,8 +5,10 @@
 before, or if they fit beside what is reserved (backfill).
 """
 
+import collections
 from collections.abc import Iterator
 
+from nutmegknot._internal.decisions import estimates
 from nutmegknot._internal.decisions import holdings
 from nutmegknot._internal.decisions import queues
 from nutmegknot._internal.decisions import states
@@ -15,11 +17,14 @@
 # Part of a worker from which on a request counts as large.
 _LARGE = 0.25
 # Workers looked at for one reservation, beyond twice its members.
-_SAMPLE = 64
+_SAMPLE = 128
+# Part of its wait by which an all-at-once job may be delayed to keep fewer
+# workers reserved.
+_DELAY_DIVISOR = 4
 # Part of the workers that all reservations together may take.
-_MOST_WORKERS = 0.2
-# How long in ms after its instant a reservation is planned anew.
-_REPLAN_MS = 5_000
+_MOST_WORKERS = 0.25
+# How long in ms after its instant a reservation is taken to be late.
+_REPLAN_MS = 2_000
 # Run time assumed for tasks of which nothing is known, in ms.
 _UNKNOWN_RUN_MS = 60_000
 
@@ -29,8 +34,10 @@
     for key, reservation in list(sched.reservations.items()):
         gone = key not in sched.waiting
         lost = reservation.rooms.keys() - sched.machines.keys()
-        if gone or lost or now_ms > reservation.start_ms + _REPLAN_MS:
+        if gone or lost:
             drop(sched, key)
+        elif now_ms > reservation.start_ms + _REPLAN_MS:
+            _postpone(sched, key, now_ms)
     if len(sched.reservations) >= sched.policy.reservations:
         return
     longest = _find_longest_waiting(sched, now_ms)
@@ -38,6 +45,46 @@
         _reserve(sched, longest, now_ms)
 
 
+def _postpone(sched: states.Scheduler, key: str, now_ms: int) -> None:
+    """Gives a late reservation a new instant; it keeps its workers.
+
+    To plan it on others would lose the room that it has gathered so far.
+    """
+    rooms = sched.reservations[key].rooms
+    shape = queues.get_shape(sched.queue, key)
+    instants = [now_ms]
+    for worker_id, kept in rooms.items():
+        count = resources.count_fitting(shape.size, kept)
+        found = _find_rooms(sched, worker_id, shape, now_ms)[:count]
+        instants += [instant for instant, _ in found]
+    drop(sched, key)
+    earmark(sched, key, rooms, max(instants), now_ms)
+
+
+def is_ready(sched: states.Scheduler, request_key: str) -> bool:
+    """Tells whether the reserved workers have room for the whole request."""
+    shape = queues.get_shape(sched.queue, request_key)
+    rooms = sum(
+        resources.count_fitting(shape.size, free)
+        for _, free in list_reserved(sched, request_key)
+    )
+    return rooms >= shape.members
+
+
+def list_reserved(
+    sched: states.Scheduler, request_key: str
+) -> list[tuple[str, resources.Resources]]:
+    """Returns what is free on the workers that are kept for a request."""
+    reservation = sched.reservations.get(request_key)
+    if reservation is None:
+        return []
+    return [
+        (worker_id, sched.free[worker_id])
+        for worker_id in reservation.rooms
+        if worker_id in sched.machines
+    ]
+
+
 def drop(sched: states.Scheduler, request_key: str) -> None:
     """Drops a reservation; one that is not there changes nothing."""
     reservation = sched.reservations.pop(request_key, None)
@@ -79,13 +126,14 @@
     sched: states.Scheduler, shape: queues.Shape, key: str, now_ms: int
 ) -> Iterator[str]:
     """Yields earmarked workers that a request may use."""
-    if key in sched.reservations:
-        for worker_id in sched.reservations[key].rooms:
-            if resources.fits(shape.size, sched.free[worker_id]):
-                yield worker_id
+    for worker_id, free in list_reserved(sched, key):
+        if resources.fits(shape.size, free):
+            yield worker_id
     for worker_id, owner in sched.earmarks.items():
         if owner == key or worker_id in shape.avoided:
             continue
+        if worker_id not in sched.machines:
+            continue
         if not resources.fits(shape.size, _get_room(sched, worker_id, shape)):
             continue
         reservation = sched.reservations[owner]
@@ -136,7 +184,9 @@
             accepted_ms, key = part[0]
             if now_ms - accepted_ms < sched.policy.reserve_after_ms:
                 continue
-            if not shape.blocked or key in sched.reservations:
+            # All-at-once jobs are tried at intervals, so their mark is late.
+            is_kept_out = shape.blocked or shape.members > 1
+            if not is_kept_out or key in sched.reservations:
                 continue
             whole = resources.multiply(shape.size, shape.members)
             if not is_large(sched, shape):
@@ -165,17 +215,39 @@
     for worker_id in names:
         rooms += _find_rooms(sched, worker_id, shape, now_ms)
     rooms.sort()
-    chosen = rooms[: shape.members]
-    if len(chosen) < shape.members:
+    if len(rooms) < shape.members:
         return
-    kept: dict[str, resources.Resources] = {}
-    for _, worker_id in chosen:
-        before = kept.get(worker_id, resources.NOTHING)
-        kept[worker_id] = resources.add(before, shape.size)
-    taken = len(sched.earmarks) + len(kept)
+    start_ms = _delay(rooms[shape.members - 1][0], now_ms)
+    counts = _choose_few(
+        [worker_id for at_ms, worker_id in rooms if at_ms <= start_ms],
+        shape.members,
+    )
+    taken = len(sched.earmarks) + len(counts)
     if sched.earmarks and taken > _MOST_WORKERS * len(sched.machines):
         return
-    earmark(sched, key, kept, chosen[-1][0], now_ms)
+    kept = {
+        worker_id: resources.multiply(shape.size, count)
+        for worker_id, count in counts.items()
+    }
+    earmark(sched, key, kept, start_ms, now_ms)
+
+
+def _delay(start_ms: int, now_ms: int) -> int:
+    """Returns an instant a little later, when fewer workers have the room."""
+    return start_ms + (start_ms - now_ms) // _DELAY_DIVISOR
+
+
+def _choose_few(rooms: list[str], members: int) -> dict[str, int]:
+    """Returns how many members go to each worker, so that few are needed."""
+    counts = collections.Counter(rooms)
+    chosen: dict[str, int] = {}
+    missing = members
+    for worker_id, count in counts.most_common():
+        if missing <= 0:
+            break
+        chosen[worker_id] = min(count, missing)
+        missing -= count
+    return chosen
 
 
 def _find_rooms(
@@ -208,11 +280,16 @@
         return now_ms + _UNKNOWN_RUN_MS
     if run.stopping:
         return now_ms
-    ran_ms = now_ms - run.started_ms
-    if run.run_ms > ran_ms:
-        return run.started_ms + run.run_ms
     if run.given.req.service:
         return None
+    ran_ms = now_ms - run.started_ms
+    req = run.given.req
+    mean_ms = estimates.expect_run(
+        sched.learned.get(req.queue), req.run_ms, deviations=0.0
+    )
+    for expected_ms in (mean_ms, run.run_ms):
+        if expected_ms > ran_ms:
+            return run.started_ms + expected_ms
     return now_ms + max(ran_ms, 1_000 if run.run_ms else _UNKNOWN_RUN_MS)
 
 
--- a/src/nutmegknot/_internal/decisions/scheduling.py
+++ b/src/nutmegknot/_internal/decisions/scheduling.py
@@ -253,6 +253,7 @@
     while sched.queue.reopened:
         sched.queue.reopened = False
         turn = ordering.begin_turn(sched, now_ms)
+        decisions += _place_reserved(sched, turn)
         while (candidate := ordering.take_next(sched, turn)) is not None:
             placed = _try_to_place(sched, turn, candidate)
             if placed is not None:
@@ -262,6 +263,23 @@
     return decisions
 
 
+def _place_reserved(sched: Scheduler, turn: ordering.Turn) -> list[Decision]:
+    """Places the requests whose reserved workers have room."""
+    decisions: list[Decision] = []
+    for key in list(sched.reservations):
+        if key not in sched.waiting or not reservations.is_ready(sched, key):
+            continue
+        candidate = ordering.Candidate(
+            queues.get_line(sched.queue, key),
+            queues.get_shape(sched.queue, key),
+            sched.waiting[key],
+        )
+        placed = _try_to_place(sched, turn, candidate)
+        if placed is not None:
+            decisions.append(placed)
+    return decisions
+
+
 def _try_to_place(
     sched: Scheduler, turn: ordering.Turn, candidate: ordering.Candidate
 ) -> Place | None:
--- a/tests/unit/decisions/test_scheduling.py
+++ b/tests/unit/decisions/test_scheduling.py
@@ -189,6 +189,7 @@
             match decision:
                 case scheduling.Place(key, places, _):
                     assert not domains.is_closed(sched)
+                    assert sched.machines.keys() >= set(places)
                     assert len(sched.running[key].members) == len(places)
                 case scheduling.Preempt(key, reason):
                     assert key not in stopping
