--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -7,6 +7,7 @@
 import sys
 import time
 
+from benchmarks import decisions_examples
 from benchmarks import decisions_placement
 from benchmarks import decisions_policies
 from benchmarks import lines
@@ -26,6 +27,7 @@
         decisions_policies.measure_starvation,
         decisions_policies.measure_shares,
         decisions_policies.measure_domains,
+        decisions_examples.measure_examples,
     ):
         figures = measure(SEED)
         lines.show(figures)
--- /dev/null
+++ b/src/nutmegknot/_internal/codec/policies.py
@@ -0,0 +1,27 @@
+"""Conversion of the settings of the decisions."""
+
+from nutmegknot._internal.decisions import policies
+from nutmegknot._internal.schema import settings_pb2
+
+_PERMILLE = 1_000
+
+
+def decode_policy(message: settings_pb2.DecisionSettings) -> policies.Policy:
+    """Returns the parameters of the decisions that the settings give."""
+    return policies.Policy(
+        ageing_ms=message.ageing_ms,
+        aged_turn=message.aged_turn,
+        reserve_after_ms=message.reserve_after_ms,
+        reservations=message.reservations,
+        candidates=message.candidates,
+        min_run_ms=message.min_run_ms,
+        urgent_after_ms=message.urgent_after_ms,
+        share_after_ms=message.share_after_ms,
+        share_margin=message.share_margin_permille / _PERMILLE,
+        preempt_batch=message.preempt_batch_permille / _PERMILLE,
+        drain_ms=message.drain_ms,
+        ramp_ms=message.ramp_ms,
+        task_failures=message.task_failures,
+        probation_score=float(message.worker_failures),
+        probation_ms=message.failure_half_life_ms,
+    )
--- a/src/nutmegknot/_internal/decisions/domains.py
+++ b/src/nutmegknot/_internal/decisions/domains.py
@@ -7,7 +7,9 @@
 
 from nutmegknot._internal.decisions import actions
 from nutmegknot._internal.decisions import preemption
+from nutmegknot._internal.decisions import reservations
 from nutmegknot._internal.decisions import states
+from nutmegknot._internal.models import requests
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
 
@@ -45,23 +47,24 @@
     due = int(sched.to_drain * part + 1) - sched.drained
     if due <= 0:
         return []
-    left_ms = sched.policy.drain_ms
     movable = [
         run
         for run in sched.running.values()
         if not run.stopping
         and run.given.req.repeatable
-        and not _ends_within(run, now_ms, left_ms)
+        and not _ends_soon(sched, run, now_ms)
     ]
     movable.sort(key=_rank)
     sched.drained += min(due, len(movable))
     return [preemption.stop(run, 'domain') for run in movable[:due]]
 
 
-def _ends_within(run: states.Run, now_ms: int, left_ms: int) -> bool:
-    if not run.run_ms:
-        return False
-    return 0 <= run.started_ms + run.run_ms - now_ms <= left_ms
+def _ends_soon(sched: states.Scheduler, run: states.Run, now_ms: int) -> bool:
+    """Tells whether a run may end before the domain has to be empty."""
+    key = requests.get_key(run.given.req)
+    end_ms = reservations.expect_end(sched, key, now_ms)
+    until_ms = max(now_ms, sched.closed_ms + sched.policy.drain_ms)
+    return end_ms is not None and run.run_ms > 0 and end_ms <= until_ms
 
 
 def _rank(run: states.Run) -> tuple[bool, int, int]:
--- a/src/nutmegknot/_internal/decisions/policies.py
+++ b/src/nutmegknot/_internal/decisions/policies.py
@@ -36,14 +36,14 @@
     ageing_ms: int = 60_000
     aged_turn: int = 8
     reserve_after_ms: int = 3_000
-    reservations: int = 24
+    reservations: int = 12
     candidates: int = 16
     min_run_ms: int = 2_000
     urgent_after_ms: int = 300
     share_after_ms: int = 3_000
     share_margin: float = 0.005
     preempt_batch: float = 0.01
-    drain_ms: int = 20_000
+    drain_ms: int = 30_000
     ramp_ms: int = 10_000
     task_failures: int = 3
     probation_score: float = 3.0
--- a/src/nutmegknot/_internal/decisions/reservations.py
+++ b/src/nutmegknot/_internal/decisions/reservations.py
@@ -22,7 +22,7 @@
 # workers reserved.
 _DELAY_DIVISOR = 4
 # Part of the workers that all reservations together may take.
-_MOST_WORKERS = 0.25
+_MOST_WORKERS = 0.1
 # How long in ms after its instant a reservation is taken to be late.
 _REPLAN_MS = 2_000
 # Run time assumed for tasks of which nothing is known, in ms.
@@ -260,7 +260,7 @@
     ends = sorted(
         (end_ms, task.request_key, task.member, held.size)
         for task, held in sched.tasks.get(worker_id, {}).items()
-        if (end_ms := _expect_end(sched, task.request_key, now_ms)) is not None
+        if (end_ms := expect_end(sched, task.request_key, now_ms)) is not None
     )
     for end_ms, _, _, size in ends:
         if len(rooms) >= shape.members:
@@ -271,7 +271,7 @@
     return rooms[: shape.members]
 
 
-def _expect_end(
+def expect_end(
     sched: states.Scheduler, request_key: str, now_ms: int
 ) -> int | None:
     """Returns when a running request is expected to end, None if never."""
@@ -299,7 +299,7 @@
     """Returns what a worker is expected to have free at an instant."""
     free = sched.free[worker_id]
     for task, held in sched.tasks.get(worker_id, {}).items():
-        end_ms = _expect_end(sched, task.request_key, now_ms)
+        end_ms = expect_end(sched, task.request_key, now_ms)
         if end_ms is not None and end_ms <= at_ms:
             free = resources.add(free, held.size)
     return free
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import logging
+import random
 
+from nutmegknot._internal.codec import policies as policy_codec
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import dispatching
@@ -121,7 +123,12 @@
         epoch=views.get_epoch(view, name),
         domain=domain,
         number=int(name.rpartition('-')[2]),
-        scheduler=scheduling.Scheduler(domain, view.configuration),
+        scheduler=scheduling.Scheduler(
+            domain,
+            view.configuration,
+            policy=policy_codec.decode_policy(inst.settings.decisions),
+            rng=random.Random(inst.settings.decisions.seed),
+        ),
     )
     part = tasks.Tasks(broken=inst.tasks.broken)
     context = _make_fleet_context(inst, fleet, part)
