--- a/src/nutmegknot/_internal/decisions/policies.py
+++ b/src/nutmegknot/_internal/decisions/policies.py
@@ -36,7 +36,7 @@
     ageing_ms: int = 60_000
     aged_turn: int = 8
     reserve_after_ms: int = 3_000
-    reservations: int = 12
+    reservations: int = 32
     candidates: int = 16
     min_run_ms: int = 2_000
     urgent_after_ms: int = 300
--- a/src/nutmegknot/_internal/decisions/reservations.py
+++ b/src/nutmegknot/_internal/decisions/reservations.py
@@ -22,7 +22,7 @@
 # workers reserved.
 _DELAY_DIVISOR = 4
 # Part of the workers that all reservations together may take.
-_MOST_WORKERS = 0.1
+_MOST_WORKERS = 0.3
 # How long in ms after its instant a reservation is taken to be late.
 _REPLAN_MS = 2_000
 # Run time assumed for tasks of which nothing is known, in ms.
