Add caller and operator commands, operator keys and audited changes

Cause: operators had one call that replaces the configuration, open to anybody, and callers had no commands; a lost answer of a configuration write left the operator without the truth. Change: commands submit, wait, cancel, describe, team, key, operator, queue, service, domain, job, config and apply; operators' keys with a bootstrap digest, and no operator call beyond loopback without one; an audit row in the same transaction as each change, chained by hash; a lost answer settled by the nonce in the audit row; calls between instances that explain and list; settings and configuration files read by one schema-driven reader; exit codes for usage and each outcome.

--- a/src/nutmegknot/_internal/cli/errors.py
+++ b/src/nutmegknot/_internal/cli/errors.py
@@ -1,6 +1,8 @@
 """Errors that end a command, with advice for the user."""
 
 import dataclasses
+import pathlib
+import traceback
 
 from nutmegknot._internal.cli import exit_codes
 
@@ -26,3 +28,11 @@
     if error.advice:
         lines.append(f'nutmegknot: advice: {error.advice}')
     return '\n'.join(lines)
+
+
+def find_place(error: BaseException) -> str:
+    """Returns file and line at which an exception was raised."""
+    frames = traceback.extract_tb(error.__traceback__)
+    if not frames:
+        return ''
+    return f'{pathlib.PurePath(frames[-1].filename).name}:{frames[-1].lineno}'
--- a/src/nutmegknot/_internal/cli/exit_codes.py
+++ b/src/nutmegknot/_internal/cli/exit_codes.py
@@ -4,7 +4,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """Exit code of the process."""
+    """Exit code of the process; docs/OPERATIONS.md tells when each is used."""
 
     OK = 0
     FAILED = 1
@@ -16,4 +16,10 @@
     REFUSED = 7
     CONFLICT = 8
     UNKNOWN = 9
+    NOT_FOUND = 10
+    PENDING = 11
+    MAY_HAVE_RUN = 12
+    CANCELLED = 13
+    NOT_ALLOWED = 14
+    BAD_USAGE = 64
     BROKEN_INVARIANT = 70
--- a/src/nutmegknot/_internal/codec/configurations.py
+++ b/src/nutmegknot/_internal/codec/configurations.py
@@ -57,9 +57,20 @@
         message.domains.append(
             pb.Domain(name=domain.name, region=domain.region, state=state)
         )
+    for _, operator_key in sorted(config.operators.items()):
+        message.operators.append(_encode_operator_key(operator_key))
     return message
 
 
+def _encode_operator_key(key: cells.OperatorKey) -> operator_pb2.OperatorKey:
+    return operator_pb2.OperatorKey(
+        id=key.id,
+        operator=key.operator,
+        digest=key.digest,
+        withdrawn=key.withdrawn,
+    )
+
+
 def decode_configuration(
     message: operator_pb2.Configuration,
 ) -> cells.Configuration:
@@ -95,6 +106,10 @@
             d.name: cells.Domain(d.name, d.region, _decode_state(d.state))
             for d in message.domains
         },
+        operators={
+            k.id: cells.OperatorKey(k.id, k.operator, k.digest, k.withdrawn)
+            for k in message.operators
+        },
     )
 
 
--- /dev/null
+++ b/src/nutmegknot/_internal/commands/job.py
@@ -0,0 +1,71 @@
+"""Commands on accepted requests."""
+
+from nutmegknot._internal.cli import errors
+from nutmegknot._internal.cli import exit_codes
+from nutmegknot._internal.commands import cell_arguments
+from nutmegknot._internal.commands import connecting
+from nutmegknot._internal.commands import listing
+from nutmegknot._internal.commands import rendering
+from nutmegknot._internal.network import clients
+from nutmegknot._internal.schema import operator_pb2
+
+
+async def explain_job(
+    command: cell_arguments.JobExplain,
+) -> errors.CommandError | None:
+    """Tells what holds a waiting request."""
+
+    async def explain(
+        client: clients.Client, key: str
+    ) -> errors.CommandError | None:
+        call = operator_pb2.ExplainCall(
+            team=command.team, request_id=command.id, key=key
+        )
+        reply = await client.operator.Explain(call, timeout=connecting.CALL_S)
+        if reply.state == 'not_found':
+            return errors.CommandError(
+                exit_codes.ExitCode.NOT_FOUND,
+                f'team {command.team} has no request {command.id!r}',
+            )
+        fields = {
+            'request': f'{command.team}/{command.id}',
+            'state': reply.state,
+            'fleet': reply.fleet,
+            'attempt': reply.attempt,
+            'workers': list(reply.workers),
+            'held_by': reply.held_by,
+        }
+        rendering.print_object(command.output, fields)
+        if reply.state == 'unreached':
+            return errors.CommandError(
+                exit_codes.ExitCode.UNKNOWN, reply.held_by, 'try again'
+            )
+        return None
+
+    return await listing.call_as_operator(command, explain)
+
+
+async def list_jobs(
+    command: cell_arguments.JobList,
+) -> errors.CommandError | None:
+    """Lists requests, oldest first."""
+    names = ['request_key', 'queue', 'state', 'fleet', 'attempt', 'accepted_ms']
+
+    async def print_jobs(
+        client: clients.Client, key: str
+    ) -> errors.CommandError | None:
+        call = operator_pb2.ListJobsCall(
+            team=command.team, ended=command.ended, most=command.most, key=key
+        )
+        reply = await client.operator.ListJobs(call, timeout=connecting.CALL_S)
+        rows = [[getattr(job, name) for name in names] for job in reply.jobs]
+        rendering.print_rows(command.output, names, rows)
+        if not reply.unreached:
+            return None
+        return errors.CommandError(
+            exit_codes.ExitCode.UNKNOWN,
+            f'the list lacks {", ".join(reply.unreached)}: not reached',
+            'try again',
+        )
+
+    return await listing.call_as_operator(command, print_jobs)
--- a/src/nutmegknot/_internal/commands/registry.py
+++ b/src/nutmegknot/_internal/commands/registry.py
@@ -9,8 +9,16 @@
 
 import cappa
 
+from nutmegknot._internal.commands import caller_arguments
+from nutmegknot._internal.commands import cell_arguments
+from nutmegknot._internal.commands import operator_arguments
 
-@cappa.command(name='serve', help='Run one instance until it is stopped.')
+
+@cappa.command(
+    name='serve',
+    help='Run one instance until it is stopped.',
+    description='Example: nutmegknot serve --config instance.toml',
+)
 @dataclasses.dataclass(slots=True)
 class Serve:
     """Run one instance until it is stopped.
@@ -28,6 +36,7 @@
 @cappa.command(
     name='local',
     help='Run a whole cell with stand-in workers in one process.',
+    description='Example: nutmegknot local --demo',
 )
 @dataclasses.dataclass(slots=True)
 class Local:
@@ -43,20 +52,6 @@
     ] = False
 
 
-@cappa.command(name='dump', help='Print the state of an instance as JSON.')
-@dataclasses.dataclass(slots=True)
-class Dump:
-    """Print the state of an instance as JSON.
-
-    Attributes:
-      server: Address of the instance.
-    """
-
-    server: Annotated[
-        str, cappa.Arg(long='--server', help='Address of an instance.')
-    ] = '127.0.0.1:7600'
-
-
 @cappa.command(
     name='nutmegknot',
     help='Cluster scheduler for services, batch queues and all-at-once jobs.',
@@ -66,19 +61,70 @@
     """The whole command line.
 
     Attributes:
-      command: The command given.
+      command: The command given, or a group of commands.
     """
 
-    command: cappa.Subcommands[Serve | Local | Dump]
+    command: cappa.Subcommands[
+        Serve
+        | Local
+        | caller_arguments.Submit
+        | caller_arguments.Wait
+        | caller_arguments.Cancel
+        | caller_arguments.Describe
+        | operator_arguments.Team
+        | operator_arguments.Key
+        | operator_arguments.Operator
+        | operator_arguments.Queue
+        | operator_arguments.Service
+        | cell_arguments.Domain
+        | cell_arguments.Job
+        | cell_arguments.Config
+        | cell_arguments.Apply
+        | cell_arguments.Dump
+    ]
 
 
 _FUNCTIONS: dict[type, tuple[str, str]] = {
     Serve: ('serve', 'run_instance'),
     Local: ('local', 'run_cell'),
-    Dump: ('dump', 'print_dump'),
+    caller_arguments.Submit: ('submit', 'submit_request'),
+    caller_arguments.Wait: ('requests', 'wait_for_request'),
+    caller_arguments.Cancel: ('requests', 'cancel_request'),
+    caller_arguments.Describe: ('requests', 'describe_request'),
+    operator_arguments.TeamSet: ('team', 'set_team'),
+    operator_arguments.TeamRemove: ('team', 'remove_team'),
+    operator_arguments.TeamList: ('team', 'list_teams'),
+    operator_arguments.KeyAdd: ('key', 'add_key'),
+    operator_arguments.KeyWithdraw: ('key', 'withdraw_key'),
+    operator_arguments.KeyList: ('key', 'list_keys'),
+    operator_arguments.OperatorAdd: ('operator', 'add_operator'),
+    operator_arguments.OperatorWithdraw: ('operator', 'withdraw_operator'),
+    operator_arguments.OperatorList: ('operator', 'list_operators'),
+    operator_arguments.OperatorBootstrap: ('operator', 'print_bootstrap'),
+    operator_arguments.QueueSet: ('queue', 'set_queue'),
+    operator_arguments.QueueList: ('queue', 'list_queues'),
+    operator_arguments.ServiceSet: ('service', 'set_service'),
+    operator_arguments.ServiceRemove: ('service', 'remove_service'),
+    operator_arguments.ServiceList: ('service', 'list_services'),
+    cell_arguments.DomainClose: ('domain', 'close_domain'),
+    cell_arguments.DomainOpen: ('domain', 'open_domain'),
+    cell_arguments.DomainList: ('domain', 'list_domains'),
+    cell_arguments.JobExplain: ('job', 'explain_job'),
+    cell_arguments.JobList: ('job', 'list_jobs'),
+    cell_arguments.ConfigShow: ('config', 'show_config'),
+    cell_arguments.Apply: ('apply', 'apply_file'),
+    cell_arguments.Dump: ('dump', 'print_dump'),
 }
 
 
+def find_command(parsed: Nutmegknot) -> object:
+    """Returns the command inside its groups."""
+    command: Any = parsed
+    while type(command) not in _FUNCTIONS:
+        command = command.command
+    return command
+
+
 def load(command: object) -> Callable[[Any], Any]:
     """Imports the module of a command and returns its function."""
     module_name, function_name = _FUNCTIONS[type(command)]
--- /dev/null
+++ b/src/nutmegknot/_internal/commands/team.py
@@ -0,0 +1,54 @@
+"""Commands on teams."""
+
+from nutmegknot._internal.cli import errors
+from nutmegknot._internal.commands import editing
+from nutmegknot._internal.commands import listing
+from nutmegknot._internal.commands import operator_arguments
+from nutmegknot._internal.models import cells
+from nutmegknot._internal.models import resources
+
+
+async def set_team(
+    command: operator_arguments.TeamSet,
+) -> errors.CommandError | None:
+    """Creates a team or changes it."""
+
+    def edit(config: cells.Configuration) -> cells.Configuration:
+        old = config.teams.get(command.name)
+        old = old or cells.Team(command.name, 1.0, resources.NOTHING)
+        share = old.share if command.share is None else command.share
+        limit = listing.change_amount(old.limit, command)
+        team = cells.Team(command.name, share, limit)
+        return editing.replace_item(config, 'teams', command.name, team)
+
+    return await editing.change_configuration(command, edit)
+
+
+async def remove_team(
+    command: operator_arguments.TeamRemove,
+) -> errors.CommandError | None:
+    """Removes a team."""
+
+    def edit(
+        config: cells.Configuration,
+    ) -> cells.Configuration | errors.CommandError:
+        if command.name not in config.teams:
+            return editing.make_missing('team', command.name)
+        return editing.replace_item(config, 'teams', command.name, None)
+
+    return await editing.change_configuration(command, edit)
+
+
+async def list_teams(
+    command: operator_arguments.TeamList,
+) -> errors.CommandError | None:
+    """Lists teams."""
+    names = ['name', 'share', *listing.AMOUNT_NAMES]
+    return await listing.list_section(
+        command,
+        names,
+        lambda config: [
+            [team.name, team.share, *listing.show_amount(team.limit)]
+            for _, team in sorted(config.teams.items())
+        ],
+    )
--- /dev/null
+++ b/src/nutmegknot/_internal/configuration/files.py
@@ -0,0 +1,89 @@
+"""Whole configurations as TOML files."""
+
+import dataclasses
+import json
+from typing import Any
+
+from google.protobuf import descriptor
+from google.protobuf import message as message_lib
+
+from nutmegknot._internal.codec import configurations
+from nutmegknot._internal.models import cells
+from nutmegknot._internal.schema import operator_pb2
+from nutmegknot._internal.settings import trees
+
+_FIELD = descriptor.FieldDescriptor
+
+
+def read_text(
+    text: str, source: str, present: cells.Configuration
+) -> cells.Configuration | trees.BadTree:
+    """Returns the whole configuration that a file asks for.
+
+    Args:
+      text: The TOML text.
+      source: Names the file in errors.
+      present: The configuration in force; its keys and operators are kept,
+        and its revision unless the file names one.
+    """
+    message = operator_pb2.ConfigurationFile()
+    bad = trees.fill_from_text(message, text, source)
+    if bad is not None:
+        return bad
+    whole = operator_pb2.Configuration(
+        teams=message.teams,
+        queues=message.queues,
+        services=message.services,
+        domains=message.domains,
+    )
+    config = configurations.decode_configuration(whole)
+    return dataclasses.replace(
+        config,
+        revision=message.revision or present.revision,
+        keys=present.keys,
+        operators=present.operators,
+    )
+
+
+def format_text(config: cells.Configuration) -> str:
+    """Returns the file that asks for a configuration."""
+    whole = configurations.encode_configuration(config)
+    lines = [f'revision = {config.revision}']
+    for section in operator_pb2.ConfigurationFile.DESCRIPTOR.fields:
+        if not section.is_repeated:
+            continue
+        for item in getattr(whole, section.name):
+            lines += ['', *_format_item(item, section.name)]
+    return '\n'.join(lines) + '\n'
+
+
+def _format_item(item: message_lib.Message, section: str) -> list[str]:
+    fields: list[Any] = list(item.DESCRIPTOR.fields)
+    name = getattr(item, fields[0].name)
+    lines = [f'[{section}.{_quote(name)}]']
+    lines += [
+        f'{field.name} = {_format_value(item, field)}' for field in fields[1:]
+    ]
+    return lines
+
+
+def _format_value(item: message_lib.Message, field: Any) -> str:  # noqa: ANN401
+    value = getattr(item, field.name)
+    if field.type == _FIELD.TYPE_MESSAGE:
+        inner = ', '.join(
+            f'{one.name} = {_format_value(value, one)}'
+            for one in list(value.DESCRIPTOR.fields)
+        )
+        return f'{{ {inner} }}'
+    if field.type == _FIELD.TYPE_ENUM:
+        choices = trees.list_choices(field)
+        names = {number: name for name, number in choices.items()}
+        return _quote(names[value])
+    if isinstance(value, bytes):
+        return _quote(value.decode('utf-8', 'backslashreplace'))
+    return _quote(value) if isinstance(value, str) else str(value).lower()
+
+
+def _quote(text: str) -> str:
+    """Returns a TOML basic string; JSON's escapes are valid in it."""
+    return json.dumps(text, ensure_ascii=False).replace('\x7f', '\\u007f')
--- a/src/nutmegknot/_internal/instance/entry.py
+++ b/src/nutmegknot/_internal/instance/entry.py
@@ -1,11 +1,9 @@
 """Entry of calls: authorization and forwarding to the ledger's owner."""
 
-import hashlib
-import hmac
-
 import grpclib.client
 
 from nutmegknot._internal.codec import values
+from nutmegknot._internal.configuration import keys
 from nutmegknot._internal.instance import authority
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import ledger_calls
@@ -23,14 +21,6 @@
 MAX_MEMBERS = 10_000
 
 
-def compute_digest(secret: str) -> str:
-    """Returns the stored form of the secret part of a key.
-
-    Secrets are random and long, so one round of a cryptographic hash is enough.
-    """
-    return hashlib.sha256(secret.encode()).hexdigest()
-
-
 def find_team(
     config: cells.Configuration, queue_name: str, key_text: str
 ) -> str | outcomes.Refused:
@@ -51,13 +41,8 @@
     rejected = outcomes.Refused(
         outcomes.RefusalReason.KEY_REJECTED, 'the key is unknown or withdrawn'
     )
-    key_id, _, secret = key_text.partition('.')
-    key = config.keys.get(key_id)
-    if key is None or key.withdrawn:
-        return rejected
-    if not hmac.compare_digest(key.digest, compute_digest(secret)):
-        return rejected
-    return key.team
+    key = keys.find_holder(config.keys, key_text)
+    return key.team if isinstance(key, cells.Key) else rejected
 
 
 def authorize(
--- a/src/nutmegknot/_internal/instance/operators.py
+++ b/src/nutmegknot/_internal/instance/operators.py
@@ -1,15 +1,89 @@
 """Calls of operators."""
 
+import functools
+import ipaddress
 import json
 
+import grpclib.const
+
 from nutmegknot._internal.codec import configurations
 from nutmegknot._internal.configuration import changes
+from nutmegknot._internal.configuration import keys
 from nutmegknot._internal.instance import dumps
+from nutmegknot._internal.instance import inspecting
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.membership import leases
+from nutmegknot._internal.models import cells
+from nutmegknot._internal.network import channels
+from nutmegknot._internal.network import services
 from nutmegknot._internal.schema import common_pb2
 from nutmegknot._internal.schema import operator_pb2
 
+MAX_TEXT = 500
+
+
+def make_handles(inst: instances.Instance) -> dict[str, services.Handle]:
+    """Returns the function of each method of the operator interface."""
+    functions: dict[str, inspecting.Handle] = {
+        'GetConfiguration': get_configuration,
+        'ApplyConfiguration': apply_configuration,
+        'DumpState': dump_state,
+        'Explain': inspecting.explain,
+        'ListJobs': inspecting.list_jobs,
+        'PreviewDomain': inspecting.preview_domain,
+    }
+    return {
+        name: _guard(inst, functools.partial(function, inst))
+        for name, function in functions.items()
+    }
+
+
+def _guard(
+    inst: instances.Instance, handle: services.Handle
+) -> services.Handle:
+    """Returns a handle that lets only operators through."""
+
+    async def handle_guarded(call: object, wait_ms: int) -> object:
+        found = find_operator(inst, getattr(call, 'key', ''))
+        if isinstance(found, services.Rejected):
+            return found
+        return await handle(call, wait_ms)
+
+    return handle_guarded
+
+
+def find_operator(
+    inst: instances.Instance, key_text: str
+) -> str | services.Rejected:
+    """Returns who makes a call; '' on loopback before there are operators."""
+    known = dict(inst.membership.view.configuration.operators)
+    digest = inst.settings.operators.bootstrap_digest
+    if digest:
+        known.setdefault(
+            keys.BOOTSTRAP_ID,
+            cells.OperatorKey(keys.BOOTSTRAP_ID, keys.BOOTSTRAP_ID, digest),
+        )
+    if not any(not key.withdrawn for key in known.values()):
+        return _check_loopback(inst.settings.instance.listen)
+    holder = keys.find_holder(known, key_text)
+    if isinstance(holder, cells.OperatorKey):
+        return holder.operator
+    return services.Rejected(
+        grpclib.const.Status.UNAUTHENTICATED,
+        'the operator key is missing, unknown or withdrawn',
+    )
+
+
+def _check_loopback(address: str) -> str | services.Rejected:
+    host, _ = channels.split_address(address)
+    if ipaddress.ip_address(host).is_loopback:
+        return ''
+    return services.Rejected(
+        grpclib.const.Status.PERMISSION_DENIED,
+        'no operator is known: set operators.bootstrap_digest, or listen on a '
+        'loopback address',
+    )
+
 
 async def get_configuration(
     inst: instances.Instance,
@@ -30,9 +104,12 @@
 ) -> operator_pb2.ApplyConfigurationReply:
     """Replaces the configuration if it has not changed meanwhile."""
     pb = operator_pb2
-    changed = configurations.decode_configuration(call.configuration)
+    change = _read_change(inst, call)
+    if isinstance(change, changes.Invalid):
+        refused = pb.ConfigurationRefused(detail=change.detail)
+        return pb.ApplyConfigurationReply(refused=refused)
     result = await changes.apply(
-        inst.platform.table, changed, inst.settings.platform.timeout_ms
+        inst.platform.table, change, inst.settings.platform.timeout_ms
     )
     match result:
         case changes.Applied(config):
@@ -50,6 +127,23 @@
             return pb.ApplyConfigurationReply(unknown=unknown)
 
 
+def _read_change(
+    inst: instances.Instance, call: operator_pb2.ApplyConfigurationCall
+) -> changes.Change | changes.Invalid:
+    found = find_operator(inst, call.key)
+    operator = found if isinstance(found, str) and found else call.operator
+    for name, text in (('operator', operator), ('reason', call.reason)):
+        if not text or len(text) > MAX_TEXT:
+            return changes.Invalid(f'{name}: must have 1 to {MAX_TEXT} letters')
+    try:
+        config = configurations.decode_configuration(call.configuration)
+    except ValueError as error:
+        return changes.Invalid(str(error))
+    return changes.Change(
+        config, operator, call.reason, call.nonce, inst.clock.wall_ms()
+    )
+
+
 async def dump_state(
     inst: instances.Instance, call: operator_pb2.DumpStateCall, wait_ms: int
 ) -> operator_pb2.DumpStateReply:
--- a/src/nutmegknot/_internal/instance/running.py
+++ b/src/nutmegknot/_internal/instance/running.py
@@ -12,6 +12,7 @@
 
 from nutmegknot._internal.instance import entry
 from nutmegknot._internal.instance import fleet_calls
+from nutmegknot._internal.instance import inspecting
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import ledger_calls
 from nutmegknot._internal.instance import operators
@@ -25,6 +26,7 @@
 from nutmegknot._internal.platform import http_objects
 from nutmegknot._internal.platform import http_tables
 from nutmegknot._internal.schema import caller_pb2
+from nutmegknot._internal.schema import inspect_pb2
 from nutmegknot._internal.schema import operator_pb2
 from nutmegknot._internal.schema import peer_pb2
 from nutmegknot._internal.schema import settings_pb2
@@ -108,21 +110,6 @@
     }
 
 
-def make_operator_handles(
-    inst: instances.Instance,
-) -> dict[str, services.Handle]:
-    """Returns the function of each method of the operator interface."""
-    return {
-        'GetConfiguration': functools.partial(
-            operators.get_configuration, inst
-        ),
-        'ApplyConfiguration': functools.partial(
-            operators.apply_configuration, inst
-        ),
-        'DumpState': functools.partial(operators.dump_state, inst),
-    }
-
-
 def make_ledger_handles(
     inst: instances.Instance,
 ) -> dict[str, services.Handle]:
@@ -158,13 +145,14 @@
     caller = grpclib.server.Server(
         [
             bind(caller_pb2, 'Caller', make_caller_handles(inst)),
-            bind(operator_pb2, 'Operator', make_operator_handles(inst)),
+            bind(operator_pb2, 'Operator', operators.make_handles(inst)),
         ]
     )
     peer = grpclib.server.Server(
         [
             bind(peer_pb2, 'Ledger', make_ledger_handles(inst)),
             bind(peer_pb2, 'Fleet', make_fleet_handles(inst)),
+            bind(inspect_pb2, 'Inspect', inspecting.make_handles(inst)),
         ]
     )
     settings = inst.settings.instance
--- a/src/nutmegknot/_internal/models/cells.py
+++ b/src/nutmegknot/_internal/models/cells.py
@@ -89,6 +89,23 @@
     state: workers.DomainState = workers.DomainState.OPEN
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class OperatorKey:
+    """An operator's key, stored as a hash.
+
+    Attributes:
+      id: Public part, by which it is named and looked up.
+      operator: Who holds it.
+      digest: Hash of the secret part.
+      withdrawn: Whether it has been withdrawn.
+    """
+
+    id: str
+    operator: str
+    digest: str
+    withdrawn: bool = False
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Configuration:
     """Everything that operators declare, at one revision.
@@ -100,6 +117,7 @@
       queues: By name.
       services: By name.
       domains: By name.
+      operators: Keys of operators by id.
     """
 
     revision: int = 0
@@ -108,3 +126,4 @@
     queues: dict[str, Queue] = dataclasses.field(default_factory=dict)
     services: dict[str, Service] = dataclasses.field(default_factory=dict)
     domains: dict[str, Domain] = dataclasses.field(default_factory=dict)
+    operators: dict[str, OperatorKey] = dataclasses.field(default_factory=dict)
--- a/src/nutmegknot/_internal/network/channels.py
+++ b/src/nutmegknot/_internal/network/channels.py
@@ -1,14 +1,21 @@
 """gRPC channels to the other instances, one for each."""
 
 import dataclasses
+import ssl
 
 import grpclib.client
 
 
 @dataclasses.dataclass(slots=True)
 class Channels:
-    """Open channels by address."""
+    """Open channels by address.
 
+    Attributes:
+      tls: TLS context of new channels; None for none.
+      opened: Channels by address.
+    """
+
+    tls: ssl.SSLContext | None = None
     opened: dict[str, grpclib.client.Channel] = dataclasses.field(
         default_factory=dict
     )
@@ -19,7 +26,7 @@
     channel = channels.opened.get(address)
     if channel is None:
         host, port = split_address(address)
-        channel = grpclib.client.Channel(host, port)
+        channel = grpclib.client.Channel(host, port, ssl=channels.tls)
         channels.opened[address] = channel
     return channel
 
--- a/src/nutmegknot/_internal/network/clients.py
+++ b/src/nutmegknot/_internal/network/clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import ssl
 
 import grpclib.client
 import grpclib.exceptions
@@ -10,13 +11,14 @@
 from nutmegknot._internal.schema import caller_grpc
 from nutmegknot._internal.schema import operator_grpc
 
-CALL_ERRORS = (
-    grpclib.exceptions.GRPCError,
+# The call may have taken effect; its answer did not come.
+LOST_ERRORS = (
     grpclib.exceptions.StreamTerminatedError,
     grpclib.exceptions.ProtocolError,
     OSError,
     asyncio.TimeoutError,
 )
+CALL_ERRORS = (grpclib.exceptions.GRPCError, *LOST_ERRORS)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -34,9 +36,10 @@
     operator: operator_grpc.OperatorStub
 
 
-def connect(address: str) -> Client:
+def connect(address: str, tls: ssl.SSLContext | None = None) -> Client:
     """Returns a client of the instance at an address, 'HOST:PORT'."""
-    channel = grpclib.client.Channel(*channels.split_address(address))
+    host, port = channels.split_address(address)
+    channel = grpclib.client.Channel(host, port, ssl=tls)
     return Client(
         channel,
         caller_grpc.CallerStub(channel),
--- a/src/nutmegknot/_internal/network/services.py
+++ b/src/nutmegknot/_internal/network/services.py
@@ -21,6 +21,19 @@
 Handle = Callable[[Any, int], Awaitable[Any]]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Rejected:
+    """The call was not handled and had no effect.
+
+    Attributes:
+      status: gRPC status.
+      detail: One line for the caller.
+    """
+
+    status: grpclib.const.Status
+    detail: str
+
+
 @dataclasses.dataclass(slots=True)
 class Calls:
     """Calls that a server is handling.
@@ -59,7 +72,7 @@
     Args:
       service: The service's descriptor.
       handles: Function by method name, from the call's message and the time
-        left for it in ms to the reply's message.
+        left for it in ms to the reply's message or Rejected.
       calls: Counts the calls being handled.
 
     Returns:
@@ -92,7 +105,10 @@
                     grpclib.const.Status.INVALID_ARGUMENT,
                     'no message in the call',
                 )
-            await stream.send_message(await handle(call, _get_wait(stream)))
+            reply = await handle(call, _get_wait(stream))
+            if isinstance(reply, Rejected):
+                raise grpclib.exceptions.GRPCError(reply.status, reply.detail)
+            await stream.send_message(reply)
         finally:
             calls.running -= 1
             signals.notify(calls.ended)
--- a/src/nutmegknot/_internal/schema/operator_grpc.py
+++ b/src/nutmegknot/_internal/schema/operator_grpc.py
@@ -10,6 +10,7 @@
     import grpclib.server
 
 import nutmegknot._internal.schema.common_pb2
+import nutmegknot._internal.schema.rules_pb2
 import nutmegknot._internal.schema.operator_pb2
 
 
@@ -27,6 +28,18 @@
     async def DumpState(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.operator_pb2.DumpStateCall, nutmegknot._internal.schema.operator_pb2.DumpStateReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Explain(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.operator_pb2.ExplainCall, nutmegknot._internal.schema.operator_pb2.ExplainReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def ListJobs(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.operator_pb2.ListJobsCall, nutmegknot._internal.schema.operator_pb2.ListJobsReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def PreviewDomain(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.operator_pb2.PreviewDomainCall, nutmegknot._internal.schema.operator_pb2.PreviewDomainReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/nutmegknot.v1.Operator/GetConfiguration': grpclib.const.Handler(
@@ -47,6 +60,24 @@
                 nutmegknot._internal.schema.operator_pb2.DumpStateCall,
                 nutmegknot._internal.schema.operator_pb2.DumpStateReply,
             ),
+            '/nutmegknot.v1.Operator/Explain': grpclib.const.Handler(
+                self.Explain,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                nutmegknot._internal.schema.operator_pb2.ExplainCall,
+                nutmegknot._internal.schema.operator_pb2.ExplainReply,
+            ),
+            '/nutmegknot.v1.Operator/ListJobs': grpclib.const.Handler(
+                self.ListJobs,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                nutmegknot._internal.schema.operator_pb2.ListJobsCall,
+                nutmegknot._internal.schema.operator_pb2.ListJobsReply,
+            ),
+            '/nutmegknot.v1.Operator/PreviewDomain': grpclib.const.Handler(
+                self.PreviewDomain,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                nutmegknot._internal.schema.operator_pb2.PreviewDomainCall,
+                nutmegknot._internal.schema.operator_pb2.PreviewDomainReply,
+            ),
         }
 
 
@@ -71,3 +102,21 @@
             nutmegknot._internal.schema.operator_pb2.DumpStateCall,
             nutmegknot._internal.schema.operator_pb2.DumpStateReply,
         )
+        self.Explain = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/nutmegknot.v1.Operator/Explain',
+            nutmegknot._internal.schema.operator_pb2.ExplainCall,
+            nutmegknot._internal.schema.operator_pb2.ExplainReply,
+        )
+        self.ListJobs = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/nutmegknot.v1.Operator/ListJobs',
+            nutmegknot._internal.schema.operator_pb2.ListJobsCall,
+            nutmegknot._internal.schema.operator_pb2.ListJobsReply,
+        )
+        self.PreviewDomain = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/nutmegknot.v1.Operator/PreviewDomain',
+            nutmegknot._internal.schema.operator_pb2.PreviewDomainCall,
+            nutmegknot._internal.schema.operator_pb2.PreviewDomainReply,
+        )
--- a/src/nutmegknot_standins/cells.py
+++ b/src/nutmegknot_standins/cells.py
@@ -8,7 +8,7 @@
 
 from nutmegknot._internal.codec import configurations
 from nutmegknot._internal.configuration import changes
-from nutmegknot._internal.instance import entry
+from nutmegknot._internal.configuration import keys
 from nutmegknot._internal.instance import running
 from nutmegknot._internal.models import cells
 from nutmegknot._internal.models import resources
@@ -93,7 +93,7 @@
     return cells.Configuration(
         teams={'demo': cells.Team('demo', 1.0, limit)},
         keys={
-            KEY_ID: cells.Key(KEY_ID, 'demo', entry.compute_digest(KEY_SECRET))
+            KEY_ID: cells.Key(KEY_ID, 'demo', keys.compute_digest(KEY_SECRET))
         },
         queues={
             'batch': cells.Queue('batch'),
