--- a/src/nutmegknot/_internal/commands/local.py
+++ b/src/nutmegknot/_internal/commands/local.py
@@ -22,7 +22,9 @@
             return await _demonstrate(cell)
         print(f'instances: {", ".join(cell.addresses)}')
         print(f'key of team demo: {cells.KEY_TEXT}')
-        print(f'state: nutmegknot dump --server {cell.addresses[0]}', flush=True)
+        print(
+            f'state: nutmegknot dump --server {cell.addresses[0]}', flush=True
+        )
         await _wait_for_signal()
     finally:
         await cells.stop(cell)
--- a/src/nutmegknot/_internal/commands/rendering.py
+++ b/src/nutmegknot/_internal/commands/rendering.py
@@ -39,5 +39,5 @@
     if isinstance(value, bool):
         return 'yes' if value else 'no'
     if isinstance(value, list):
-        return ', '.join(_show(item) for item in value)
+        return ', '.join(_show(item) for item in value) or '-'
     return '-' if value in ('', None) else str(value)
--- /dev/null
+++ b/tests/unit/configuration/test_files.py
@@ -0,0 +1,75 @@
+"""Tests of configuration/files.py and differences.py."""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from nutmegknot._internal.configuration import differences
+from nutmegknot._internal.configuration import files
+from nutmegknot._internal.models import cells
+from nutmegknot._internal.models import workers
+from nutmegknot._internal.settings import trees
+from nutmegknot_standins import cells as standin_cells
+
+PRESENT = dataclasses.replace(standin_cells.make_configuration(), revision=4)
+
+
+def test_printed_file_asks_for_what_is_in_force() -> None:
+    text = files.format_text(PRESENT)
+    assert files.read_text(text, 'x.toml', PRESENT) == PRESENT
+
+
+@hypothesis.given(name=strategies.text(max_size=8))
+def test_any_team_name_is_written_and_read_back(name: str) -> None:
+    if not name.isprintable():
+        return
+    team = dataclasses.replace(PRESENT.teams['demo'], name=name)
+    config = dataclasses.replace(PRESENT, teams={name: team})
+    result = files.read_text(files.format_text(config), 'x.toml', PRESENT)
+    assert result == config or (
+        name == '' and isinstance(result, trees.BadTree)
+    )
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        ('[teams.a]\nshare = 0\n', 'x.toml: teams.a.share: 0 is out of range'),
+        ('[teams.a]\nshare = nan\n', 'x.toml: teams.a.share: nan is out of'),
+        ('[teams.a]\n', 'x.toml: teams.a.limit.millicores: missing'),
+        ('[domains.a]\nregion="r"\n', 'x.toml: domains.a.state: missing'),
+        ('[keys.a]\n', 'x.toml: keys: unknown key'),
+        ('teams = 3\n', 'x.toml: teams: must be a table'),
+        (
+            '[queues.q]\npriority = "low"\n',
+            "x.toml: queues.q.priority: 'low' must be one of urgent, normal",
+        ),
+    ],
+)
+def test_fault_is_named(text: str, expected: str) -> None:
+    result = files.read_text(text, 'x.toml', PRESENT)
+    assert isinstance(result, trees.BadTree)
+    assert result.detail.startswith(expected)
+
+
+def test_differences_hide_digests() -> None:
+    closed = cells.Domain('domain-a', 'local', workers.DomainState.CLOSED)
+    key = dataclasses.replace(PRESENT.keys['demo-key'], digest='0' * 64)
+    after = dataclasses.replace(
+        PRESENT,
+        domains=PRESENT.domains | {'domain-a': closed},
+        keys={'demo-key': key},
+        queues={},
+    )
+    lines = differences.list_differences(PRESENT, after)
+    assert lines == [
+        '~ key demo-key: digest changed',
+        "- queue batch: open_team '', max_waiting 10000, priority urgent",
+        "- queue public: open_team 'demo', max_waiting 10000, priority urgent",
+        '~ domain domain-a: state open -> closed',
+    ]
+    kept = differences.keep_changed(after, PRESENT)
+    assert kept.domains == {'domain-a': closed}
+    assert kept.teams == {}
