Show health, metrics and whole dumps; limit callers; TLS on both ports

Cause: an instance showed only counts of its state, readiness stayed on until the ports closed, and any client could send any amount on any connection. Change: HTTP pages for health, readiness and metrics (OpenTelemetry SDK, read only when asked for); readiness off for drain_ms before a stop begins; a whole dump by command and SIGUSR1 without keys and payloads; limits on message length, connections and calls of a caller; unreadable messages refused with a clear status and an exception in a handle stopping the process; TLS for callers and mutual TLS between instances. Outside these folders: running.py loses its tables of handles to ports.py and gains the HTTP server, one line each in serving.py for starts and take-overs, three fields in Instance, a dump signal and drain_ms = 0 in the stand-in cell.

--- a/src/nutmegknot/_internal/commands/dump.py
+++ b/src/nutmegknot/_internal/commands/dump.py
@@ -18,7 +18,7 @@
     ) -> errors.CommandError | None:
         call = operator_pb2.DumpStateCall(key=key)
         reply = await client.operator.DumpState(call, timeout=connecting.CALL_S)
-        print(reply.json)
+        print(reply.json, end='')
         return None
 
     return await listing.call_as_operator(command, dump)
--- a/src/nutmegknot/_internal/commands/local.py
+++ b/src/nutmegknot/_internal/commands/local.py
@@ -1,12 +1,12 @@
 """Command local: a whole cell with stand-ins in one process."""
 
 import asyncio
-import signal
 
 from nutmegknot._internal.cli import errors
 from nutmegknot._internal.cli import exit_codes
 from nutmegknot._internal.commands import demonstration
 from nutmegknot._internal.commands import registry
+from nutmegknot._internal.commands import serve
 from nutmegknot._internal.telemetry import logs
 from nutmegknot_standins import cells
 
@@ -25,7 +25,9 @@
         print(
             f'state: nutmegknot dump --server {cell.addresses[0]}', flush=True
         )
-        await _wait_for_signal()
+        stopped = asyncio.Event()
+        serve.handle_signals(stopped, cell.dump_wanted)
+        await stopped.wait()
     finally:
         await cells.stop(cell)
     return None
@@ -39,11 +41,3 @@
     return errors.CommandError(
         exit_codes.ExitCode.FAILED, 'an outcome is not as promised'
     )
-
-
-async def _wait_for_signal() -> None:
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
--- a/src/nutmegknot/_internal/commands/serve.py
+++ b/src/nutmegknot/_internal/commands/serve.py
@@ -7,8 +7,10 @@
 from nutmegknot._internal.cli import exit_codes
 from nutmegknot._internal.commands import registry
 from nutmegknot._internal.instance import running
+from nutmegknot._internal.network import tls
 from nutmegknot._internal.settings import reader
 from nutmegknot._internal.telemetry import logs
+from nutmegknot._internal.utils import signals
 
 
 async def run_instance(command: registry.Serve) -> errors.CommandError | None:
@@ -22,14 +24,21 @@
         )
     logs.set_up(settings.telemetry.level)
     stopped = asyncio.Event()
+    dump_wanted = signals.Signal()
+    handle_signals(stopped, dump_wanted)
+    return make_error(await running.run(settings, stopped, dump_wanted))
+
+
+def handle_signals(stopped: asyncio.Event, dump_wanted: signals.Signal) -> None:
+    """Has SIGTERM and SIGINT begin a stop, and SIGUSR1 write the state."""
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    return make_error(await running.run(settings, stopped))
+    loop.add_signal_handler(signal.SIGUSR1, signals.notify, dump_wanted)
 
 
 def make_error(
-    ended: running.PortTaken | running.PlatformUnreached | None,
+    ended: running.Unstarted | None,
 ) -> errors.CommandError | None:
     """Returns the error of an instance that could not run."""
     match ended:
@@ -45,4 +54,10 @@
                 detail,
                 'check platform.table_url and that the service runs',
             )
+        case tls.BadTls(detail):
+            return errors.CommandError(
+                exit_codes.ExitCode.BAD_SETTINGS,
+                detail,
+                'check the files that the settings name',
+            )
     return None
--- a/src/nutmegknot/_internal/instance/entry.py
+++ b/src/nutmegknot/_internal/instance/entry.py
@@ -15,6 +15,7 @@
 from nutmegknot._internal.schema import common_pb2
 from nutmegknot._internal.schema import peer_grpc
 from nutmegknot._internal.schema import peer_pb2
+from nutmegknot._internal.telemetry import metrics
 from nutmegknot._internal.utils import hashing
 
 MAX_ID_CHARS = 200
@@ -82,6 +83,15 @@
     inst: instances.Instance, call: caller_pb2.SubmitCall, wait_ms: int
 ) -> common_pb2.Outcome:
     """Accepts a caller's request, or refuses it truthfully."""
+    outcome = await _submit(inst, call, wait_ms)
+    if outcome.HasField('refused'):
+        metrics.count(inst.metrics.refusals, outcome.refused.reason)
+    return outcome
+
+
+async def _submit(
+    inst: instances.Instance, call: caller_pb2.SubmitCall, wait_ms: int
+) -> common_pb2.Outcome:
     wrong = check_request(call.request)
     if wrong:
         return values.encode_outcome(
--- a/src/nutmegknot/_internal/instance/instances.py
+++ b/src/nutmegknot/_internal/instance/instances.py
@@ -13,7 +13,9 @@
 from nutmegknot._internal.platform import objects
 from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import settings_pb2
+from nutmegknot._internal.telemetry import metrics as metrics_lib
 from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks as task_lib
 
 
@@ -43,6 +45,9 @@
       channels: Channels to the other instances.
       calls: Calls being handled.
       loads: Last known load of each fleet partition, by name.
+      metrics: What it counts.
+      draining: Whether the balancer is to send no more calls.
+      dump_wanted: Notified when the state is to be written.
     """
 
     settings: settings_pb2.Settings
@@ -65,3 +70,10 @@
     loads: dict[str, load_lib.SeenLoad] = dataclasses.field(
         default_factory=dict
     )
+    metrics: metrics_lib.Metrics = dataclasses.field(
+        default_factory=metrics_lib.make_metrics
+    )
+    draining: bool = False
+    dump_wanted: signals.Signal = dataclasses.field(
+        default_factory=signals.Signal
+    )
--- a/src/nutmegknot/_internal/instance/operators.py
+++ b/src/nutmegknot/_internal/instance/operators.py
@@ -2,7 +2,6 @@
 
 import functools
 import ipaddress
-import json
 
 import grpclib.const
 
@@ -148,5 +147,4 @@
     inst: instances.Instance, call: operator_pb2.DumpStateCall, wait_ms: int
 ) -> operator_pb2.DumpStateReply:
     """Returns the instance's state as JSON."""
-    text = json.dumps(dumps.show_instance(inst), sort_keys=True)
-    return operator_pb2.DumpStateReply(json=text)
+    return operator_pb2.DumpStateReply(json=dumps.format_instance(inst))
--- a/src/nutmegknot/_internal/instance/running.py
+++ b/src/nutmegknot/_internal/instance/running.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import functools
 import logging
 import random
 import uuid
@@ -10,26 +9,24 @@
 import aiohttp
 import grpclib.server
 
-from nutmegknot._internal.instance import entry
-from nutmegknot._internal.instance import fleet_calls
-from nutmegknot._internal.instance import inspecting
+from nutmegknot._internal.instance import exposing
 from nutmegknot._internal.instance import instances
-from nutmegknot._internal.instance import ledger_calls
-from nutmegknot._internal.instance import operators
+from nutmegknot._internal.instance import measuring
+from nutmegknot._internal.instance import ports
 from nutmegknot._internal.instance import serving
 from nutmegknot._internal.membership import leases
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import partitions
 from nutmegknot._internal.network import channels
+from nutmegknot._internal.network import listening
 from nutmegknot._internal.network import services
+from nutmegknot._internal.network import tls
+from nutmegknot._internal.network import web
 from nutmegknot._internal.platform import http_fleets
 from nutmegknot._internal.platform import http_objects
 from nutmegknot._internal.platform import http_tables
-from nutmegknot._internal.schema import caller_pb2
-from nutmegknot._internal.schema import inspect_pb2
-from nutmegknot._internal.schema import operator_pb2
-from nutmegknot._internal.schema import peer_pb2
 from nutmegknot._internal.schema import settings_pb2
+from nutmegknot._internal.telemetry import metrics
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
@@ -53,12 +50,16 @@
     detail: str
 
 
+Unstarted = PortTaken | PlatformUnreached | tls.BadTls
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Servers:
     """Listening servers of an instance."""
 
     caller: grpclib.server.Server
     peer: grpclib.server.Server
+    http: exposing.Server
 
 
 def connect_platform(
@@ -86,11 +87,14 @@
         region=settings.instance.region,
         domain=settings.instance.domain,
     )
+    made = metrics.make_metrics()
+    platform = measuring.count_stores(platform, made.store_calls)
     return instances.Instance(
         settings=settings,
         clock=clock,
         rng=random.Random(me.id),
         platform=platform,
+        metrics=made,
         membership=leases.Context(
             views.View(me), leases.Lease(), platform.table, clock, settings
         ),
@@ -98,81 +102,44 @@
     )
 
 
-def make_caller_handles(
+async def listen(
     inst: instances.Instance,
-) -> dict[str, services.Handle]:
-    """Returns the function of each method of the caller interface."""
-    return {
-        'Submit': functools.partial(entry.submit, inst),
-        'Wait': functools.partial(entry.ask, inst, 'Wait'),
-        'Cancel': functools.partial(entry.ask, inst, 'Cancel'),
-        'Describe': functools.partial(entry.ask, inst, 'Describe'),
-    }
-
-
-def make_ledger_handles(
-    inst: instances.Instance,
-) -> dict[str, services.Handle]:
-    """Returns the function of each method of the ledger interface."""
-    return {
-        'Submit': functools.partial(ledger_calls.submit, inst),
-        'Wait': functools.partial(ledger_calls.wait, inst),
-        'Cancel': functools.partial(ledger_calls.cancel, inst),
-        'Describe': functools.partial(ledger_calls.describe, inst),
-        'Report': functools.partial(ledger_calls.report, inst),
-    }
-
-
-def make_fleet_handles(
-    inst: instances.Instance,
-) -> dict[str, services.Handle]:
-    """Returns the function of each method of the fleet interface."""
-    return {
-        'Assign': functools.partial(fleet_calls.assign, inst),
-        'Withdraw': functools.partial(fleet_calls.withdraw, inst),
-    }
-
-
-async def listen(inst: instances.Instance) -> Servers | PortTaken:
+) -> Servers | PortTaken | tls.BadTls:
     """Opens the ports for callers and operators, and for other instances."""
-
-    def bind(
-        file: object, name: str, handles: dict[str, services.Handle]
-    ) -> services.BoundService:
-        service = file.DESCRIPTOR.services_by_name[name]  # type: ignore[attr-defined]
-        return services.bind(service, handles, inst.calls)
-
-    caller = grpclib.server.Server(
-        [
-            bind(caller_pb2, 'Caller', make_caller_handles(inst)),
-            bind(operator_pb2, 'Operator', operators.make_handles(inst)),
-        ]
+    contexts = tls.load(inst.settings.tls)
+    if isinstance(contexts, tls.BadTls):
+        return contexts
+    inst.channels.tls = contexts.peer_client
+    settings = inst.settings.instance
+    limits = inst.settings.limits
+    caller = await listening.start(
+        settings.listen,
+        ports.bind_caller_services(inst),
+        limits.connections,
+        contexts.caller,
     )
-    peer = grpclib.server.Server(
-        [
-            bind(peer_pb2, 'Ledger', make_ledger_handles(inst)),
-            bind(peer_pb2, 'Fleet', make_fleet_handles(inst)),
-            bind(inspect_pb2, 'Inspect', inspecting.make_handles(inst)),
-        ]
+    if isinstance(caller, listening.Unopened):
+        return PortTaken(caller.detail)
+    peer = await listening.start(
+        settings.peer_listen,
+        ports.bind_peer_services(inst),
+        limits.connections,
+        contexts.peer_server,
     )
-    settings = inst.settings.instance
-    for server, address in (
-        (caller, settings.listen),
-        (peer, settings.peer_listen),
-    ):
-        try:
-            await server.start(*channels.split_address(address))
-        except OSError as error:
-            return PortTaken(f'{address}: {error.strerror}')
-    return Servers(caller, peer)
+    if isinstance(peer, listening.Unopened):
+        return PortTaken(peer.detail)
+    http = await exposing.start(inst)
+    if isinstance(http, web.Unopened):
+        return PortTaken(http.detail)
+    return Servers(caller, peer, http)
 
 
 async def start(
     inst: instances.Instance,
-) -> Servers | PortTaken | PlatformUnreached:
+) -> Servers | Unstarted:
     """Joins the cell and begins to serve."""
     servers = await listen(inst)
-    if isinstance(servers, PortTaken):
+    if not isinstance(servers, Servers):
         return servers
     if not await leases.renew(inst.membership):
         await close_servers(servers)
@@ -189,6 +156,7 @@
 
 async def stop(inst: instances.Instance, servers: Servers) -> None:
     """Stops gracefully: partitions are handed over, running calls finish."""
+    await exposing.drain(inst)
     view = inst.membership.view
     view.stopping = True
     view.me = dataclasses.replace(view.me, leaving=True)
@@ -217,13 +185,21 @@
     for server in (servers.caller, servers.peer):
         server.close()
         await server.wait_closed()
+    await servers.http.cleanup()
 
 
 async def run(
-    settings: settings_pb2.Settings, stopped: asyncio.Event
-) -> PortTaken | PlatformUnreached | None:
+    settings: settings_pb2.Settings,
+    stopped: asyncio.Event,
+    dump_wanted: signals.Signal | None = None,
+) -> Unstarted | None:
     """Runs an instance until stopped is set.
 
+    Args:
+      settings: All settings.
+      stopped: Begins a graceful stop.
+      dump_wanted: Has the state written when notified.
+
     Returns:
       None after a graceful stop.
 
@@ -236,6 +212,7 @@
         clock = clock_lib.make_system_clock()
         platform = connect_platform(settings, session)
         inst = make_instance(settings, clock, platform)
+        inst.dump_wanted = dump_wanted or inst.dump_wanted
         servers = await start(inst)
         if not isinstance(servers, Servers):
             await abandon(inst)
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -14,6 +14,7 @@
 from nutmegknot._internal.instance import assigning
 from nutmegknot._internal.instance import authority
 from nutmegknot._internal.instance import instances
+from nutmegknot._internal.instance import measuring
 from nutmegknot._internal.instance import replicas
 from nutmegknot._internal.instance import reporting
 from nutmegknot._internal.instance import routing
@@ -24,6 +25,7 @@
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import reports
 from nutmegknot._internal.platform import tables
+from nutmegknot._internal.telemetry import metrics
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
@@ -66,6 +68,7 @@
 
 async def open_partition(inst: instances.Instance, name: str) -> None:
     """Starts to serve a partition that has just been acquired."""
+    metrics.count(inst.metrics.takeovers, name.partition('-')[0])
     if name.startswith('ledger-'):
         await _open_ledger(inst, name)
     else:
@@ -147,7 +150,10 @@
     inst: instances.Instance, fleet: fleets.Fleet, part: tasks.Tasks
 ) -> contexts.Context:
     async def send_reports(ledger: str, given: list[reports.Report]) -> bool:
-        return await reporting.send_reports(inst, ledger, given)
+        is_durable = await reporting.send_reports(inst, ledger, given)
+        if is_durable:
+            measuring.note_reports(inst, fleet, given)
+        return is_durable
 
     return contexts.Context(
         clock=inst.clock,
--- a/src/nutmegknot/_internal/network/services.py
+++ b/src/nutmegknot/_internal/network/services.py
@@ -1,11 +1,14 @@
 """Binding of plain functions to the services of the schema."""
 
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import functools
 from typing import Any
 
 from google.protobuf import descriptor
+from google.protobuf import message as message_lib
 from google.protobuf import message_factory
 import grpclib.const
 import grpclib.exceptions
@@ -34,6 +37,24 @@
     detail: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Limits:
+    """Limits on the calls of one service.
+
+    Attributes:
+      message_bytes: Longest message of a call.
+      calls_per_caller: The most calls of one caller handled at a time; 0 for
+        no limit.
+    """
+
+    message_bytes: int
+    calls_per_caller: int = 0
+
+
+def ignore(error: Exception) -> None:
+    """Takes no note of an exception."""
+
+
 @dataclasses.dataclass(slots=True)
 class Calls:
     """Calls that a server is handling.
@@ -41,10 +62,17 @@
     Attributes:
       running: How many.
       ended: Notified when one ends.
+      by_caller: How many of each caller with a limit.
+      report_broken: Takes the exception that left a handle, which is a broken
+        invariant.
     """
 
     running: int = 0
     ended: signals.Signal = dataclasses.field(default_factory=signals.Signal)
+    by_caller: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    report_broken: Callable[[Exception], None] = ignore
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -66,6 +94,7 @@
     service: descriptor.ServiceDescriptor,
     handles: dict[str, Handle],
     calls: Calls,
+    limits: Limits,
 ) -> BoundService:
     """Binds one function to each method of a service.
 
@@ -74,6 +103,7 @@
       handles: Function by method name, from the call's message and the time
         left for it in ms to the reply's message or Rejected.
       calls: Counts the calls being handled.
+      limits: What a call and a caller may take.
 
     Returns:
       The service for a grpclib server.
@@ -85,7 +115,7 @@
     for method in service.methods:
         path = f'/{service.full_name}/{method.name}'
         handlers[path] = grpclib.const.Handler(
-            _make_unary(handles[method.name], calls),
+            _make_unary(handles[method.name], calls, limits),
             grpclib.const.Cardinality.UNARY_UNARY,
             message_factory.GetMessageClass(method.input_type),
             message_factory.GetMessageClass(method.output_type),
@@ -94,18 +124,21 @@
 
 
 def _make_unary(
-    handle: Handle, calls: Calls
+    handle: Handle, calls: Calls, limits: Limits
 ) -> Callable[[grpclib.server.Stream[Any, Any]], Awaitable[None]]:
     async def serve_call(stream: grpclib.server.Stream[Any, Any]) -> None:
         calls.running += 1
         try:
-            call = await stream.recv_message()
-            if call is None:
-                raise grpclib.exceptions.GRPCError(
-                    grpclib.const.Status.INVALID_ARGUMENT,
-                    'no message in the call',
+            call = await _receive(stream, limits.message_bytes)
+            reply = call
+            if not isinstance(call, Rejected):
+                caller = _find_caller(stream, call)
+                reply = await _handle_limited(
+                    functools.partial(handle, call, _get_wait(stream)),
+                    calls,
+                    caller,
+                    limits.calls_per_caller,
                 )
-            reply = await handle(call, _get_wait(stream))
             if isinstance(reply, Rejected):
                 raise grpclib.exceptions.GRPCError(reply.status, reply.detail)
             await stream.send_message(reply)
@@ -116,6 +149,74 @@
     return serve_call
 
 
+async def _receive(
+    stream: grpclib.server.Stream[Any, Any], most_bytes: int
+) -> Any:  # noqa: ANN401 - the method's message, or Rejected
+    """Reads the message of a call, but none above the limit.
+
+    grpclib has no limit on messages, so the reading of the stream below it is
+    wrapped.
+    """
+    below: Any = stream._stream
+    read = below.recv_data
+
+    async def read_limited(size: int) -> bytes:
+        if size > most_bytes:
+            raise grpclib.exceptions.GRPCError(
+                grpclib.const.Status.RESOURCE_EXHAUSTED,
+                f'the message has {size} bytes; the limit is {most_bytes}',
+            )
+        data: bytes = await read(size)
+        return data
+
+    below.recv_data = read_limited
+    unreadable = Rejected(
+        grpclib.const.Status.INVALID_ARGUMENT, 'the message cannot be read'
+    )
+    try:
+        call = await stream.recv_message()
+    except (message_lib.DecodeError, AssertionError, NotImplementedError):
+        # Raised for damaged, cut off and compressed messages.
+        return unreadable
+    return unreadable if call is None else call
+
+
+def _find_caller(
+    stream: grpclib.server.Stream[Any, Any],
+    call: Any,  # noqa: ANN401 - any message
+) -> str:
+    """Returns who calls: address and public part of the key, if any."""
+    address = stream.peer.addr() if stream.peer else None
+    key_id = getattr(call, 'key', '').partition('.')[0]
+    return f'{address[0] if address else ""} {key_id}'
+
+
+async def _handle_limited(
+    handle: Callable[[], Awaitable[Any]],
+    calls: Calls,
+    caller: str,
+    most: int,
+) -> Any:  # noqa: ANN401 - the method's reply, or Rejected
+    if most and calls.by_caller[caller] >= most:
+        return Rejected(
+            grpclib.const.Status.RESOURCE_EXHAUSTED,
+            f'not handled: {most} calls of this caller are being handled',
+        )
+    calls.by_caller[caller] += 1
+    try:
+        return await handle()
+    except ValueError as error:
+        # Codecs raise it for enumeration values that are not known.
+        return Rejected(grpclib.const.Status.INVALID_ARGUMENT, str(error))
+    except Exception as error:
+        calls.report_broken(error)
+        raise
+    finally:
+        calls.by_caller[caller] -= 1
+        if not calls.by_caller[caller]:
+            del calls.by_caller[caller]
+
+
 def _get_wait(stream: grpclib.server.Stream[Any, Any]) -> int:
     if stream.deadline is None:
         return DEFAULT_WAIT_MS
--- /dev/null
+++ b/src/nutmegknot/_internal/telemetry/store_calls.py
@@ -0,0 +1,50 @@
+"""Access to the stores that counts its calls."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from nutmegknot._internal.platform import objects
+from nutmegknot._internal.platform import tables
+from nutmegknot._internal.telemetry import metrics
+
+
+def count_table(table: tables.Table, counter: metrics.Counter) -> tables.Table:
+    """Returns access to a table service that counts calls by result."""
+    return dataclasses.replace(
+        table,
+        transact=_count(table.transact, counter, 'table_transact'),
+        scan=_count(table.scan, counter, 'table_scan'),
+    )
+
+
+def count_objects(
+    store: objects.Objects, counter: metrics.Counter
+) -> objects.Objects:
+    """Returns access to an object store that counts calls by result."""
+    return dataclasses.replace(
+        store,
+        put=_count(store.put, counter, 'object_put'),
+        get=_count(store.get, counter, 'object_get'),
+        delete=_count(store.delete, counter, 'object_delete'),
+    )
+
+
+def _count(
+    function: Callable[..., Awaitable[Any]],
+    counter: metrics.Counter,
+    operation: str,
+) -> Callable[..., Awaitable[Any]]:
+    async def call(*args: object) -> object:
+        result = await function(*args)
+        metrics.count(counter, operation, _get_tag(result))
+        return result
+
+    return call
+
+
+def _get_tag(result: object) -> str:
+    if isinstance(result, list | bytes):
+        return 'read'
+    return type(result).__name__.lower()
--- a/src/nutmegknot_standins/cells.py
+++ b/src/nutmegknot_standins/cells.py
@@ -18,6 +18,7 @@
 from nutmegknot._internal.schema import settings_pb2
 from nutmegknot._internal.settings import reader
 from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import signals
 from nutmegknot_standins import servers
 
 HOST = '127.0.0.1'
@@ -41,6 +42,7 @@
       stops: Ends the instance of the same position when set.
       runs: Tasks of the instances.
       addresses: Where the instances take calls.
+      dump_wanted: Has every instance write its state when notified.
     """
 
     platform: servers.Platform
@@ -48,6 +50,9 @@
     stops: list[asyncio.Event]
     runs: list[asyncio.Task]
     addresses: list[str]
+    dump_wanted: signals.Signal = dataclasses.field(
+        default_factory=signals.Signal
+    )
 
 
 def make_settings(
@@ -63,6 +68,7 @@
         listen = "{HOST}:{ports[0]}"
         peer_listen = "{HOST}:{ports[1]}"
         http_listen = "{HOST}:{ports[2]}"
+        drain_ms = 0
         [platform]
         table_url = "{url}"
         objects_url = "{url}"
@@ -126,7 +132,11 @@
         settings = make_settings(platform.url, number, find_ports(3))
         stopped = asyncio.Event()
         cell.stops.append(stopped)
-        cell.runs.append(asyncio.create_task(running.run(settings, stopped)))
+        cell.runs.append(
+            asyncio.create_task(
+                running.run(settings, stopped, cell.dump_wanted)
+            )
+        )
         cell.addresses.append(settings.instance.listen)
     await apply_configuration(cell.addresses[0], make_configuration())
     return cell
--- /dev/null
+++ b/tests/functional/test_exposing.py
@@ -0,0 +1,94 @@
+"""Health, readiness, metrics and dumps of a local cell."""
+
+import asyncio
+import json
+import pathlib
+
+import aiohttp
+import pytest
+
+from nutmegknot._internal.commands import demonstration
+from nutmegknot._internal.instance import running
+from nutmegknot._internal.network import clients
+from nutmegknot._internal.schema import operator_pb2
+from nutmegknot._internal.utils import signals
+from nutmegknot_standins import cells
+
+
+async def fetch(
+    session: aiohttp.ClientSession, address: str, path: str
+) -> tuple[int, str]:
+    async with session.get(f'http://{address}{path}') as response:
+        return response.status, await response.text()
+
+
+async def test_pages_and_dump(tmp_path: pathlib.Path) -> None:
+    cell = await cells.start(instances=1, workers=3)
+    assert isinstance(cell, cells.Cell)
+    path = tmp_path / 'dump'
+    ports = cells.find_ports(3)
+    extra = f'[telemetry]\ndump_file = "{path}"\n'
+    settings = cells.make_settings(cell.platform.url, 1, ports, extra)
+    settings.instance.drain_ms = 60_000
+    stopped = asyncio.Event()
+    dump_wanted = signals.Signal()
+    run = asyncio.create_task(running.run(settings, stopped, dump_wanted))
+    address = settings.instance.http_listen
+    client = clients.connect(cell.addresses[0])
+    try:
+        await demonstration.wait_ready(client)
+        call = demonstration.make_call('secret-1')
+        await demonstration.submit_and_wait(client, call)
+        shown = await client.operator.DumpState(operator_pb2.DumpStateCall())
+        async with aiohttp.ClientSession() as session:
+            while await _get_status(session, address) != 200:
+                await asyncio.sleep(0)
+            assert await fetch(session, address, '/healthz') == (
+                200,
+                'healthy\n',
+            )
+            status, text = await fetch(session, address, '/metrics')
+            assert status == 200
+            assert 'nutmegknot_store_calls_total{operation="table_' in text
+            assert 'nutmegknot_control_cpu_s ' in text
+            assert (await fetch(session, address, '/none'))[0] == 404
+            signals.notify(dump_wanted)
+            while not path.exists() or not path.read_text():
+                await asyncio.sleep(0)
+            stopped.set()
+            while await _get_status(session, address) == 200:
+                await asyncio.sleep(0)
+            assert not run.done()
+    finally:
+        clients.close(client)
+        run.cancel()
+        await asyncio.gather(run, return_exceptions=True)
+        await cells.stop(cell)
+    for text in (shown.json, path.read_text()):
+        parts = [json.loads(line) for line in text.splitlines()]
+        assert parts[0]['part'] == 'instance'
+        assert cells.KEY_SECRET not in text
+        assert 'digest' not in text
+        assert 'run_ms": 100' not in text
+        assert 'done secret-1' not in text
+    # The ledger partition may have moved from one to the other meanwhile.
+    assert 'demo/secret-1' in shown.json + path.read_text()
+
+
+async def _get_status(session: aiohttp.ClientSession, address: str) -> int:
+    try:
+        return (await fetch(session, address, '/readyz'))[0]
+    except aiohttp.ClientConnectionError:
+        return 0
+
+
+@pytest.mark.parametrize('name', ['listen', 'peer_listen', 'http_listen'])
+async def test_taken_port_is_named(name: str) -> None:
+    cell = await cells.start(instances=1, workers=1)
+    assert isinstance(cell, cells.Cell)
+    settings = cells.make_settings(cell.platform.url, 1, cells.find_ports(3))
+    setattr(settings.instance, name, cell.addresses[0])
+    result = await running.run(settings, asyncio.Event())
+    await cells.stop(cell)
+    assert isinstance(result, running.PortTaken)
+    assert result.detail.startswith(cell.addresses[0])
