--- a/Makefile
+++ b/Makefile
@@ -53,4 +53,4 @@
 	$(PY) -m benchmarks.slopes
 
 binary: setup
-	tools/binary.sh $(PY)
+	$(PY) tools/binary.py
--- a/src/nutmegknot/_internal/cli/main.py
+++ b/src/nutmegknot/_internal/cli/main.py
@@ -1,6 +1,5 @@
 """Entry point of the command line."""
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
 import inspect
@@ -8,6 +7,7 @@
 import sys
 from typing import Any
 
+import aiomisc
 import cappa
 import uvloop
 
@@ -47,8 +47,13 @@
 
 def _call(function: Callable[[Any], Any], command: object) -> object:
     if inspect.iscoroutinefunction(function):
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            return runner.run(function(command))
+        # Signals and logs are handled by the commands themselves.
+        with aiomisc.entrypoint(
+            loop_factory=uvloop.new_event_loop,
+            log_config=False,
+            catch_signals=(),
+        ) as loop:
+            return loop.run_until_complete(function(command))
     return function(command)
 
 
