--- a/Makefile
+++ b/Makefile
@@ -38,9 +38,10 @@
 generate: setup
 	PATH="$(VENV)/bin:$$PATH" $(PY) -m grpc_tools.protoc -I src --python_out=src --pyi_out=src --grpclib_python_out=src $(SCHEMA)/*.proto
 	PATH="$(VENV)/bin:$$PATH" $(PY) -m grpc_tools.protoc -I src --python_out=src --pyi_out=src $(STANDINS)/*.proto
+	$(PY) tools/settings_page.py
 
 check-generated: generate
-	git diff --exit-code -- $(SCHEMA) $(STANDINS)
+	git diff --exit-code -- $(SCHEMA) docs/OPERATIONS.md $(STANDINS)
 	test -z "$$(git ls-files --others --exclude-standard -- $(SCHEMA) $(STANDINS))"
 
 bench: setup
--- a/src/nutmegknot/_internal/commands/connecting.py
+++ b/src/nutmegknot/_internal/commands/connecting.py
@@ -24,6 +24,7 @@
     grpclib.const.Status.PERMISSION_DENIED: exit_codes.ExitCode.NOT_ALLOWED,
     grpclib.const.Status.INVALID_ARGUMENT: exit_codes.ExitCode.BAD_USAGE,
     grpclib.const.Status.RESOURCE_EXHAUSTED: exit_codes.ExitCode.REFUSED,
+    grpclib.const.Status.UNAVAILABLE: exit_codes.ExitCode.REFUSED,
 }
 
 
--- a/src/nutmegknot/_internal/commands/options.py
+++ b/src/nutmegknot/_internal/commands/options.py
@@ -1,12 +1,13 @@
 """Options that several commands share."""
 
 import dataclasses
+import os
 import pathlib
 from typing import Annotated
 
 import cappa
 
-SERVER = '127.0.0.1:7600'
+SERVER = os.environ.get('NUTMEGKNOT_SERVER', '127.0.0.1:7600')
 
 # Options for an amount of resources; None keeps the present one.
 Cores = Annotated[float | None, cappa.Arg(long='--cores', help='Processors.')]
@@ -31,7 +32,11 @@
     """
 
     server: Annotated[
-        str, cappa.Arg(long='--server', help='Address of an instance.')
+        str,
+        cappa.Arg(
+            long='--server',
+            help='Address of an instance; NUTMEGKNOT_SERVER gives the default.',
+        ),
     ] = SERVER
     authority: Annotated[
         pathlib.Path | None,
--- a/src/nutmegknot/_internal/instance/entry.py
+++ b/src/nutmegknot/_internal/instance/entry.py
@@ -20,6 +20,8 @@
 
 MAX_ID_CHARS = 200
 MAX_MEMBERS = 10_000
+# Replicas of services have identifiers that begin with this.
+SERVICE_PREFIX = 'service/'
 
 
 def find_team(
@@ -68,6 +70,8 @@
         return f'id must have 1 to {MAX_ID_CHARS} characters'
     if '#' in message.id:
         return "id must not contain '#'"
+    if message.id.startswith(SERVICE_PREFIX):
+        return f"id must not begin with '{SERVICE_PREFIX}'"
     if message.members > MAX_MEMBERS:
         return f'members must be at most {MAX_MEMBERS}'
     if min(amounts) < 0 or size.slots < 1:
--- a/src/nutmegknot/_internal/instance/measuring.py
+++ b/src/nutmegknot/_internal/instance/measuring.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import dataclasses
 import functools
+import resource
 import time
 
 from nutmegknot._internal.decisions import scheduling
@@ -29,6 +30,7 @@
         ),
         'ledger_entries': ('Requests kept.', '1', _read_entries),
         'calls': ('Calls being handled.', '1', _read_calls),
+        'control_memory': ('Largest memory used.', 'KiB', _read_memory),
         'control_cpu': ('Processor time used.', 's', _read_processor_time),
     }
     for name, (text, unit, read) in gauges.items():
@@ -92,6 +94,11 @@
     yield metrics.Reading({}, time.process_time())
 
 
+def _read_memory(inst: instances.Instance) -> Iterable[metrics.Reading]:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    yield metrics.Reading({}, usage.ru_maxrss)
+
+
 def _read_packing(inst: instances.Instance) -> Iterable[metrics.Reading]:
     for name, fleet in inst.fleets.items():
         capacity = _compute_capacity(fleet)
--- a/src/nutmegknot/_internal/instance/operators.py
+++ b/src/nutmegknot/_internal/instance/operators.py
@@ -8,6 +8,7 @@
 from nutmegknot._internal.codec import configurations
 from nutmegknot._internal.configuration import changes
 from nutmegknot._internal.configuration import keys
+from nutmegknot._internal.instance import authority
 from nutmegknot._internal.instance import dumps
 from nutmegknot._internal.instance import inspecting
 from nutmegknot._internal.instance import instances
@@ -100,8 +101,14 @@
     inst: instances.Instance,
     call: operator_pb2.ApplyConfigurationCall,
     wait_ms: int,
-) -> operator_pb2.ApplyConfigurationReply:
+) -> operator_pb2.ApplyConfigurationReply | services.Rejected:
     """Replaces the configuration if it has not changed meanwhile."""
+    if not authority.may_act(inst):
+        # The operator's key may have been withdrawn without its knowledge.
+        return services.Rejected(
+            grpclib.const.Status.UNAVAILABLE,
+            'authority is not confirmed; nothing was changed',
+        )
     pb = operator_pb2
     change = _read_change(inst, call)
     if isinstance(change, changes.Invalid):
--- a/tests/functional/test_exposing.py
+++ b/tests/functional/test_exposing.py
@@ -9,6 +9,7 @@
 
 from nutmegknot._internal.commands import demonstration
 from nutmegknot._internal.instance import running
+from nutmegknot._internal.network import channels
 from nutmegknot._internal.network import clients
 from nutmegknot._internal.schema import operator_pb2
 from nutmegknot._internal.utils import signals
@@ -22,6 +23,15 @@
         return response.status, await response.text()
 
 
+async def send_bytes(address: str, data: bytes) -> bytes:
+    host, port = channels.split_address(address)
+    reader, writer = await asyncio.open_connection(host, port)
+    writer.write(data)
+    line = await reader.readline()
+    writer.close()
+    return line
+
+
 async def test_pages_and_dump(tmp_path: pathlib.Path) -> None:
     cell = await cells.start(instances=1, workers=3)
     assert isinstance(cell, cells.Cell)
@@ -52,6 +62,9 @@
             assert 'nutmegknot_store_calls_total{operation="table_' in text
             assert 'nutmegknot_control_cpu_s ' in text
             assert (await fetch(session, address, '/none'))[0] == 404
+            assert b' 400 ' in await send_bytes(
+                address, b'\xff\x00 bad\r\n\r\n'
+            )
             signals.notify(dump_wanted)
             while not path.exists() or not path.read_text():
                 await asyncio.sleep(0)
--- /dev/null
+++ b/tests/functional/test_tls_cell.py
@@ -0,0 +1,71 @@
+"""A cell whose ports all use TLS."""
+
+import asyncio
+import pathlib
+
+from nutmegknot._internal.commands import demonstration
+from nutmegknot._internal.instance import running
+from nutmegknot._internal.network import clients
+from nutmegknot._internal.network import tls
+from nutmegknot_standins import cells
+
+FILES = pathlib.Path(__file__).parents[1] / 'lib' / 'certificates'
+TLS = f"""
+[tls]
+caller_certificate = "{FILES}/instance.pem"
+caller_key = "{FILES}/instance.key"
+peer_certificate = "{FILES}/instance.pem"
+peer_key = "{FILES}/instance.key"
+peer_authority = "{FILES}/authority.pem"
+"""
+REQUESTS = 8
+
+
+async def test_requests_pass_between_instances_over_tls() -> None:
+    cell = await cells.start(instances=1, workers=3)
+    assert isinstance(cell, cells.Cell)
+    # The first instance brings the configuration, and leaves.
+    cell.stops[0].set()
+    await cell.runs[0]
+    cell.stops.clear()
+    cell.runs.clear()
+    addresses = []
+    for number in range(2):
+        settings = cells.make_settings(
+            cell.platform.url, number, cells.find_ports(3), TLS
+        )
+        stopped = asyncio.Event()
+        cell.stops.append(stopped)
+        cell.runs.append(asyncio.create_task(running.run(settings, stopped)))
+        addresses.append(settings.instance.listen)
+    context = tls.make_client_context(FILES / 'authority.pem')
+    assert not isinstance(context, tls.BadTls)
+    all_clients = [clients.connect(one, context) for one in addresses]
+    try:
+        for client in all_clients:
+            await _wait_listening(client)
+            await demonstration.wait_ready(client)
+        # Keys spread over all ledger partitions, so some calls are forwarded.
+        calls = [demonstration.make_call(f'r-{n}') for n in range(REQUESTS)]
+        outcomes = await asyncio.gather(
+            *(
+                demonstration.submit_and_wait(all_clients[n % 2], call)
+                for n, call in enumerate(calls)
+            )
+        )
+    finally:
+        for client in all_clients:
+            clients.close(client)
+        await cells.stop(cell)
+    assert [one.WhichOneof('kind') for one in outcomes] == (
+        ['finished'] * REQUESTS
+    )
+
+
+async def _wait_listening(client: clients.Client) -> None:
+    while True:
+        try:
+            await client.caller.Describe(demonstration.caller_pb2.RequestCall())
+            return
+        except OSError:
+            await asyncio.sleep(0)
--- a/tests/unit/cli/test_main.py
+++ b/tests/unit/cli/test_main.py
@@ -116,3 +116,11 @@
     assert start.run() == exit_codes.ExitCode.BAD_ENVIRONMENT
     expected = 'nutmegknot: error: needs Python 3.11, this is 3.8\n'
     assert capsys.readouterr().err == expected
+
+
+def test_page_lists_every_exit_code() -> None:
+    page = pathlib.Path(__file__).parents[3] / 'docs' / 'OPERATIONS.md'
+    text = page.read_text(encoding='utf-8')
+    listed = text.partition('## Exit codes')[2].partition('\n## ')[0]
+    codes = [line.split()[1] for line in listed.splitlines()[4:] if line]
+    assert [int(code) for code in codes] == sorted(exit_codes.ExitCode)
--- /dev/null
+++ b/tools/settings_page.py
@@ -0,0 +1,109 @@
+"""Writes the table of all settings keys into docs/OPERATIONS.md.
+
+With --check nothing is written, and the exit code is 1 if the page differs from
+what the schema gives.
+"""
+
+import pathlib
+import sys
+import tempfile
+from typing import Any
+
+from google.protobuf import descriptor_pb2
+from grpc_tools import protoc
+
+from nutmegknot._internal.schema import rules_pb2
+
+ROOT = pathlib.Path(__file__).parent.parent
+PAGE = ROOT / 'docs' / 'OPERATIONS.md'
+SCHEMA = 'nutmegknot/_internal/schema/settings.proto'
+BEGIN = '<!-- settings: written by tools/settings_page.py -->'
+END = '<!-- settings: end -->'
+# Field numbers of a file's messages and a message's fields in source paths.
+MESSAGES, FIELDS = 4, 2
+
+
+def read_schema() -> descriptor_pb2.FileDescriptorProto:
+    """Returns the settings' schema with its comments."""
+    with tempfile.NamedTemporaryFile() as file:
+        code = protoc.main(
+            [
+                'protoc',
+                f'-I{ROOT / "src"}',
+                f'-I{pathlib.Path(protoc.__file__).parent / "_proto"}',
+                f'--descriptor_set_out={file.name}',
+                '--include_source_info',
+                SCHEMA,
+            ]
+        )
+        assert code == 0, 'the schema cannot be read'
+        data = pathlib.Path(file.name).read_bytes()
+    return descriptor_pb2.FileDescriptorSet.FromString(data).file[0]
+
+
+def read_comments(
+    file: descriptor_pb2.FileDescriptorProto,
+) -> dict[tuple[int, ...], str]:
+    """Returns the comment before each item, by its source path."""
+    return {
+        tuple(place.path): ' '.join(place.leading_comments.split())
+        for place in file.source_code_info.location
+        if place.leading_comments
+    }
+
+
+def format_tables(file: descriptor_pb2.FileDescriptorProto) -> str:
+    """Returns one table for each group of keys."""
+    comments = read_comments(file)
+    numbers = {m.name: n for n, m in enumerate(file.message_type)}
+    lines = []
+    for group in file.message_type[numbers['Settings']].field:
+        number = numbers[group.type_name.rpartition('.')[2]]
+        lines += ['', f'### [{group.name}]', '']
+        intro = comments.get((MESSAGES, number))
+        lines += [intro, ''] if intro else []
+        lines += ['| key | default | bounds | meaning |']
+        lines += ['| --- | --- | --- | --- |']
+        for place, field in enumerate(file.message_type[number].field):
+            path = (MESSAGES, number, FIELDS, place)
+            lines.append(format_row(field, comments.get(path, '')))
+    return '\n'.join(lines) + '\n'
+
+
+def format_row(field: descriptor_pb2.FieldDescriptorProto, comment: str) -> str:
+    """Returns the row of one key."""
+    extensions: Any = field.options.Extensions
+    rule: rules_pb2.Rule = extensions[rules_pb2.rule]
+    is_number = field.type in (field.TYPE_UINT32, field.TYPE_UINT64)
+    if rule.default:
+        default = rule.default if is_number else f'`"{rule.default}"`'
+    else:
+        default = 'empty' if rule.optional else 'required'
+    bounds = rule.unit
+    if is_number:
+        bounds = f'{rule.min:.0f} to {rule.max:.0f} {rule.unit}'
+    return f'| `{field.name}` | {default} | {bounds} | {comment} |'
+
+
+def write_page(text: str, tables: str) -> str:
+    """Returns the page with the tables in place of those in it."""
+    head, _, rest = text.partition(BEGIN)
+    _, _, tail = rest.partition(END)
+    return f'{head}{BEGIN}\n{tables}\n{END}{tail}'
+
+
+def main() -> int:
+    """Writes the page, or checks it."""
+    text = PAGE.read_text(encoding='utf-8')
+    wanted = write_page(text, format_tables(read_schema()))
+    if '--check' not in sys.argv:
+        PAGE.write_text(wanted, encoding='utf-8')
+        return 0
+    if wanted != text:
+        print(f'{PAGE.name}: run make generate, the settings have changed')
+        return 1
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
