--- a/src/nutmegknot/_internal/instance/dumps.py
+++ b/src/nutmegknot/_internal/instance/dumps.py
@@ -35,6 +35,7 @@
         'may_act': authority.may_act(inst),
         'stopping': view.stopping,
         'confirmed_ms_ago': inst.clock.now_ms() - view.confirmed_ms,
+        'held_for_ms': view.held_until_ms - inst.clock.now_ms(),
         'configuration': show(view.configuration),
         'members': {
             name: show(sighting.member)
--- a/src/nutmegknot/_internal/instance/ports.py
+++ b/src/nutmegknot/_internal/instance/ports.py
@@ -7,9 +7,11 @@
 from nutmegknot._internal.instance import inspecting
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import ledger_calls
+from nutmegknot._internal.instance import links
 from nutmegknot._internal.instance import operators
 from nutmegknot._internal.network import services
 from nutmegknot._internal.schema import caller_pb2
+from nutmegknot._internal.schema import digest_pb2
 from nutmegknot._internal.schema import inspect_pb2
 from nutmegknot._internal.schema import operator_pb2
 from nutmegknot._internal.schema import peer_pb2
@@ -43,6 +45,7 @@
     return [
         _bind(inst, limits, peer_pb2, 'Ledger', make_ledger_handles(inst)),
         _bind(inst, limits, peer_pb2, 'Fleet', make_fleet_handles(inst)),
+        _bind(inst, limits, digest_pb2, 'Peer', make_peer_handles(inst)),
         _bind(
             inst, limits, inspect_pb2, 'Inspect', inspecting.make_handles(inst)
         ),
@@ -99,3 +102,10 @@
         'Assign': functools.partial(fleet_calls.assign, inst),
         'Withdraw': functools.partial(fleet_calls.withdraw, inst),
     }
+
+
+def make_peer_handles(
+    inst: instances.Instance,
+) -> dict[str, services.Handle]:
+    """Returns the function of each method of the peer interface."""
+    return {'Exchange': functools.partial(links.exchange, inst)}
--- a/src/nutmegknot/_internal/instance/running.py
+++ b/src/nutmegknot/_internal/instance/running.py
@@ -11,6 +11,7 @@
 
 from nutmegknot._internal.instance import exposing
 from nutmegknot._internal.instance import instances
+from nutmegknot._internal.instance import links
 from nutmegknot._internal.instance import measuring
 from nutmegknot._internal.instance import ports
 from nutmegknot._internal.instance import serving
@@ -147,6 +148,8 @@
         return PlatformUnreached(f'{url}: the table service does not answer')
     tasks.spawn(inst.tasks, leases.keep_lease(inst.membership), 'lease')
     tasks.spawn(inst.tasks, serving.keep_owning(inst), 'own')
+    tasks.spawn(inst.tasks, links.keep_loads(inst), 'loads')
+    tasks.spawn(inst.tasks, links.keep_links(inst), 'links')
     me = inst.membership.view.me
     logger.info(
         'serving', extra={'id': me.id, 'listen': inst.settings.instance.listen}
@@ -159,12 +162,11 @@
     await exposing.drain(inst)
     view = inst.membership.view
     view.stopping = True
-    view.me = dataclasses.replace(view.me, leaving=True)
+    leases.begin_leaving(inst.membership)
     signals.notify(view.changed)
     logger.info('stopping', extra={'id': view.me.id})
     await leases.renew(inst.membership)
-    for name in list(inst.part_tasks):
-        await serving.hand_over(inst, name)
+    await serving.hand_over_all(inst)
     await services.wait_idle(inst.calls, inst.settings.instance.stop_ms)
     await close_servers(servers)
     await abandon(inst)
