--- a/src/nutmegknot_standins/cells.py
+++ b/src/nutmegknot_standins/cells.py
@@ -8,7 +8,7 @@
 
 from nutmegknot._internal.codec import configurations
 from nutmegknot._internal.configuration import changes
-from nutmegknot._internal.instance import entry
+from nutmegknot._internal.configuration import keys
 from nutmegknot._internal.instance import running
 from nutmegknot._internal.models import cells
 from nutmegknot._internal.models import resources
@@ -18,6 +18,7 @@
 from nutmegknot._internal.schema import settings_pb2
 from nutmegknot._internal.settings import reader
 from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import signals
 from nutmegknot_standins import servers
 
 HOST = '127.0.0.1'
@@ -41,6 +42,7 @@
       stops: Ends the instance of the same position when set.
       runs: Tasks of the instances.
       addresses: Where the instances take calls.
+      dump_wanted: Has every instance write its state when notified.
     """
 
     platform: servers.Platform
@@ -48,6 +50,9 @@
     stops: list[asyncio.Event]
     runs: list[asyncio.Task]
     addresses: list[str]
+    dump_wanted: signals.Signal = dataclasses.field(
+        default_factory=signals.Signal
+    )
 
 
 def make_settings(
@@ -63,6 +68,7 @@
         listen = "{HOST}:{ports[0]}"
         peer_listen = "{HOST}:{ports[1]}"
         http_listen = "{HOST}:{ports[2]}"
+        drain_ms = 0
         [platform]
         table_url = "{url}"
         objects_url = "{url}"
@@ -93,7 +99,7 @@
     return cells.Configuration(
         teams={'demo': cells.Team('demo', 1.0, limit)},
         keys={
-            KEY_ID: cells.Key(KEY_ID, 'demo', entry.compute_digest(KEY_SECRET))
+            KEY_ID: cells.Key(KEY_ID, 'demo', keys.compute_digest(KEY_SECRET))
         },
         queues={
             'batch': cells.Queue('batch'),
@@ -126,7 +132,11 @@
         settings = make_settings(platform.url, number, find_ports(3))
         stopped = asyncio.Event()
         cell.stops.append(stopped)
-        cell.runs.append(asyncio.create_task(running.run(settings, stopped)))
+        cell.runs.append(
+            asyncio.create_task(
+                running.run(settings, stopped, cell.dump_wanted)
+            )
+        )
         cell.addresses.append(settings.instance.listen)
     await apply_configuration(cell.addresses[0], make_configuration())
     return cell
--- /dev/null
+++ b/tests/unit/telemetry/test_metrics.py
@@ -0,0 +1,61 @@
+"""Tests of telemetry/metrics.py, exposition.py and store_calls.py."""
+
+from lib import fakes
+
+from nutmegknot._internal.platform import tables
+from nutmegknot._internal.telemetry import exposition
+from nutmegknot._internal.telemetry import metrics
+from nutmegknot._internal.telemetry import store_calls
+
+
+def read_lines(made: metrics.Metrics) -> list[str]:
+    return exposition.format_metrics(made.reader).splitlines()
+
+
+def test_counters_are_shown_with_labels() -> None:
+    made = metrics.make_metrics()
+    metrics.count(made.refusals, 'overloaded')
+    metrics.count(made.refusals, 'overloaded')
+    metrics.count(made.starts, 'urgent', 'a "b"')
+    lines = read_lines(made)
+    assert '# TYPE nutmegknot_refusals_total counter' in lines
+    assert 'nutmegknot_refusals_total{reason="overloaded"} 2' in lines
+    expected = 'nutmegknot_starts_total{class="urgent",team="a \\"b\\""} 1'
+    assert expected in lines
+
+
+def test_waits_are_counted_in_buckets() -> None:
+    made = metrics.make_metrics()
+    for wait_ms in (10, 70, 6_000):
+        metrics.record_wait(made.waits, wait_ms, 'normal', 't')
+    lines = read_lines(made)
+    prefix = 'nutmegknot_wait_ms_bucket_total{class="normal",le='
+    counts = {'50': 1, '100': 2, '2500': 2, '6400': 3, '+Inf': 3}
+    for bound, number in counts.items():
+        assert f'{prefix}"{bound}",team="t"}} {number}' in lines
+    assert not any(line.startswith(f'{prefix}"25"') for line in lines)
+    expected = 'nutmegknot_wait_ms_sum_total{class="normal",team="t"} 6080'
+    assert expected in lines
+
+
+def test_gauges_are_read_when_asked_for() -> None:
+    made = metrics.make_metrics()
+    values = [metrics.Reading({'partition': 'p'}, 0.25)]
+    gauge = metrics.Gauge('packing', 'Held.', '1', lambda: values)
+    metrics.add_gauge(made, gauge)
+    assert 'nutmegknot_packing{partition="p"} 0.25' in read_lines(made)
+    values[0] = metrics.Reading({'partition': 'p'}, 0.5)
+    assert 'nutmegknot_packing{partition="p"} 0.5' in read_lines(made)
+
+
+async def test_store_calls_are_counted_by_result() -> None:
+    made = metrics.make_metrics()
+    fake = fakes.FakeTable(faults=['', 'down', 'lost'])
+    table = store_calls.count_table(fakes.connect_table(fake), made.store_calls)
+    for _ in range(3):
+        await table.transact(tables.Transaction(), 1)
+    assert made.store_calls.totals == {
+        ('table_transact', 'committed'): 1,
+        ('table_transact', 'unavailable'): 1,
+        ('table_transact', 'uncertain'): 1,
+    }
