Prove each promise with real processes that fail

Cause: the promises were shown only by one process that never failed.

Change: a harness starts the stand-ins and three instances as processes, and callers pick an instance for each call as a balancer would.

--- /dev/null
+++ b/tests/functional/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps of the features."""
--- /dev/null
+++ b/tests/functional/steps/failures.py
@@ -0,0 +1,184 @@
+"""Steps that cause failures."""
+
+import asyncio
+import signal
+
+from lib import processes
+from lib import worlds
+import pytest_bdd
+from pytest_bdd import parsers
+
+from nutmegknot_standins import control_pb2
+
+PAUSE_S = 2.0
+PARTITIONS = {'fleet': 'fleet-east-0', 'ledger': 'ledger-0'}
+KINDS = {
+    'down': control_pb2.FAULT_KIND_DOWN,
+    'cut off': control_pb2.FAULT_KIND_CUT,
+    'slow': control_pb2.FAULT_KIND_SLOW,
+    'losing its answers': control_pb2.FAULT_KIND_LOST,
+    'late': control_pb2.FAULT_KIND_LATE,
+}
+
+
+async def find_victim(world: worlds.World, owned: str) -> processes.Process:
+    """Returns the instance that owns the first partition of a kind."""
+    found: list[processes.Process] = []
+
+    async def is_found() -> bool:
+        owner = await processes.find_owner(world.cluster, PARTITIONS[owned])
+        found[:] = [owner] if owner else []
+        return bool(found)
+
+    await processes.wait_until(is_found, f'an owner of a {owned} partition')
+    world.victim = found[0]
+    return found[0]
+
+
+@pytest_bdd.when(parsers.parse('the owner of a {owned} partition is killed'))
+def kill_owner(world: worlds.World, owned: str) -> None:
+    """Kills an owner."""
+
+    async def kill() -> None:
+        await processes.kill(await find_victim(world, owned))
+
+    worlds.run(world, kill())
+
+
+@pytest_bdd.when(
+    parsers.parse('the owner of a {owned} partition pauses past its lease')
+)
+def pause_owner(world: worlds.World, owned: str) -> None:
+    """Stops an owner's process for longer than its lease, then lets it go."""
+
+    async def pause() -> None:
+        victim = await find_victim(world, owned)
+        world.draining.add(victim.name)
+        processes.send(victim, signal.SIGSTOP)
+
+        async def is_taken_over() -> bool:
+            owner = await processes.find_owner(world.cluster, PARTITIONS[owned])
+            return owner is not None and owner is not victim
+
+        await processes.wait_until(is_taken_over, 'another owner')
+        processes.send(victim, signal.SIGCONT)
+        world.draining.discard(victim.name)
+
+    worlds.run(world, pause())
+
+
+@pytest_bdd.given(
+    parsers.parse('the owner of a {owned} partition is cut off the table')
+)
+@pytest_bdd.when(
+    parsers.parse('the owner of a {owned} partition is cut off the table')
+)
+def cut_owner_off(world: worlds.World, owned: str) -> None:
+    """Lets no call of an owner reach the table."""
+
+    async def cut() -> None:
+        victim = await find_victim(world, owned)
+        await processes.add_fault(
+            world.cluster,
+            part='table',
+            kind=control_pb2.FAULT_KIND_CUT,
+            caller=victim.name,
+        )
+
+    worlds.run(world, cut())
+
+
+@pytest_bdd.when(parsers.parse('no call of its owner reaches worker {worker}'))
+def cut_worker(world: worlds.World, worker: str) -> None:
+    """Lets no call of the worker's present owner reach it."""
+
+    async def cut() -> None:
+        victim = await find_victim(world, 'fleet')
+        await processes.add_fault(
+            world.cluster,
+            part='worker',
+            prefix=worker,
+            kind=control_pb2.FAULT_KIND_CUT,
+            caller=victim.name,
+        )
+
+    worlds.run(world, cut())
+
+
+@pytest_bdd.when(parsers.parse('worker {worker} is {action}'))
+def change_worker(world: worlds.World, worker: str, action: str) -> None:
+    """Changes the state of a worker."""
+    actions = {
+        'leaving': control_pb2.WORKER_ACTION_LEAVE,
+        'killed': control_pb2.WORKER_ACTION_KILL,
+        'rebooted': control_pb2.WORKER_ACTION_REBOOT,
+        'failing everything': control_pb2.WORKER_ACTION_FAIL_ALL,
+    }
+    change = control_pb2.WorkerChange(worker=worker, action=actions[action])
+    worlds.run(world, processes.order(world.cluster, 'worker', change))
+    world.stated_ms = processes.read_wall_ms()
+
+
+@pytest_bdd.given(parsers.parse('the store is {state}'))
+@pytest_bdd.when(parsers.parse('the store is {state}'))
+def spoil_store(world: worlds.World, state: str) -> None:
+    """Spoils table and object store until they are mended."""
+
+    async def spoil() -> None:
+        for part in ('table', 'objects'):
+            await processes.add_fault(
+                world.cluster, part=part, kind=KINDS[state], delay_ms=1500
+            )
+
+    worlds.run(world, spoil())
+
+
+@pytest_bdd.given(
+    parsers.parse('workers whose answers are {delay_ms:d} ms late')
+)
+def delay_workers(world: worlds.World, delay_ms: int) -> None:
+    """Delays the answers of the workers of one failure domain."""
+    worlds.run(
+        world,
+        processes.add_fault(
+            world.cluster,
+            part='worker',
+            prefix='east',
+            kind=control_pb2.FAULT_KIND_SLOW,
+            delay_ms=delay_ms,
+        ),
+    )
+
+
+@pytest_bdd.when('the faults are mended')
+def mend(world: worlds.World) -> None:
+    """Removes all faults."""
+    worlds.run(world, processes.clear_faults(world.cluster))
+
+
+@pytest_bdd.when('every instance is stopped and replaced, one after the other')
+def replace_all(world: worlds.World) -> None:
+    """Stops each first instance gracefully once its successor serves."""
+
+    async def replace() -> None:
+        for number, process in enumerate(processes.list_running(world.cluster)):
+            name = f'successor-{number}'
+            new = await processes.start_instance(world.cluster, name, number)
+
+            async def serves(new: processes.Process = new) -> bool:
+                state = await processes.dump(new)
+                return bool(state.get('may_act'))
+
+            world.draining.add(name)
+            await processes.wait_until(serves, f'{name} serves')
+            world.draining.discard(name)
+            world.draining.add(process.name)
+            assert await processes.terminate(process) == 0
+
+    worlds.run(world, replace())
+
+
+@pytest_bdd.when(parsers.parse('the cell works on for {seconds:d} s'))
+def work_on(world: worlds.World, seconds: int) -> None:
+    """Lets the failure last."""
+    worlds.run(world, asyncio.sleep(seconds))
--- /dev/null
+++ b/tests/functional/steps/judgements.py
@@ -0,0 +1,200 @@
+"""Steps that judge by the workers' own records."""
+
+import asyncio
+
+from lib import callers
+from lib import processes
+from lib import worlds
+import pytest_bdd
+from pytest_bdd import parsers
+
+from nutmegknot._internal.models import resources
+from nutmegknot_standins import control_pb2
+
+VIOLATIONS = {
+    'over capacity': control_pb2.VIOLATION_KIND_OVER_CAPACITY,
+    'in two places': control_pb2.VIOLATION_KIND_TWO_PLACES,
+    'a second time': control_pb2.VIOLATION_KIND_RUN_TWICE,
+    'in a closed domain': control_pb2.VIOLATION_KIND_CLOSED_DOMAIN,
+    'on a leaving worker': control_pb2.VIOLATION_KIND_LEAVING,
+}
+SETTLE_S = 3.0
+
+
+@pytest_bdd.then(parsers.parse('no task was started {how}'))
+def judge_starts(world: worlds.World, how: str) -> None:
+    """Reads the workers' violations."""
+    kind = VIOLATIONS[how]
+    assert worlds.run(world, worlds.list_violations(world, kind)) == []
+
+
+@pytest_bdd.then('every caller has the whole answer to its own request')
+def judge_answers(world: worlds.World) -> None:
+    """Waits for all callers and compares their answers."""
+    worlds.run(world, worlds.wait_answers(world))
+    wrong = []
+    for request_id, call in world.calls.items():
+        answer = world.answers[request_id]
+        expected = [f'answer of {request_id}'.encode()] * call.request.members
+        if list(answer.outcome.finished.answers) != expected:
+            wrong.append((request_id, str(answer.outcome)))
+    assert wrong == []
+
+
+@pytest_bdd.then('every caller has a final outcome')
+def judge_final(world: worlds.World) -> None:
+    """Waits for all callers."""
+    worlds.run(world, worlds.wait_answers(world))
+    assert world.answers.keys() == world.calls.keys()
+
+
+@pytest_bdd.then('each outcome agrees with what the workers recorded')
+def judge_truth(world: worlds.World) -> None:
+    """Holds each outcome against the starts and ends of its request."""
+    records = worlds.run(world, worlds.list_records(world))
+    events: dict[str, list[str]] = {}
+    for record in records:
+        request_id = record.request.removeprefix(f'{worlds.TEAM}/')
+        events.setdefault(request_id, []).append(record.event)
+    wrong = [
+        (request_id, answer, events.get(request_id, []))
+        for request_id, answer in world.answers.items()
+        if not _agrees(answer, events.get(request_id, []))
+    ]
+    assert wrong == []
+
+
+def _agrees(answer: callers.Answer, events: list[str]) -> bool:
+    match answer.kind:
+        case 'refused':
+            return 'start' not in events
+        case 'finished':
+            return 'finished' in events
+        case 'failed':
+            return answer.outcome.failed.started or 'start' not in events
+        case 'cancelled':
+            return answer.outcome.cancelled.started or 'start' not in events
+    return answer.kind == 'may_have_run'
+
+
+@pytest_bdd.then('each request was started once')
+def judge_single_starts(world: worlds.World) -> None:
+    """Counts the starts of each request."""
+    starts = worlds.run(world, worlds.list_starts(world))
+    counts: dict[str, int] = {}
+    for record in starts:
+        counts[record.request] = counts.get(record.request, 0) + 1
+    expected = {f'{worlds.TEAM}/{request_id}': 1 for request_id in world.calls}
+    assert counts == expected
+
+
+@pytest_bdd.then('no request that was refused starts later')
+def judge_refusals(world: worlds.World) -> None:
+    """Waits until the cell is idle again, then looks for untrue refusals."""
+
+    async def is_idle() -> bool:
+        state = await processes.get_state(world.cluster)
+        return state.running == 0
+
+    worlds.run(world, worlds.wait_answers(world))
+    worlds.run(world, asyncio.sleep(SETTLE_S))
+    worlds.run(world, processes.wait_until(is_idle, 'nothing runs'))
+    judge_truth(world)
+
+
+@pytest_bdd.then(parsers.parse('at least {count:d} requests were {kind}'))
+def judge_count(world: worlds.World, count: int, kind: str) -> None:
+    """Counts outcomes, so that a scenario proves what it says."""
+    kinds = [answer.kind for answer in world.answers.values()]
+    assert kinds.count(kind) >= count, kinds
+
+
+@pytest_bdd.then('every instance rejects the key')
+def judge_rejection(world: worlds.World) -> None:
+    """Submits through each instance."""
+
+    async def submit_everywhere() -> list[str]:
+        reasons = []
+        for number, address in enumerate(worlds.list_serving(world)):
+            call = callers.make_submit(f'late-{number}', worlds.KEY)
+            client = callers.connect(world.balancer, address)
+            outcome = await client.caller.Submit(call, timeout=worlds.CALL_S)
+            reasons.append(outcome.refused.reason)
+        return reasons
+
+    reasons = worlds.run(world, submit_everywhere())
+    allowed = {'key_rejected', 'unavailable'}
+    assert reasons and set(reasons) <= allowed, reasons
+
+
+@pytest_bdd.then('the cut off instance accepts nothing')
+def judge_cut_off(world: worlds.World) -> None:
+    """Submits through the instance that can't confirm its authority."""
+    assert world.victim is not None
+    client = callers.connect(world.balancer, world.victim.address)
+    call = callers.make_submit('cut-off', worlds.KEY)
+    outcome = worlds.run(
+        world, client.caller.Submit(call, timeout=worlds.CALL_S)
+    )
+    assert outcome.refused.reason == 'unavailable', outcome
+
+
+@pytest_bdd.then('no start was above the limits in force')
+def judge_limit(world: worlds.World) -> None:
+    """Adds up what the team held at each start."""
+    held = resources.NOTHING
+    above = []
+    for record in worlds.run(world, worlds.list_records(world)):
+        size = resources.Resources(
+            record.millicores,
+            record.memory_mib,
+            record.accelerators,
+            record.slots,
+        )
+        if record.event != 'start':
+            held = resources.subtract(held, size)
+            continue
+        held = resources.add(held, size)
+        limits = list_limits(world, record.at_ms)
+        if limits and not any(resources.fits(held, one) for one in limits):
+            above.append(f'{record.task}: {held}')
+    assert above == []
+
+
+def list_limits(world: worlds.World, at_ms: int) -> list[resources.Resources]:
+    """Returns the limits that an owner may obey at an instant.
+
+    A new one must be in force after IN_FORCE_MS; until then it or the one
+    before may be. The list is empty while the first one need not be in force.
+    """
+    found: list[resources.Resources] = []
+    for stated_ms, limit in world.limits:
+        if at_ms > stated_ms + worlds.IN_FORCE_MS:
+            found = [limit]
+        elif found and at_ms >= stated_ms:
+            found.append(limit)
+    return found
+
+
+@pytest_bdd.then('one change was applied and the other got a conflict')
+def judge_race(world: worlds.World) -> None:
+    """Reads the replies of both operators."""
+    replies = world.notes['replies']
+    kinds = sorted(reply.WhichOneof('kind') for reply in replies)
+    assert kinds == ['applied', 'conflict']
+    [applied] = [r.applied for r in replies if r.HasField('applied')]
+    [conflict] = [r.conflict for r in replies if r.HasField('conflict')]
+    assert conflict == applied
+
+
+@pytest_bdd.then('the newest revision is in force in every instance')
+def judge_in_force(world: worlds.World) -> None:
+    """Waits for the newest revision everywhere."""
+    worlds.run(world, worlds.wait_in_force(world))
+
+
+@pytest_bdd.then('no instance ever showed an older revision than before')
+def judge_revisions(world: worlds.World) -> None:
+    """Compares what was seen of each instance in turn."""
+    for name, seen in world.notes['revisions'].items():
+        assert seen == sorted(seen), name
--- /dev/null
+++ b/tests/lib/worlds.py
@@ -0,0 +1,224 @@
+"""What the steps of one scenario share."""
+
+import asyncio
+from collections.abc import Coroutine
+import dataclasses
+from typing import Any
+from typing import TypeVar
+
+from lib import callers
+from lib import processes
+
+from nutmegknot._internal.codec import configurations
+from nutmegknot._internal.instance import entry
+from nutmegknot._internal.models import cells
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import workers
+from nutmegknot._internal.network import clients
+from nutmegknot._internal.schema import caller_pb2
+from nutmegknot._internal.schema import operator_pb2
+from nutmegknot_standins import control_pb2
+
+KEY_ID = 'first-key'
+SECRET = 'only-for-tests'
+KEY = f'{KEY_ID}.{SECRET}'
+TEAM = 'sheets'
+WIDE = resources.Resources(1_000_000, 10_000_000, 1000, 10_000)
+CALL_S = 5.0
+# Time until a change must be in force everywhere, in ms.
+IN_FORCE_MS = 3_000
+
+Result = TypeVar('Result')
+
+
+@dataclasses.dataclass(slots=True)
+class World:
+    """What the steps of one scenario share.
+
+    Attributes:
+      runner: Runs the asynchronous parts of the steps.
+      cluster: The processes.
+      balancer: Picks an instance for each call.
+      draining: Names of instances that the balancer no longer picks.
+      configuration: The last one applied.
+      calls: Submissions by request id.
+      pending: Callers that wait for their outcome, by request id.
+      answers: What callers got, by request id.
+      background: Other tasks, ended with the scenario.
+      stated_ms: Wall clock instant in ms of the last change by operators.
+      limits: Limits of the team, with the instants in ms of their statement.
+      victim: The instance that a failure was caused on.
+      notes: Values that one step leaves for a later one.
+    """
+
+    runner: asyncio.Runner
+    cluster: processes.Cluster
+    balancer: callers.Balancer
+    draining: set[str] = dataclasses.field(default_factory=set)
+    configuration: cells.Configuration = dataclasses.field(
+        default_factory=cells.Configuration
+    )
+    calls: dict[str, caller_pb2.SubmitCall] = dataclasses.field(
+        default_factory=dict
+    )
+    pending: dict[str, asyncio.Task[callers.Answer]] = dataclasses.field(
+        default_factory=dict
+    )
+    answers: dict[str, callers.Answer] = dataclasses.field(default_factory=dict)
+    background: list[asyncio.Task] = dataclasses.field(default_factory=list)
+    stated_ms: int = 0
+    limits: list[tuple[int, resources.Resources]] = dataclasses.field(
+        default_factory=list
+    )
+    victim: processes.Process | None = None
+    notes: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+
+def run(world: World, work: Coroutine[Any, Any, Result]) -> Result:
+    """Runs the asynchronous part of a step."""
+    return world.runner.run(work)
+
+
+def list_serving(world: World) -> list[str]:
+    """Returns the addresses that the balancer may pick."""
+    return [
+        process.address
+        for process in processes.list_running(world.cluster)
+        if process.name not in world.draining
+    ]
+
+
+def make_configuration() -> cells.Configuration:
+    """Returns one team with a key, a queue and an open queue."""
+    return cells.Configuration(
+        teams={TEAM: cells.Team(TEAM, 1.0, WIDE)},
+        keys={KEY_ID: cells.Key(KEY_ID, TEAM, entry.compute_digest(SECRET))},
+        queues={
+            'batch': cells.Queue('batch'),
+            'public': cells.Queue('public', open_team=TEAM),
+        },
+        domains={
+            name: cells.Domain(name, processes.REGION, workers.DomainState.OPEN)
+            for name in processes.DOMAINS
+        },
+    )
+
+
+async def apply(
+    world: World, address: str, changed: cells.Configuration
+) -> operator_pb2.ApplyConfigurationReply:
+    """Applies a configuration through one instance."""
+    client = clients.connect(address)
+    try:
+        return await client.operator.ApplyConfiguration(
+            operator_pb2.ApplyConfigurationCall(
+                configuration=configurations.encode_configuration(changed),
+                operator='test',
+                reason='scenario',
+            ),
+            timeout=CALL_S,
+        )
+    finally:
+        clients.close(client)
+
+
+async def change(world: World, changed: cells.Configuration) -> None:
+    """Applies a configuration through the first instance that answers."""
+    for address in list_serving(world):
+        try:
+            reply = await apply(world, address, changed)
+        except clients.CALL_ERRORS:
+            continue
+        if reply.HasField('unknown'):
+            continue
+        assert reply.HasField('applied'), reply
+        world.stated_ms = processes.read_wall_ms()
+        world.configuration = configurations.decode_configuration(reply.applied)
+        return
+    raise AssertionError('no instance took the change')
+
+
+async def read_revision(address: str) -> int:
+    """Returns the revision in force in an instance; -1 without an answer."""
+    client = clients.connect(address)
+    try:
+        reply = await client.operator.GetConfiguration(
+            operator_pb2.GetConfigurationCall(), timeout=1.0
+        )
+        return reply.configuration.revision
+    except clients.CALL_ERRORS:
+        return -1
+    finally:
+        clients.close(client)
+
+
+async def wait_in_force(world: World) -> None:
+    """Waits until every running instance has the newest configuration."""
+    wanted = world.configuration.revision
+
+    async def is_in_force() -> bool:
+        revisions = [await read_revision(a) for a in list_serving(world)]
+        return all(revision >= wanted for revision in revisions)
+
+    await processes.wait_until(is_in_force, f'revision {wanted} in force')
+
+
+def submit(
+    world: World,
+    request_id: str,
+    payload: dict | None = None,
+    limit_s: float = 60.0,
+    **fields: object,
+) -> None:
+    """Submits a request and lets its caller wait in the background."""
+    message = callers.make_submit(request_id, KEY, payload, **fields)
+    world.calls[request_id] = message
+
+    async def wait() -> callers.Answer:
+        answer = await callers.run(world.balancer, message, limit_s)
+        world.answers[request_id] = answer
+        return answer
+
+    loop = world.runner.get_loop()
+    world.pending[request_id] = loop.create_task(wait())
+
+
+async def wait_answers(world: World) -> None:
+    """Waits until every caller has its final outcome."""
+    await asyncio.gather(*world.pending.values())
+
+
+async def list_records(world: World) -> list[control_pb2.Record]:
+    """Returns the workers' records of the scenario's requests."""
+    state = await processes.get_state(world.cluster)
+    return list(state.records)
+
+
+async def list_starts(world: World) -> list[control_pb2.Record]:
+    """Returns the workers' records of starts."""
+    return [r for r in await list_records(world) if r.event == 'start']
+
+
+async def list_violations(world: World, *kinds: int) -> list[str]:
+    """Returns the violations of some kinds as text."""
+    state = await processes.get_state(world.cluster)
+    return [str(v) for v in state.violations if v.kind in kinds]
+
+
+async def wait_running(world: World, count: int) -> None:
+    """Waits until so many tasks run."""
+
+    async def is_running() -> bool:
+        state = await processes.get_state(world.cluster)
+        return state.running >= count
+
+    await processes.wait_until(is_running, f'{count} tasks run')
+
+
+async def wait_starts(world: World, count: int) -> None:
+    """Waits until there were so many starts."""
+
+    async def has_started() -> bool:
+        return len(await list_starts(world)) >= count
+
+    await processes.wait_until(has_started, f'{count} starts')
