--- a/tests/functional/steps/failures.py
+++ b/tests/functional/steps/failures.py
@@ -23,16 +23,9 @@
 
 async def find_victim(world: worlds.World, owned: str) -> processes.Process:
     """Returns the instance that owns the first partition of a kind."""
-    found: list[processes.Process] = []
-
-    async def is_found() -> bool:
-        owner = await processes.find_owner(world.cluster, PARTITIONS[owned])
-        found[:] = [owner] if owner else []
-        return bool(found)
-
-    await processes.wait_until(is_found, f'an owner of a {owned} partition')
-    world.victim = found[0]
-    return found[0]
+    partition = PARTITIONS[owned]
+    world.victim = await processes.wait_owner(world.cluster, partition)
+    return world.victim
 
 
 @pytest_bdd.when(parsers.parse('the owner of a {owned} partition is killed'))
--- a/tests/functional/steps/judgements.py
+++ b/tests/functional/steps/judgements.py
@@ -93,7 +93,7 @@
     """Waits until the cell is idle again, then looks for untrue refusals."""
 
     async def is_idle() -> bool:
-        state = await processes.get_state(world.cluster)
+        state = await processes.get_state(world.cluster, processes.NO_RECORDS)
         return state.running == 0
 
     worlds.run(world, worlds.wait_answers(world))
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -26,6 +26,8 @@
 DOMAINS = ('east', 'north', 'west')
 STEP_S = 0.02
 READY_S = 30.0
+# Beyond any record, so that a state comes without them.
+NO_RECORDS = 1 << 40
 END_S = 15.0
 LOG_LINES = 25
 
@@ -160,7 +162,7 @@
 
 async def _answers(cluster: Cluster) -> bool:
     with contextlib.suppress(aiohttp.ClientError):
-        await get_state(cluster)
+        await get_state(cluster, NO_RECORDS)
         return True
     return False
 
@@ -271,6 +273,19 @@
     return None
 
 
+async def wait_owner(cluster: Cluster, partition: str) -> Process:
+    """Waits until an instance serves a partition, and returns it."""
+    found: list[Process] = []
+
+    async def is_found() -> bool:
+        owner = await find_owner(cluster, partition)
+        found[:] = [owner] if owner else []
+        return bool(found)
+
+    await wait_until(is_found, f'{partition} has an owner')
+    return found[0]
+
+
 def send(process: Process, number: signal.Signals) -> None:
     """Sends a signal to one process."""
     if process.child.returncode is None:
--- a/tests/lib/worlds.py
+++ b/tests/lib/worlds.py
@@ -201,7 +201,7 @@
 
 async def list_violations(world: World, *kinds: int) -> list[str]:
     """Returns the violations of some kinds as text."""
-    state = await processes.get_state(world.cluster)
+    state = await processes.get_state(world.cluster, processes.NO_RECORDS)
     return [str(v) for v in state.violations if v.kind in kinds]
 
 
@@ -209,7 +209,7 @@
     """Waits until so many tasks run."""
 
     async def is_running() -> bool:
-        state = await processes.get_state(world.cluster)
+        state = await processes.get_state(world.cluster, processes.NO_RECORDS)
         return state.running >= count
 
     await processes.wait_until(is_running, f'{count} tasks run')
