Ask the ledger before work that is not repeatable first starts

Cause: after a change of a fleet partition's owner every waiting request that is not repeatable ended as may have run, though most had never begun. Change: a placed job keeps its place while one task for each ledger partition asks for its leave; only then is the start order queued. A job that was never ordered is given back or cancelled as not run. The flag that kept the ledger's side off is gone. The decisions get the whole fleet's usage on each tick, and orders carry the size that was set aside. Conclusion: only what may have begun can end as may have run.

--- a/src/nutmegknot/_internal/fleet/contexts.py
+++ b/src/nutmegknot/_internal/fleet/contexts.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from nutmegknot._internal.ledger import beginning
 from nutmegknot._internal.models import reports
 from nutmegknot._internal.platform import fleets as platform_fleets
 from nutmegknot._internal.platform import tables
@@ -26,6 +27,8 @@
       tasks: Tasks of the partition.
       get_fence: Returns the condition that the partition's owner is the same.
       may_act: Tells whether the instance may act for the partition now.
+      begin: Asks a ledger partition which of the attempts may start for the
+        first time; returns their request keys.
       send_reports: Sends reports to the owner of a ledger partition; tells
         whether they are durable there.
     """
@@ -38,4 +41,5 @@
     tasks: tasks.Tasks
     get_fence: Callable[[], tables.Condition]
     may_act: Callable[[], bool]
+    begin: Callable[[str, list[beginning.Beginning]], Awaitable[set[str]]]
     send_reports: Callable[[str, list[reports.Report]], Awaitable[bool]]
--- a/src/nutmegknot/_internal/fleet/dispatching.py
+++ b/src/nutmegknot/_internal/fleet/dispatching.py
@@ -8,10 +8,8 @@
 from nutmegknot._internal.fleet import deadlines
 from nutmegknot._internal.fleet import fleets
 from nutmegknot._internal.fleet import jobs
+from nutmegknot._internal.fleet import orders
 from nutmegknot._internal.models import reports
-from nutmegknot._internal.models import requests
-from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import fleets as platform_fleets
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
 
@@ -48,8 +46,8 @@
     for decision in scheduling.decide(fleet.scheduler, now_ms):
         job = fleet.jobs[decision.request_key]
         match decision:
-            case scheduling.Place(_, places):
-                _start(fleet, context, job, places)
+            case scheduling.Place():
+                orders.place(fleet, context, job, decision)
             case scheduling.GiveBack(_, reason, detail):
                 news = reports.Returned(reason, detail, may_have_run=False)
                 jobs.end(fleet, job, news)
@@ -57,32 +55,6 @@
                 jobs.stop(fleet, job, reason)
 
 
-def _start(
-    fleet: fleets.Fleet,
-    context: contexts.Context,
-    job: fleets.Job,
-    places: tuple[str, ...],
-) -> None:
-    req = job.given.req
-    not_after_ms = context.clock.wall_ms() + context.settings.fleet.start_ms
-    if req.deadline_ms:
-        not_after_ms = min(not_after_ms, req.deadline_ms)
-    job.runs = [fleets.MemberRun(worker_id) for worker_id in places]
-    for task, worker_id in zip(fleets.list_task_ids(job), places, strict=True):
-        session = fleet.sessions[worker_id]
-        entry = workers.InventoryEntry(
-            task, req.team, req.size, workers.TaskState.RUNNING
-        )
-        fleets.set_task(fleet, session, entry)
-        session.starts.append(
-            platform_fleets.Start(
-                task, req.team, req.size, not_after_ms, req.payload
-            )
-        )
-        signals.notify(session.wake)
-    logger.debug('placed', extra={'request': requests.get_key(req)})
-
-
 def lose_lapsed(fleet: fleets.Fleet, context: contexts.Context) -> None:
     """Gives up workers whose leases have all lapsed."""
     settings = context.settings
--- a/src/nutmegknot/_internal/fleet/fleets.py
+++ b/src/nutmegknot/_internal/fleet/fleets.py
@@ -7,6 +7,7 @@
 from nutmegknot._internal.models import partitions
 from nutmegknot._internal.models import reports
 from nutmegknot._internal.models import requests
+from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.platform import fleets as platform_fleets
 from nutmegknot._internal.utils import signals
@@ -18,13 +19,13 @@
 
     Attributes:
       worker_id: Worker that it was given to.
-      state: 'starting', 'running', 'finished', 'failed' or 'stopped'.
+      state: 'placed', 'starting', 'running', 'finished', 'failed' or 'stopped'.
       answer: Answer of a finished member.
       detail: One line on a failed or stopped one.
     """
 
     worker_id: str
-    state: str = 'starting'
+    state: str = 'placed'
     answer: bytes = b''
     detail: str = ''
 
@@ -36,6 +37,9 @@
     Attributes:
       given: The assignment.
       runs: One entry a member once it is placed; empty while it waits.
+      size: What is set aside for each member, once it is placed.
+      ordered: Whether a start order was ever queued in this attempt, or may
+        have been by an earlier owner.
       cancelled: Whether it is to be stopped on the caller's wish.
       stopping: Why it is being stopped, or ''.
       reported: Whether its end has been reported.
@@ -43,6 +47,8 @@
 
     given: partitions.Assignment
     runs: list[MemberRun] = dataclasses.field(default_factory=list)
+    size: resources.Resources = resources.NOTHING
+    ordered: bool = False
     cancelled: bool = False
     stopping: str = ''
     reported: bool = False
@@ -101,6 +107,19 @@
     wake: signals.Signal = dataclasses.field(default_factory=signals.Signal)
 
 
+@dataclasses.dataclass(slots=True)
+class Asking:
+    """Placed jobs that wait for one ledger partition's leave to begin.
+
+    Attributes:
+      waiting: Attempt by request key.
+      wake: Notified when there is something to ask.
+    """
+
+    waiting: dict[str, int] = dataclasses.field(default_factory=dict)
+    wake: signals.Signal = dataclasses.field(default_factory=signals.Signal)
+
+
 @dataclasses.dataclass(slots=True)
 class Fleet:
     """A fleet partition that this instance owns.
@@ -123,6 +142,7 @@
       deadlines: Heap of deadlines, wall clock in ms, and request keys.
       has_orphans: Whether some session may have a task without a job.
       outboxes: Reports by ledger partition.
+      asking: Jobs that ask to begin, by ledger partition.
       changed: Notified when a decision may be due.
       fenced: Set when a worker obeys a later owner.
     """
@@ -143,6 +163,7 @@
     deadlines: list[tuple[int, str]] = dataclasses.field(default_factory=list)
     has_orphans: bool = False
     outboxes: dict[str, Outbox] = dataclasses.field(default_factory=dict)
+    asking: dict[str, Asking] = dataclasses.field(default_factory=dict)
     changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     fenced: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
--- a/src/nutmegknot/_internal/fleet/jobs.py
+++ b/src/nutmegknot/_internal/fleet/jobs.py
@@ -30,6 +30,8 @@
     if known is not None:
         # Members of the attempt that is over are still to be forgotten.
         fleet.has_orphans = True
+    if known is not None:
+        _drop_placed(fleet, known)
     job = fleets.Job(given)
     fleet.jobs[key] = job
     if given.fleet_epoch == fleet.epoch:
@@ -59,6 +61,7 @@
     if any(not run.worker_id for run in runs) and not fleets.is_whole(fleet):
         return False
     job.runs = runs
+    job.ordered = True
     # It has run for no longer than since its acceptance.
     given = job.given
     scheduling.note_running(fleet.scheduler, given, given.accepted_ms)
@@ -114,7 +117,8 @@
     before = session.tasks.get(entry.task)
     fleets.set_task(fleet, session, entry)
     if entry.state is not workers.TaskState.RUNNING:
-        _note_end(fleet, worker_id, entry, now_ms)
+        if before is None or before.state is workers.TaskState.RUNNING:
+            _note_end(fleet, worker_id, entry, now_ms)
         scheduling.release(fleet.scheduler, entry.task)
     elif before is None:
         held = scheduling.Held(worker_id, entry.team, entry.size)
@@ -176,22 +180,50 @@
     )
     failed = any(run.state == 'failed' for run in job.runs)
     if job.cancelled:
-        return reports.Ended(outcomes.Cancelled(started=True))
+        return reports.Ended(outcomes.Cancelled(started=job.ordered))
     if failed and not job.given.req.repeatable:
         reason = outcomes.FailureReason.TASK_FAILED
         return reports.Ended(outcomes.Failed(reason, detail, started=True))
     reason_text = 'failed' if failed else job.stopping or 'stopped'
-    return reports.Returned(reason_text, detail, may_have_run=True)
+    return reports.Returned(reason_text, detail, may_have_run=job.ordered)
 
 
 def stop(fleet: fleets.Fleet, job: fleets.Job, reason: str) -> None:
     """Has the members of a job that run or may run stopped."""
     job.stopping = job.stopping or reason
+    was_placed = is_placed(job)
     for task, run in zip(fleets.list_task_ids(job), job.runs, strict=True):
         session = fleet.sessions.get(run.worker_id)
-        if session is not None and run.state in ('starting', 'running'):
+        if run.state == 'placed':
+            _drop_place(fleet, task, run, reason)
+        elif session is not None and run.state in ('starting', 'running'):
             session.stops.add(task)
             signals.notify(session.wake)
+    if was_placed:
+        follow(fleet, job)
+
+
+def is_placed(job: fleets.Job) -> bool:
+    """Tells whether a job has places but no start order yet."""
+    return bool(job.runs) and all(run.state == 'placed' for run in job.runs)
+
+
+def _drop_placed(fleet: fleets.Fleet, job: fleets.Job) -> None:
+    """Frees the places of a job that was never ordered to start."""
+    for task, run in zip(fleets.list_task_ids(job), job.runs, strict=False):
+        if run.state == 'placed':
+            _drop_place(fleet, task, run, 'assigned anew')
+
+
+def _drop_place(
+    fleet: fleets.Fleet,
+    task: workers.TaskId,
+    run: fleets.MemberRun,
+    reason: str,
+) -> None:
+    run.state = 'stopped'
+    run.detail = reason
+    scheduling.release(fleet.scheduler, task)
 
 
 def end(
@@ -271,12 +303,25 @@
                 acknowledge(fleet, worker_id, task)
 
 
+def _return_placed(fleet: fleets.Fleet, worker_id: str) -> None:
+    """Gives back jobs that have a place on a lost worker and never began."""
+    for asking in fleet.asking.values():
+        for key in list(asking.waiting):
+            job = fleet.jobs.get(key)
+            if job is None or not is_placed(job):
+                continue
+            if any(run.worker_id == worker_id for run in job.runs):
+                del asking.waiting[key]
+                stop(fleet, job, 'lost')
+
+
 def lose_worker(fleet: fleets.Fleet, worker_id: str) -> None:
     """Ends what a worker ran whose leases have all lapsed."""
     session = fleet.sessions.pop(worker_id)
     session.closed = True
     signals.notify(session.wake)
     scheduling.forget_worker(fleet.scheduler, worker_id)
+    _return_placed(fleet, worker_id)
     for task, entry in list(session.tasks.items()):
         fleets.drop_task(fleet, session, task)
         job = fleet.jobs.get(task.request_key)
--- a/src/nutmegknot/_internal/instance/ledger_calls.py
+++ b/src/nutmegknot/_internal/instance/ledger_calls.py
@@ -19,10 +19,6 @@
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.schema import peer_pb2
 
-# Whether fleet partitions call instance/reporting.begin before the first start
-# of what is not repeatable. It may be true only once every such start does.
-FLEETS_ASK_BEGIN = False
-
 
 def make_context(
     inst: instances.Instance, ledger: ledgers.Ledger
@@ -33,7 +29,6 @@
         may_act=lambda: authority.may_act_for(inst, ledger.name, ledger.epoch),
         choose_fleet=lambda req, avoid: routing.choose_fleet(inst, req, avoid),
         attempts=inst.settings.fleet.attempts,
-        asks_begin=FLEETS_ASK_BEGIN,
     )
 
 
--- a/src/nutmegknot/_internal/instance/loads.py
+++ b/src/nutmegknot/_internal/instance/loads.py
@@ -80,6 +80,9 @@
     now_ms = inst.clock.now_ms()
     for name, fleet in inst.fleets.items():
         inst.loads[name] = loads.SeenLoad(compute_load(inst, fleet), now_ms)
+    whole = compute_fleet_usage(inst)
+    for fleet in inst.fleets.values():
+        scheduling.set_fleet_usage(fleet.scheduler, whole.usage, whole.capacity)
 
 
 def take_load(inst: instances.Instance, load: loads.Load) -> None:
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -6,6 +6,7 @@
 
 from nutmegknot._internal.codec import policies as policy_codec
 from nutmegknot._internal.decisions import scheduling
+from nutmegknot._internal.fleet import beginning as fleet_beginning
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import dispatching
 from nutmegknot._internal.fleet import fleets
@@ -19,6 +20,7 @@
 from nutmegknot._internal.instance import measuring
 from nutmegknot._internal.instance import reporting
 from nutmegknot._internal.instance import routing
+from nutmegknot._internal.ledger import beginning
 from nutmegknot._internal.ledger import journals
 from nutmegknot._internal.ledger import ledgers
 from nutmegknot._internal.membership import owning
@@ -136,6 +138,11 @@
                 fleet_reporting.keep_reporting(fleet, context, ledger),
                 f'report {name} {ledger}',
             )
+            tasks.spawn(
+                part,
+                fleet_beginning.keep_beginning(fleet, context, ledger),
+                f'begin {name} {ledger}',
+            )
     logger.info('fleet_opened', extra={'partition': name})
 
 
@@ -148,6 +155,9 @@
             measuring.note_reports(inst, fleet, given)
         return is_durable
 
+    async def begin(ledger: str, asked: list[beginning.Beginning]) -> set[str]:
+        return await reporting.begin(inst, ledger, asked)
+
     return contexts.Context(
         clock=inst.clock,
         rng=inst.rng,
@@ -157,6 +167,7 @@
         get_fence=lambda: get_fence(inst, fleet.name),
         tasks=part,
         may_act=lambda: authority.may_act_for(inst, fleet.name, fleet.epoch),
+        begin=begin,
         send_reports=send_reports,
     )
 
--- a/src/nutmegknot/_internal/ledger/accepting.py
+++ b/src/nutmegknot/_internal/ledger/accepting.py
@@ -33,8 +33,6 @@
       choose_fleet: Chooses the fleet partition of a request; the second
         argument names those to avoid.
       attempts: Attempts of a repeatable request that may fail.
-      asks_begin: Whether fleet partitions ask before they start what is not
-        repeatable, so that what never asked surely has not started.
     """
 
     clock: clock_lib.Clock
@@ -43,7 +41,6 @@
         [requests.Request, frozenset[str]], Choice | outcomes.Refused
     ]
     attempts: int = 4
-    asks_begin: bool = False
 
 
 async def submit(
--- a/src/nutmegknot/_internal/ledger/beginning.py
+++ b/src/nutmegknot/_internal/ledger/beginning.py
@@ -64,8 +64,7 @@
       fleet_epoch: Present epoch of its fleet partition.
     """
     return (
-        context.asks_begin
-        and not entry.req.repeatable
+        not entry.req.repeatable
         and not entry.begun
         and not entry.started
         and entry.fleet_epoch < fleet_epoch
--- a/tests/lib/partitions.py
+++ b/tests/lib/partitions.py
@@ -82,7 +82,7 @@
         return accepting.Choice(FLEET, cell.fleet_epoch)
 
     clock = clock_lib.make_manual_clock(cell.time)
-    return accepting.Context(clock, lambda: cell.may_act, choose, 4, True)
+    return accepting.Context(clock, lambda: cell.may_act, choose, 4)
 
 
 def acquire(cell: Cell) -> ledgers.Ledger:
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -223,6 +223,20 @@
         raise AssertionError(f'not within {limit_s} s: {what}') from None
 
 
+def _read_dump(text: str) -> dict:
+    """Returns the head of a dump, with its fleets and ledgers by name."""
+    lines = [json.loads(line) for line in text.splitlines()]
+    state: dict = {'fleets': {}, 'ledgers': {}}
+    for line in lines:
+        if line['part'] == 'instance':
+            state |= line
+        else:
+            state[line['part']][line['name']] = line
+    for fleet in state['fleets'].values():
+        fleet['claimed'] = sum(w['claimed'] for w in fleet['workers'].values())
+    return state
+
+
 async def dump(process: Process) -> dict:
     """Returns the state that an instance shows; empty if it does not answer."""
     client = clients.connect(process.address)
@@ -230,7 +244,7 @@
         reply = await client.operator.DumpState(
             operator_pb2.DumpStateCall(), timeout=1.0
         )
-        return json.loads(reply.json)
+        return _read_dump(reply.json)
     except clients.CALL_ERRORS:
         return {}
     finally:
--- a/tests/unit/fleet/test_granting.py
+++ b/tests/unit/fleet/test_granting.py
@@ -140,5 +140,6 @@
         tasks=tasks.Tasks(),
         get_fence=lambda: tables.Condition(name, 1),
         may_act=lambda: True,
+        begin=accept,  # type: ignore[arg-type]
         send_reports=accept,
     )
--- a/tests/unit/fleet/test_jobs.py
+++ b/tests/unit/fleet/test_jobs.py
@@ -2,6 +2,7 @@
 
 from lib import makers
 
+from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import fleets
 from nutmegknot._internal.fleet import jobs
 from nutmegknot._internal.models import outcomes
@@ -143,3 +144,32 @@
     ended = makers.make_entry(workers.TaskId('t/a'), STOPPED)
     jobs.take_entry(fleet, 'w1', ended, NOW_MS)
     assert list_news(fleet)[-1] == reports.Ended(outcomes.Cancelled(True))
+
+
+def place_without_order(fleet: fleets.Fleet) -> fleets.Job:
+    """Gives a non-repeatable job a place that has not begun."""
+    makers.claim(fleet, 'w1')
+    given = makers.make_assignment('n', repeatable=False)
+    jobs.take_assignment(fleet, given)
+    scheduling.decide(fleet.scheduler, NOW_MS)
+    job = fleet.jobs['t/n']
+    job.runs = [fleets.MemberRun('w1')]
+    fleet.asking['ledger-0'] = fleets.Asking({'t/n': 0})
+    return job
+
+
+def test_cancelled_job_that_never_began_has_not_run() -> None:
+    fleet = makers.make_fleet(['w1'])
+    job = place_without_order(fleet)
+    jobs.withdraw(fleet, 't/n')
+    assert list_news(fleet) == [reports.Ended(outcomes.Cancelled(False))]
+    assert job.reported
+    assert not fleet.scheduler.held
+    assert not fleet.sessions['w1'].stops
+
+
+def test_lost_worker_gives_back_what_never_began() -> None:
+    fleet = makers.make_fleet(['w1'])
+    place_without_order(fleet)
+    jobs.lose_worker(fleet, 'w1')
+    assert list_news(fleet) == [reports.Returned('lost', 'lost', False)]
--- a/tests/unit/fleet/test_takeovers.py
+++ b/tests/unit/fleet/test_takeovers.py
@@ -18,11 +18,13 @@
 from lib import targets
 
 from nutmegknot._internal.decisions import scheduling
+from nutmegknot._internal.fleet import beginning as fleet_beginning
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import dispatching
 from nutmegknot._internal.fleet import fleets
 from nutmegknot._internal.fleet import jobs
 from nutmegknot._internal.fleet import sessions
+from nutmegknot._internal.ledger import beginning
 from nutmegknot._internal.models import cells
 from nutmegknot._internal.models import partitions
 from nutmegknot._internal.models import reports
@@ -50,12 +52,14 @@
       attempt: Number of the present attempt.
       epoch: Epoch of the fleet partition at its assignment.
       ended: Whether it has its final outcome.
+      begun: Whether it may have been started.
     """
 
     req: requests.Request
     epoch: int
     attempt: int = 0
     ended: bool = False
+    begun: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -119,9 +123,30 @@
             tasks=None,  # type: ignore[arg-type]
             get_fence=lambda: tables.Condition('owner', 1),
             may_act=lambda: True,
+            begin=self.grant,
             send_reports=accept,
         )
 
+    async def grant(
+        self, ledger: str, asked: list[beginning.Beginning]
+    ) -> set[str]:
+        granted = set()
+        for one in asked:
+            promise = self.promises[one.request_key]
+            is_present = (promise.attempt, promise.epoch) == (
+                one.attempt,
+                one.fleet_epoch,
+            )
+            if is_present and not promise.ended:
+                promise.begun = True
+                granted.add(one.request_key)
+        return granted
+
+    def begin(self, number: int) -> None:
+        fleet = self.pick(number)
+        for ledger, asking in fleet.asking.items():
+            self.run(fleet_beginning.ask(fleet, self.context, ledger, asking))
+
     def run(self, work: object) -> None:
         async def run_and_settle() -> None:
             await work  # type: ignore[misc]
@@ -150,8 +175,12 @@
             )
         self.owners.append(fleet)
         for promise in self.promises.values():
-            if not promise.ended:
-                self.assign(promise)
+            if promise.ended:
+                continue
+            if not promise.req.repeatable and not promise.begun:
+                promise.attempt += 1
+                promise.epoch = epoch
+            self.assign(promise)
         fleet.complete = {'ledger-0'}
 
     def assign(self, promise: Promise) -> None:
@@ -192,6 +221,7 @@
         """A whole round of the present owner."""
         self.hear(0, names)
         self.dispatch(0)
+        self.begin(0)
         for name in sorted(names):
             self.send(0, name)
 
@@ -247,6 +277,7 @@
                 return
             promise.attempt += 1
             promise.epoch = len(self.owners)
+            promise.begun = False
             self.assign(promise)
 
 
@@ -265,6 +296,7 @@
     'submit': lambda o, s: o.submit(s.flag, 1 + (s.number == 7)),
     'hear': lambda o, s: o.hear(s.owner, choose_names(s)),
     'send': lambda o, s: o.send(s.owner, NAMES[s.number % 3]),
+    'begin': lambda o, s: o.begin(s.owner),
     'dispatch': lambda o, s: o.dispatch(s.owner),
     'work': lambda o, s: o.work(set(NAMES)),
     'change_wire': lambda o, s: o.change_wire(
