Model-check ownership, running and limits

Cause: acting through a store outage, take-over and "not run" rest on rules that tests alone can't prove. Change: specification/ has three models for minicheck. ownership: an owner, two other members that join, fail and leave, renewals and acquisitions that land late or whose answers are lost, answers under way. running: one request, two workers, a change of owner, late orders, restarts. limits: two partitions dividing a team's limit. make model checks all in full and prints the states. The model found that a lease must not lapse sooner than an answer heard before its last writing ceases to count; get_lapse_ms now takes the longest of lease_ms, authority_ms and answer_ms, whatever the settings say. Conclusion: the bridge of outages stays in; it rests on the model's rules.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(PY) tools/imports.py
-	$(VENV)/bin/mypy src tests tools benchmarks
+	$(VENV)/bin/mypy src tests tools benchmarks specification
 
 format: setup
 	$(VENV)/bin/ruff check --fix --quiet . || true
@@ -54,3 +54,7 @@
 
 binary: setup
 	tools/binary.sh $(PY)
+
+# Checks the specification in full; prints the states explored.
+model: setup
+	$(PY) -m specification
--- a/src/nutmegknot/_internal/membership/sightings.py
+++ b/src/nutmegknot/_internal/membership/sightings.py
@@ -7,8 +7,15 @@
 
 
 def get_lapse_ms(membership: settings_pb2.MembershipSettings) -> int:
-    """Returns how long a row must stay unchanged for its lease to lapse."""
-    return membership.lease_ms + membership.drift_ms
+    """Returns how long a row must stay unchanged for its lease to lapse.
+
+    Neither a confirmation nor an answer of before its last writing may count
+    for longer, whatever the settings say.
+    """
+    longest_ms = max(
+        membership.lease_ms, membership.authority_ms, membership.answer_ms
+    )
+    return longest_ms + membership.drift_ms
 
 
 def has_lapsed(
