--- a/src/nutmegknot/_internal/fleet/jobs.py
+++ b/src/nutmegknot/_internal/fleet/jobs.py
@@ -59,6 +59,9 @@
     if any(not run.worker_id for run in runs) and not fleets.is_whole(fleet):
         return False
     job.runs = runs
+    # It has run for no longer than since its acceptance.
+    given = job.given
+    scheduling.note_running(fleet.scheduler, given, given.accepted_ms)
     return True
 
 
@@ -111,8 +114,8 @@
     before = session.tasks.get(entry.task)
     fleets.set_task(fleet, session, entry)
     if entry.state is not workers.TaskState.RUNNING:
-        scheduling.release(fleet.scheduler, entry.task)
         _note_end(fleet, worker_id, entry, now_ms)
+        scheduling.release(fleet.scheduler, entry.task)
     elif before is None:
         held = scheduling.Held(worker_id, entry.team, entry.size)
         scheduling.hold(fleet.scheduler, entry.task, held)
@@ -138,10 +141,10 @@
     now_ms: int,
 ) -> None:
     """Tells the decisions how a task ended, as workers may be at fault."""
+    key = entry.task.request_key
     if entry.state is workers.TaskState.FINISHED:
-        scheduling.note_success(fleet.scheduler, worker_id, now_ms)
+        scheduling.note_success(fleet.scheduler, worker_id, now_ms, key)
     elif entry.state is workers.TaskState.FAILED:
-        key = entry.task.request_key
         scheduling.note_failure(fleet.scheduler, worker_id, key, now_ms)
 
 
--- a/src/nutmegknot/_internal/instance/running.py
+++ b/src/nutmegknot/_internal/instance/running.py
@@ -137,6 +137,7 @@
         'Cancel': functools.partial(answer, inst, ledger_calls.cancel),
         'Describe': functools.partial(answer, inst, ledger_calls.describe),
         'Report': functools.partial(ledger_calls.report, inst),
+        'Begin': functools.partial(ledger_calls.begin, inst),
     }
 
 
