--- a/specification/ownership.py
+++ b/specification/ownership.py
@@ -45,7 +45,7 @@
       read: Members that it has read since, and that are registered then.
       mistake: One of MISTAKES, or ''.
       others: Number of other members.
-      may_drop: Whether the last member's lease row may be removed, to be written
+      may_drop: Whether the last lease row may be removed, to be written
         anew.
       keeps_answers: Whether answers may be older than one tick.
     """
--- a/specification/running.py
+++ b/specification/running.py
@@ -157,9 +157,9 @@
         )
         steps.append((f'claim {number}', after))
     is_unclear = state.claimed == 3 and not state.shown
-    if is_unclear and not rules.repeatable and not state.final:
-        if rules.mistake != 'starts under another epoch':
-            steps.append(('may have run', state._replace(final=True)))
+    is_careless = rules.mistake == 'starts under another epoch'
+    if is_unclear and not (rules.repeatable or state.final or is_careless):
+        steps.append(('may have run', state._replace(final=True)))
     return steps
 
 
--- a/src/nutmegknot/_internal/codec/loads.py
+++ b/src/nutmegknot/_internal/codec/loads.py
@@ -36,6 +36,7 @@
             )
             for priority, amount in sorted(load.queued.items())
         ],
+        services=load.services,
     )
 
 
@@ -70,4 +71,5 @@
             for one in state.queued
         },
         usage=usage,
+        services=dict(state.services),
     )
--- a/src/nutmegknot/_internal/instance/instances.py
+++ b/src/nutmegknot/_internal/instance/instances.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from nutmegknot._internal.decisions import routing
 from nutmegknot._internal.fleet import fleets as fleet_lib
 from nutmegknot._internal.ledger import ledgers as ledger_lib
 from nutmegknot._internal.membership import digests
@@ -51,6 +52,7 @@
       unreached: Other members that did not answer the last digest.
       stop_began: Set when a graceful stop begins.
       received: What the digests of each other instance have told.
+      assigned: What was assigned since the loads were taken.
       loads: Last known load of each fleet partition, by name.
     """
 
@@ -81,6 +83,9 @@
     received: dict[str, digests.Receiver] = dataclasses.field(
         default_factory=dict
     )
+    assigned: routing.Assigned = dataclasses.field(
+        default_factory=routing.Assigned
+    )
     loads: dict[str, load_lib.SeenLoad] = dataclasses.field(
         default_factory=dict
     )
--- a/src/nutmegknot/_internal/instance/loads.py
+++ b/src/nutmegknot/_internal/instance/loads.py
@@ -10,9 +10,6 @@
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
 
-# Older loads say nothing about what is free now.
-MAX_AGE_MS = 5_000
-
 
 def compute_load(inst: instances.Instance, fleet: fleets.Fleet) -> loads.Load:
     """Returns the load of a fleet partition that this instance owns."""
@@ -35,9 +32,15 @@
         shapes=_count_shapes(machines),
         queued=_compute_queued(sched),
         usage=scheduling.compute_usage(sched),
+        services=_count_replicas(fleet),
     )
 
 
+def _count_replicas(fleet: fleets.Fleet) -> dict[str, int]:
+    requested = [job.given.req for job in fleet.jobs.values()]
+    return dict(collections.Counter(r.service for r in requested if r.service))
+
+
 def _add_all(amounts: list[resources.Resources]) -> resources.Resources:
     total = resources.NOTHING
     for amount in amounts:
@@ -92,16 +95,6 @@
         inst.loads[load.partition] = loads.SeenLoad(load, now_ms)
 
 
-def list_recent(inst: instances.Instance) -> list[loads.Load]:
-    """Returns the loads that are recent enough to decide on."""
-    oldest_ms = inst.clock.now_ms() - MAX_AGE_MS
-    return [
-        seen.load
-        for _, seen in sorted(inst.loads.items())
-        if seen.at_ms >= oldest_ms
-    ]
-
-
 def compute_fleet_usage(inst: instances.Instance) -> loads.FleetUsage:
     """Returns what each team holds, and what there is, in the whole fleet.
 
