--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(PY) tools/imports.py
-	$(VENV)/bin/mypy src tests tools benchmarks
+	$(VENV)/bin/mypy src tests tools benchmarks specification
 
 format: setup
 	$(VENV)/bin/ruff check --fix --quiet . || true
@@ -55,3 +55,7 @@
 
 binary: setup
 	$(PY) tools/binary.py
+
+# Checks the specification in full; prints the states explored.
+model: setup
+	$(PY) -m specification
