--- a/src/nutmegknot/_internal/ledger/journals.py
+++ b/src/nutmegknot/_internal/ledger/journals.py
@@ -99,7 +99,7 @@
       held: Segments that no snapshot replaces yet, oldest first.
       held_bytes: Their size in bytes.
       free: Rows whose segments a snapshot replaces, to be used again.
-      slots: Number of rows in use or free.
+      slots: The lowest number that no row has had under this epoch.
       waiting: Batches of which no write can have taken effect, in order.
       waiting_bytes: Their size in bytes.
       in_flight: Batches whose write is under way or not settled.
--- a/src/nutmegknot/_internal/ledger/recovery.py
+++ b/src/nutmegknot/_internal/ledger/recovery.py
@@ -143,10 +143,5 @@
     used = {int(row.key.removeprefix(prefix)) for row in rows}
     journal.slots = max(used, default=-1) + 1
     journal.free = sorted(slots.values(), key=lambda slot: slot.number)
-    journal.free += [
-        journals.Slot(number)
-        for number in range(journal.slots)
-        if number not in used
-    ]
     journal.last = found[-1].link if found else start
     return None
--- a/src/nutmegknot/_internal/ledger/snapshotting.py
+++ b/src/nutmegknot/_internal/ledger/snapshotting.py
@@ -197,23 +197,22 @@
     """Deletes rows beyond those that the journal will soon use again.
 
     An outage of the object store makes the journal grow by many rows; each is
-    read at every recovery, so they do not stay.
+    read at every recovery, so they do not stay. The numbers of deleted rows are
+    not used again: a late copy of the write that made such a row would find it
+    absent as it was then, and take effect once more.
     """
     journal = snapshotter.ledger.journal
     while not journal.fenced:
-        rows = [slot for slot in journal.free if slot.version]
-        surplus = rows[snapshotter.min_segments :][:MAX_DELETES]
+        surplus = journal.free[snapshotter.min_segments :][:MAX_DELETES]
         if not surplus:
             return
         journal.free = [slot for slot in journal.free if slot not in surplus]
-        if not await _delete_rows(snapshotter, surplus):
-            return
-        journal.free += [journals.Slot(slot.number) for slot in surplus]
+        await _delete_rows(snapshotter, surplus)
 
 
 async def _delete_rows(
     snapshotter: Snapshotter, surplus: list[journals.Slot]
-) -> bool:
+) -> None:
     """Deletes free rows; the versions keep a late call from doing harm."""
     store = snapshotter.store
     journal = snapshotter.ledger.journal
@@ -230,11 +229,9 @@
     while not journal.fenced:
         result = await store.table.transact(transaction, store.timeout_ms)
         match result:
-            case tables.Committed():
-                return True
-            case tables.ConditionFailed(_, row):
-                # The only writer is this one: either a lost answer was that of
-                # the deletion, or the partition has a new owner.
-                return row is None
+            case tables.Committed() | tables.ConditionFailed():
+                # The only writer is this one: if a condition fails, either a
+                # lost answer was that of the deletion, or the partition has a
+                # new owner.
+                return
         await _pause(backoff)
-    return False
--- a/tests/unit/ledger/test_requests.py
+++ b/tests/unit/ledger/test_requests.py
@@ -159,6 +159,22 @@
     await partitions.stop(owner)
 
 
+async def test_return_during_cancellation_ends_the_request() -> None:
+    owner = await partitions.take_over(partitions.Cell())
+    await submit(owner)
+    cancelling = asyncio.create_task(
+        accepting.cancel(owner.ledger, owner.context, KEY, 1_000)
+    )
+    await asyncio.sleep(0)
+    assert not owner.ledger.entries[KEY].cancelled
+    news = reports.Returned('handover', '', may_have_run=False)
+    assert await report(owner, 0, news, 1)
+    await cancelling
+    outcome = accepting.describe(owner.ledger, KEY)
+    assert outcome == outcomes.Cancelled(started=False)
+    await partitions.stop(owner)
+
+
 async def test_old_outcomes_are_forgotten() -> None:
     cell = partitions.Cell()
     owner = await partitions.take_over(cell)
