--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -13,16 +13,15 @@
 from nutmegknot._internal.fleet import jobs
 from nutmegknot._internal.fleet import listing
 from nutmegknot._internal.fleet import reporting as fleet_reporting
-from nutmegknot._internal.instance import assigning
 from nutmegknot._internal.instance import authority
 from nutmegknot._internal.instance import instances
-from nutmegknot._internal.instance import replicas
+from nutmegknot._internal.instance import ledger_opening
 from nutmegknot._internal.instance import reporting
 from nutmegknot._internal.instance import routing
 from nutmegknot._internal.ledger import journals
 from nutmegknot._internal.ledger import ledgers
-from nutmegknot._internal.membership import leases
 from nutmegknot._internal.membership import owning
+from nutmegknot._internal.membership import rows
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import reports
 from nutmegknot._internal.platform import tables
@@ -37,21 +36,42 @@
 
 
 async def keep_owning(inst: instances.Instance) -> None:
-    """Takes over free partitions and gives up others, until cancelled."""
+    """Takes over free partitions and gives up others, until a stop begins."""
     view = inst.membership.view
     count = -1
-    while True:
-        count = await signals.wait_beyond(view.changed, count)
-        await abandon_lost(inst)
-        if not authority.may_act(inst) or view.stopping:
-            continue
-        for name in owning.list_free(inst.membership):
-            if await owning.acquire(inst.membership, name):
-                await open_partition(inst, name)
-        preferred = owning.list_preferred(inst.membership)
-        for name in list(inst.part_tasks):
-            if name not in preferred:
-                await hand_over(inst, name)
+    while not view.stopping:
+        wait_ms = owning.compute_wait(inst.membership)
+        count = await signals.wait_at_most(view.changed, count, wait_ms)
+        async with inst.moving:
+            await abandon_lost(inst)
+            if not view.stopping and authority.may_act(inst):
+                await _move_partitions(inst)
+
+
+async def _move_partitions(inst: instances.Instance) -> None:
+    """Acquires what is free, then hands over at most one partition."""
+    await _settle_unserved(inst)
+    for name in owning.list_free(inst.membership):
+        if await owning.acquire(inst.membership, name):
+            await open_partition(inst, name)
+    surplus = owning.find_surplus(inst.membership, list(inst.part_tasks))
+    if surplus:
+        await hand_over(inst, surplus)
+    await owning.remove_lapsed(inst.membership)
+
+
+async def _settle_unserved(inst: instances.Instance) -> None:
+    """Opens or releases partitions that are owned but not served.
+
+    An acquisition whose answer was lost shows in this way. An epoch that has
+    been served before is not served again, as what it started is forgotten.
+    """
+    view = inst.membership.view
+    for name in owning.list_unserved(inst.membership, list(inst.part_tasks)):
+        if views.get_epoch(view, name) > inst.opened.get(name, 0):
+            await open_partition(inst, name)
+        else:
+            await owning.release(inst.membership, name)
 
 
 async def abandon_lost(inst: instances.Instance) -> None:
@@ -67,9 +87,10 @@
 
 
 async def open_partition(inst: instances.Instance, name: str) -> None:
-    """Starts to serve a partition that has just been acquired."""
+    """Starts to serve an owned partition under an epoch not served before."""
+    inst.opened[name] = views.get_epoch(inst.membership.view, name)
     if name.startswith('ledger-'):
-        await _open_ledger(inst, name)
+        await ledger_opening.open_ledger(inst, name, get_fence(inst, name))
     else:
         _open_fleet(inst, name)
 
@@ -77,42 +98,7 @@
 def get_fence(inst: instances.Instance, name: str) -> tables.Condition:
     """Returns the condition that a partition still has this owner."""
     version = inst.membership.view.owner_versions[name]
-    return tables.Condition(leases.get_owner_key(name), version)
-
-
-async def _open_ledger(inst: instances.Instance, name: str) -> None:
-    view = inst.membership.view
-    epoch = views.get_epoch(view, name)
-    journal = journals.Journal(name, epoch, get_fence(inst, name))
-    context = journals.Context(
-        inst.platform.table,
-        inst.rng,
-        inst.settings.ledger.commit_ms,
-        inst.settings.platform.timeout_ms,
-    )
-    found = await journals.recover(journal, context)
-    if isinstance(found, tables.Unavailable):
-        await owning.release(inst.membership, name)
-        return
-    ledger = ledgers.Ledger(name, epoch, journal)
-    for record in found:
-        ledgers.apply_record(ledger, record)
-    part = tasks.Tasks(broken=inst.tasks.broken)
-    inst.ledgers[name] = ledger
-    inst.part_tasks[name] = part
-    tasks.spawn(part, journals.keep_writing(journal, context), f'write {name}')
-    tasks.spawn(part, replicas.keep_services(inst, ledger), f'keep {name}')
-    for fleet in owning.list_partitions(inst.settings):
-        if fleet.startswith('fleet-'):
-            tasks.spawn(
-                part,
-                assigning.keep_assigning(inst, ledger, fleet),
-                f'assign {name} {fleet}',
-            )
-    logger.info(
-        'ledger_opened',
-        extra={'partition': name, 'epoch': epoch, 'entries': len(found)},
-    )
+    return tables.Condition(rows.get_owner_key(name), version)
 
 
 def _open_fleet(inst: instances.Instance, name: str) -> None:
@@ -192,6 +178,16 @@
     await owning.release(inst.membership, name)
 
 
+async def hand_over_all(inst: instances.Instance) -> None:
+    """Hands every partition over, one after the other."""
+    async with inst.moving:
+        for name in list(inst.part_tasks):
+            await hand_over(inst, name)
+        names = owning.list_unserved(inst.membership, [])
+        for name in names:
+            await owning.release(inst.membership, name)
+
+
 async def _flush_ledger(
     inst: instances.Instance, ledger: ledgers.Ledger
 ) -> None:
