Move the work of a closed domain early, but what ends soon not at all

Change: work that is expected to end within 45 s of the closing is left to end, the rest is moved within 10 s, in at least 20 batches; preemption for shares leaves distances below 0.008 of the fleet alone and takes at most 0.007 of the fleet a second.

Conclusion: short windows for moving are for domains that go away soon; the settings decide.

--- a/src/nutmegknot/_internal/codec/policies.py
+++ b/src/nutmegknot/_internal/codec/policies.py
@@ -20,6 +20,7 @@
         share_margin=message.share_margin_permille / _PERMILLE,
         preempt_batch=message.preempt_batch_permille / _PERMILLE,
         drain_ms=message.drain_ms,
+        finish_ms=message.finish_ms,
         ramp_ms=message.ramp_ms,
         task_failures=message.task_failures,
         probation_score=float(message.worker_failures),
--- a/src/nutmegknot/_internal/decisions/domains.py
+++ b/src/nutmegknot/_internal/decisions/domains.py
@@ -15,6 +15,8 @@
 
 # Part of the capacity that a reopened domain may use at once.
 _FIRST_PART = 0.1
+# Batches, at least, in which the work of a closed domain is moved.
+_BATCHES = 20
 
 
 def is_closed(sched: states.Scheduler) -> bool:
@@ -40,11 +42,13 @@
 
     Services go first, so that their replacements start elsewhere before batch
     work asks for the same room. Work that is not repeatable runs to its end,
-    and so does what is expected to end before its turn would come.
+    and so does what is expected to end soon. The rest is moved early, as it
+    loses more the longer it runs.
     """
     elapsed_ms = now_ms - sched.closed_ms + 1
     part = min(1.0, elapsed_ms / sched.policy.drain_ms)
     due = int(sched.to_drain * part + 1) - sched.drained
+    due = min(due, sched.to_drain // _BATCHES + 1)
     if due <= 0:
         return []
     movable = [
@@ -60,10 +64,10 @@
 
 
 def _ends_soon(sched: states.Scheduler, run: states.Run, now_ms: int) -> bool:
-    """Tells whether a run may end before the domain has to be empty."""
+    """Tells whether a run is expected to end within the time left to it."""
     key = requests.get_key(run.given.req)
     end_ms = reservations.expect_end(sched, key, now_ms)
-    until_ms = max(now_ms, sched.closed_ms + sched.policy.drain_ms)
+    until_ms = max(now_ms, sched.closed_ms + sched.policy.finish_ms)
     return end_ms is not None and run.run_ms > 0 and end_ms <= until_ms
 
 
--- a/src/nutmegknot/_internal/decisions/policies.py
+++ b/src/nutmegknot/_internal/decisions/policies.py
@@ -23,6 +23,8 @@
       preempt_batch: The most requests preempted for shares in a second, as a
         part of the running ones.
       drain_ms: Time over which the work of a closed domain is moved, in ms.
+      finish_ms: Time after the closing within which work that is expected to
+        end is left to end, in ms.
       ramp_ms: Time over which a reopened domain fills up, in ms.
       task_failures: Different workers on which a request may fail.
       probation_score: Failure score at which a worker goes on probation.
@@ -41,9 +43,10 @@
     min_run_ms: int = 2_000
     urgent_after_ms: int = 300
     share_after_ms: int = 3_000
-    share_margin: float = 0.005
-    preempt_batch: float = 0.01
-    drain_ms: int = 30_000
+    share_margin: float = 0.008
+    preempt_batch: float = 0.007
+    drain_ms: int = 10_000
+    finish_ms: int = 45_000
     ramp_ms: int = 10_000
     task_failures: int = 3
     probation_score: float = 3.0
--- a/tests/unit/decisions/test_domains.py
+++ b/tests/unit/decisions/test_domains.py
@@ -8,7 +8,7 @@
 from nutmegknot._internal.models import requests
 
 SMALL = builders.make_size(1)
-POLICY = policies.Policy(drain_ms=10_000, ramp_ms=10_000)
+POLICY = policies.Policy(drain_ms=10_000, finish_ms=10_000, ramp_ms=10_000)
 
 
 def close(sched: scheduling.Scheduler, closed: bool) -> None:
