Let urgent requests preempt on workers that others have reserved

Change: a reservation keeps urgent requests out only if it is of an urgent request; otherwise it is dropped, and made anew elsewhere.

Conclusion: reservations are for those that wait, not against urgent work.

--- a/src/nutmegknot/_internal/decisions/preemption.py
+++ b/src/nutmegknot/_internal/decisions/preemption.py
@@ -182,7 +182,7 @@
     best = None
     best_cost = 0.0
     for worker_id in names:
-        if worker_id in sched.earmarks:
+        if _is_kept_for_urgent(sched, worker_id):
             continue
         if not resources.fits(size, sched.machines[worker_id].capacity):
             continue
@@ -196,6 +196,14 @@
     return best
 
 
+def _is_kept_for_urgent(sched: states.Scheduler, worker_id: str) -> bool:
+    """Tells whether a worker is reserved for another urgent request."""
+    owner = sched.waiting.get(sched.earmarks.get(worker_id, ''))
+    if owner is None:
+        return False
+    return owner.req.priority is requests.PriorityClass.URGENT
+
+
 def _find_cheapest(
     sched: states.Scheduler,
     worker_id: str,
--- a/src/nutmegknot/_internal/decisions/scheduling.py
+++ b/src/nutmegknot/_internal/decisions/scheduling.py
@@ -199,14 +199,27 @@
     decisions += preemption.preempt_for_urgent(
         sched,
         now_ms,
-        lambda worker_id, key, size: reservations.earmark(
-            sched, key, {worker_id: size}, now_ms, now_ms
+        lambda worker_id, key, size: _earmark_urgent(
+            sched, worker_id, key, size, now_ms
         ),
     )
     decisions += preemption.preempt_for_shares(sched, now_ms)
     return decisions
 
 
+def _earmark_urgent(
+    sched: Scheduler,
+    worker_id: str,
+    request_key: str,
+    size: resources.Resources,
+    now_ms: int,
+) -> None:
+    """Keeps a worker for an urgent request, whoever had reserved it."""
+    reservations.drop(sched, sched.earmarks.get(worker_id, ''))
+    rooms = {worker_id: size}
+    reservations.earmark(sched, request_key, rooms, now_ms, now_ms)
+
+
 def _check(sched: Scheduler, now_ms: int) -> None:
     """Does what depends on time only, once a second."""
     needed = sched.queue.accelerated + sched.used.accelerators
--- a/tests/unit/decisions/test_preemption.py
+++ b/tests/unit/decisions/test_preemption.py
@@ -44,6 +44,24 @@
         assert scheduling.decide(sched, now_ms) == []
 
 
+def test_urgent_request_takes_a_worker_that_is_reserved() -> None:
+    sched = builders.make_scheduler(
+        builders.make_worker('p'), policy=policies.Policy(reserve_after_ms=0)
+    )
+    builders.put(sched, builders.make_given(1, builders.make_size(8)))
+    scheduling.decide(sched, 0)
+    builders.put(sched, builders.make_given(2, builders.make_size(8)))
+    scheduling.decide(sched, 1_000)
+    scheduling.decide(sched, 2_000)
+    assert list(sched.reservations) == ['a/2']
+    builders.put(sched, builders.make_given(3, SIZE, 3_000, priority=URGENT))
+    decisions = scheduling.decide(sched, 4_000)
+    assert decisions == [scheduling.Preempt('a/1', 'urgent')]
+    builders.end(sched, 'a/1')
+    placed = builders.list_placed(scheduling.decide(sched, 4_500))
+    assert placed[0] == 'a/3'
+
+
 def test_urgent_request_waits_for_the_shortest_run_time() -> None:
     sched = builders.make_scheduler(
         builders.make_worker('p'), policy=policies.Policy(min_run_ms=5_000)
