--- a/src/nutmegknot/_internal/instance/inspecting.py
+++ b/src/nutmegknot/_internal/instance/inspecting.py
@@ -53,8 +53,9 @@
         found.fleet = entry.fleet
         found.attempt = entry.attempt
         found.workers.extend(entry.workers)
-        if entry.accepting is not None:
-            found.held_by = 'acceptance: it is still being written'
+    elif call.request_key in ledger.accepting:
+        found.state = 'queued'
+        found.held_by = 'acceptance: it is still being written'
     return inspect_pb2.FindJobReply(found=found)
 
 
--- a/src/nutmegknot/_internal/instance/ports.py
+++ b/src/nutmegknot/_internal/instance/ports.py
@@ -4,6 +4,7 @@
 
 from nutmegknot._internal.instance import entry
 from nutmegknot._internal.instance import fleet_calls
+from nutmegknot._internal.instance import forwarding
 from nutmegknot._internal.instance import inspecting
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import ledger_calls
@@ -85,12 +86,14 @@
     inst: instances.Instance,
 ) -> dict[str, services.Handle]:
     """Returns the function of each method of the ledger interface."""
+    answer = forwarding.answer_ledger
     return {
-        'Submit': functools.partial(ledger_calls.submit, inst),
-        'Wait': functools.partial(ledger_calls.wait, inst),
-        'Cancel': functools.partial(ledger_calls.cancel, inst),
-        'Describe': functools.partial(ledger_calls.describe, inst),
+        'Submit': functools.partial(forwarding.answer_submit, inst),
+        'Wait': functools.partial(answer, inst, ledger_calls.wait),
+        'Cancel': functools.partial(answer, inst, ledger_calls.cancel),
+        'Describe': functools.partial(answer, inst, ledger_calls.describe),
         'Report': functools.partial(ledger_calls.report, inst),
+        'Begin': functools.partial(ledger_calls.begin, inst),
     }
 
 
--- a/src/nutmegknot/_internal/instance/running.py
+++ b/src/nutmegknot/_internal/instance/running.py
@@ -162,6 +162,7 @@
     await exposing.drain(inst)
     view = inst.membership.view
     view.stopping = True
+    inst.stop_began.set()
     leases.begin_leaving(inst.membership)
     signals.notify(view.changed)
     logger.info('stopping', extra={'id': view.me.id})
