List and verify the history by commands

Cause: the chains of the ledger partitions and of the configuration's changes could be followed by code only. Change: audit list by request, team and time, or of the configuration's changes; audit verify from each owner's last segment and from the present revision; exit code 15 for damage. Verification runs in the loop of the instance that is asked, and reads all archives; it has not been tried on a long history.

--- a/src/nutmegknot/_internal/cli/exit_codes.py
+++ b/src/nutmegknot/_internal/cli/exit_codes.py
@@ -21,5 +21,6 @@
     MAY_HAVE_RUN = 12
     CANCELLED = 13
     NOT_ALLOWED = 14
+    DAMAGED = 15
     BAD_USAGE = 64
     BROKEN_INVARIANT = 70
--- a/src/nutmegknot/_internal/commands/cell_arguments.py
+++ b/src/nutmegknot/_internal/commands/cell_arguments.py
@@ -167,6 +167,72 @@
     ]
 
 
+@cappa.command(
+    name='list',
+    help='List steps of requests, or changes of the configuration.',
+    description=(
+        'Example: nutmegknot audit list --request sheets/sheet-17 --output json'
+    ),
+)
+@dataclasses.dataclass(slots=True, kw_only=True)
+class AuditList(options.OperatorOptions):
+    """List steps of requests.
+
+    Attributes:
+      request: Team and identifier, 'TEAM/ID'; '' for all.
+      team: Only this team's; '' for all.
+      since: Earliest instant, ISO 8601; '' for no bound.
+      until: Instant before which a step was taken; '' for no bound.
+      changes: Whether changes of the configuration are listed instead.
+      most: The most lines.
+    """
+
+    request: Annotated[
+        str, cappa.Arg(long='--request', help='One request, TEAM/ID.')
+    ] = ''
+    team: Annotated[str, cappa.Arg(long='--team', help="Only this team's.")] = (
+        ''
+    )
+    since: Annotated[
+        str,
+        cappa.Arg(long='--since', help='Not before this, 2026-01-31T08:00Z.'),
+    ] = ''
+    until: Annotated[
+        str, cappa.Arg(long='--until', help='Before this instant.')
+    ] = ''
+    changes: Annotated[
+        bool,
+        cappa.Arg(
+            long='--changes', help='Changes of the configuration instead.'
+        ),
+    ] = False
+    most: Annotated[
+        int, cappa.Arg(long='--most', help='Most lines, up to 10000.')
+    ] = 100
+
+
+@cappa.command(
+    name='verify',
+    help='Look for changed or missing records.',
+    description='Example: nutmegknot audit verify',
+)
+@dataclasses.dataclass(slots=True, kw_only=True)
+class AuditVerify(options.OperatorOptions):
+    """Look for changed or missing records."""
+
+
+@cappa.command(name='audit', help='History of requests and configurations.')
+@dataclasses.dataclass(slots=True)
+class Audit:
+    """Commands on the history.
+
+    Attributes:
+      command: The command given.
+    """
+
+    command: cappa.Subcommands[AuditList | AuditVerify]
+
+
 @cappa.command(
     name='dump',
     help='Print the state of an instance as JSON.',
--- a/src/nutmegknot/_internal/commands/registry.py
+++ b/src/nutmegknot/_internal/commands/registry.py
@@ -80,6 +80,7 @@
         | cell_arguments.Job
         | cell_arguments.Config
         | cell_arguments.Apply
+        | cell_arguments.Audit
         | cell_arguments.Dump
     ]
 
@@ -113,6 +114,8 @@
     cell_arguments.JobList: ('job', 'list_jobs'),
     cell_arguments.ConfigShow: ('config', 'show_config'),
     cell_arguments.Apply: ('apply', 'apply_file'),
+    cell_arguments.AuditList: ('audit', 'list_audit'),
+    cell_arguments.AuditVerify: ('audit', 'verify_audit'),
     cell_arguments.Dump: ('dump', 'print_dump'),
 }
 
--- a/src/nutmegknot/_internal/instance/inspecting.py
+++ b/src/nutmegknot/_internal/instance/inspecting.py
@@ -128,6 +128,17 @@
     return inspect_pb2.ShowLoadReply(load=load)
 
 
+async def show_head(
+    inst: instances.Instance, call: inspect_pb2.ShowHeadCall, wait_ms: int
+) -> inspect_pb2.ShowHeadReply:
+    """Returns the place in its chain that an owned ledger has reached."""
+    ledger = inst.ledgers.get(call.partition)
+    if ledger is None:
+        return inspect_pb2.ShowHeadReply(not_owner=_refuse(call.partition))
+    last = ledger.journal.last
+    return inspect_pb2.ShowHeadReply(sequence=last.sequence, hash=last.hash)
+
+
 async def explain(
     inst: instances.Instance, call: operator_pb2.ExplainCall, wait_ms: int
 ) -> operator_pb2.ExplainReply:
@@ -136,7 +147,7 @@
     count = inst.settings.cell.ledger_partitions
     partition = hashing.choose_ledger(key, count)
     ask = inspect_pb2.FindJobCall(partition=partition, request_key=key)
-    reply = await _ask_owner(inst, 'FindJob', ask, wait_ms)
+    reply = await ask_owner(inst, 'FindJob', ask, wait_ms)
     if reply is None:
         held_by = f'the owner of {partition} is not reached'
         return operator_pb2.ExplainReply(state='unreached', held_by=held_by)
@@ -146,7 +157,7 @@
     holder_call = inspect_pb2.FindHolderCall(
         partition=found.fleet, request_key=key
     )
-    holder = await _ask_owner(inst, 'FindHolder', holder_call, wait_ms)
+    holder = await ask_owner(inst, 'FindHolder', holder_call, wait_ms)
     if holder is None:
         found.held_by = f'takeover: the owner of {found.fleet} is not reached'
     else:
@@ -199,11 +210,11 @@
 async def _ask_owners(
     inst: instances.Instance, method: str, calls: list[Any], wait_ms: int
 ) -> list[Any]:
-    asked = [_ask_owner(inst, method, call, wait_ms) for call in calls]
+    asked = [ask_owner(inst, method, call, wait_ms) for call in calls]
     return await asyncio.gather(*asked)
 
 
-async def _ask_owner(
+async def ask_owner(
     inst: instances.Instance,
     method: str,
     call: Any,  # noqa: ANN401 - any call with a partition
@@ -254,4 +265,5 @@
     'FindHolder': find_holder,
     'ListPartitionJobs': list_partition_jobs,
     'ShowLoad': show_load,
+    'ShowHead': show_head,
 }
--- a/src/nutmegknot/_internal/instance/operators.py
+++ b/src/nutmegknot/_internal/instance/operators.py
@@ -8,6 +8,7 @@
 from nutmegknot._internal.codec import configurations
 from nutmegknot._internal.configuration import changes
 from nutmegknot._internal.configuration import keys
+from nutmegknot._internal.instance import auditing
 from nutmegknot._internal.instance import authority
 from nutmegknot._internal.instance import dumps
 from nutmegknot._internal.instance import inspecting
@@ -31,6 +32,8 @@
         'Explain': inspecting.explain,
         'ListJobs': inspecting.list_jobs,
         'PreviewDomain': inspecting.preview_domain,
+        'ListAudit': auditing.list_audit,
+        'VerifyAudit': auditing.verify_audit,
     }
     return {
         name: _guard(inst, functools.partial(function, inst))
--- a/src/nutmegknot/_internal/schema/inspect_grpc.py
+++ b/src/nutmegknot/_internal/schema/inspect_grpc.py
@@ -32,6 +32,10 @@
     async def ShowLoad(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.inspect_pb2.ShowLoadCall, nutmegknot._internal.schema.inspect_pb2.ShowLoadReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ShowHead(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.inspect_pb2.ShowHeadCall, nutmegknot._internal.schema.inspect_pb2.ShowHeadReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/nutmegknot.v1.Inspect/FindJob': grpclib.const.Handler(
@@ -58,6 +62,12 @@
                 nutmegknot._internal.schema.inspect_pb2.ShowLoadCall,
                 nutmegknot._internal.schema.inspect_pb2.ShowLoadReply,
             ),
+            '/nutmegknot.v1.Inspect/ShowHead': grpclib.const.Handler(
+                self.ShowHead,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                nutmegknot._internal.schema.inspect_pb2.ShowHeadCall,
+                nutmegknot._internal.schema.inspect_pb2.ShowHeadReply,
+            ),
         }
 
 
@@ -88,3 +98,9 @@
             nutmegknot._internal.schema.inspect_pb2.ShowLoadCall,
             nutmegknot._internal.schema.inspect_pb2.ShowLoadReply,
         )
+        self.ShowHead = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/nutmegknot.v1.Inspect/ShowHead',
+            nutmegknot._internal.schema.inspect_pb2.ShowHeadCall,
+            nutmegknot._internal.schema.inspect_pb2.ShowHeadReply,
+        )
--- a/src/nutmegknot/_internal/schema/operator_grpc.py
+++ b/src/nutmegknot/_internal/schema/operator_grpc.py
@@ -40,6 +40,14 @@
     async def PreviewDomain(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.operator_pb2.PreviewDomainCall, nutmegknot._internal.schema.operator_pb2.PreviewDomainReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ListAudit(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.operator_pb2.ListAuditCall, nutmegknot._internal.schema.operator_pb2.ListAuditReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def VerifyAudit(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.operator_pb2.VerifyAuditCall, nutmegknot._internal.schema.operator_pb2.VerifyAuditReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/nutmegknot.v1.Operator/GetConfiguration': grpclib.const.Handler(
@@ -78,6 +86,18 @@
                 nutmegknot._internal.schema.operator_pb2.PreviewDomainCall,
                 nutmegknot._internal.schema.operator_pb2.PreviewDomainReply,
             ),
+            '/nutmegknot.v1.Operator/ListAudit': grpclib.const.Handler(
+                self.ListAudit,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                nutmegknot._internal.schema.operator_pb2.ListAuditCall,
+                nutmegknot._internal.schema.operator_pb2.ListAuditReply,
+            ),
+            '/nutmegknot.v1.Operator/VerifyAudit': grpclib.const.Handler(
+                self.VerifyAudit,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                nutmegknot._internal.schema.operator_pb2.VerifyAuditCall,
+                nutmegknot._internal.schema.operator_pb2.VerifyAuditReply,
+            ),
         }
 
 
@@ -120,3 +140,15 @@
             nutmegknot._internal.schema.operator_pb2.PreviewDomainCall,
             nutmegknot._internal.schema.operator_pb2.PreviewDomainReply,
         )
+        self.ListAudit = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/nutmegknot.v1.Operator/ListAudit',
+            nutmegknot._internal.schema.operator_pb2.ListAuditCall,
+            nutmegknot._internal.schema.operator_pb2.ListAuditReply,
+        )
+        self.VerifyAudit = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/nutmegknot.v1.Operator/VerifyAudit',
+            nutmegknot._internal.schema.operator_pb2.VerifyAuditCall,
+            nutmegknot._internal.schema.operator_pb2.VerifyAuditReply,
+        )
