--- a/src/nutmegknot/_internal/instance/dumps.py
+++ b/src/nutmegknot/_internal/instance/dumps.py
@@ -69,11 +69,20 @@
             'workers': list(entry.workers),
             'cancelled': entry.cancelled,
             'outcome': type(entry.outcome).__name__ if entry.outcome else '',
+            'failures': entry.failures,
+            'started': entry.started,
+            'writing': [
+                name
+                for name in ('starting', 'ending', 'cancelling')
+                if getattr(entry, name) is not None
+            ],
         }
     return {
         'epoch': ledger.epoch,
         'sequence': ledger.journal.last.sequence,
         'open': sum(e.outcome is None for e in ledger.entries.values()),
+        'accepting': sorted(ledger.accepting),
+        'waiting_bytes': ledger.journal.waiting_bytes,
         'unsent': {n: sorted(keys) for n, keys in ledger.unsent.items()},
         'entries': entries,
     }
