--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import logging
+import random
 
+from nutmegknot._internal.codec import policies as policy_codec
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import dispatching
@@ -11,19 +13,20 @@
 from nutmegknot._internal.fleet import jobs
 from nutmegknot._internal.fleet import listing
 from nutmegknot._internal.fleet import reporting as fleet_reporting
-from nutmegknot._internal.instance import assigning
 from nutmegknot._internal.instance import authority
 from nutmegknot._internal.instance import instances
-from nutmegknot._internal.instance import replicas
+from nutmegknot._internal.instance import ledger_opening
+from nutmegknot._internal.instance import measuring
 from nutmegknot._internal.instance import reporting
 from nutmegknot._internal.instance import routing
 from nutmegknot._internal.ledger import journals
 from nutmegknot._internal.ledger import ledgers
-from nutmegknot._internal.membership import leases
 from nutmegknot._internal.membership import owning
+from nutmegknot._internal.membership import rows
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import reports
 from nutmegknot._internal.platform import tables
+from nutmegknot._internal.telemetry import metrics
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
@@ -87,9 +90,10 @@
 
 async def open_partition(inst: instances.Instance, name: str) -> None:
     """Starts to serve an owned partition under an epoch not served before."""
+    metrics.count(inst.metrics.takeovers, name.partition('-')[0])
     inst.opened[name] = views.get_epoch(inst.membership.view, name)
     if name.startswith('ledger-'):
-        await _open_ledger(inst, name)
+        await ledger_opening.open_ledger(inst, name, get_fence(inst, name))
     else:
         _open_fleet(inst, name)
 
@@ -97,42 +101,7 @@
 def get_fence(inst: instances.Instance, name: str) -> tables.Condition:
     """Returns the condition that a partition still has this owner."""
     version = inst.membership.view.owner_versions[name]
-    return tables.Condition(leases.get_owner_key(name), version)
-
-
-async def _open_ledger(inst: instances.Instance, name: str) -> None:
-    view = inst.membership.view
-    epoch = views.get_epoch(view, name)
-    journal = journals.Journal(name, epoch, get_fence(inst, name))
-    context = journals.Context(
-        inst.platform.table,
-        inst.rng,
-        inst.settings.ledger.commit_ms,
-        inst.settings.platform.timeout_ms,
-    )
-    found = await journals.recover(journal, context)
-    if isinstance(found, tables.Unavailable):
-        await owning.release(inst.membership, name)
-        return
-    ledger = ledgers.Ledger(name, epoch, journal)
-    for record in found:
-        ledgers.apply_record(ledger, record)
-    part = tasks.Tasks(broken=inst.tasks.broken)
-    inst.ledgers[name] = ledger
-    inst.part_tasks[name] = part
-    tasks.spawn(part, journals.keep_writing(journal, context), f'write {name}')
-    tasks.spawn(part, replicas.keep_services(inst, ledger), f'keep {name}')
-    for fleet in owning.list_partitions(inst.settings):
-        if fleet.startswith('fleet-'):
-            tasks.spawn(
-                part,
-                assigning.keep_assigning(inst, ledger, fleet),
-                f'assign {name} {fleet}',
-            )
-    logger.info(
-        'ledger_opened',
-        extra={'partition': name, 'epoch': epoch, 'entries': len(found)},
-    )
+    return tables.Condition(rows.get_owner_key(name), version)
 
 
 def _open_fleet(inst: instances.Instance, name: str) -> None:
@@ -143,7 +112,12 @@
         epoch=views.get_epoch(view, name),
         domain=domain,
         number=int(name.rpartition('-')[2]),
-        scheduler=scheduling.Scheduler(domain, view.configuration),
+        scheduler=scheduling.Scheduler(
+            domain,
+            view.configuration,
+            policy=policy_codec.decode_policy(inst.settings.decisions),
+            rng=random.Random(inst.settings.decisions.seed),
+        ),
     )
     part = tasks.Tasks(broken=inst.tasks.broken)
     context = _make_fleet_context(inst, fleet, part)
@@ -169,7 +143,10 @@
     inst: instances.Instance, fleet: fleets.Fleet, part: tasks.Tasks
 ) -> contexts.Context:
     async def send_reports(ledger: str, given: list[reports.Report]) -> bool:
-        return await reporting.send_reports(inst, ledger, given)
+        is_durable = await reporting.send_reports(inst, ledger, given)
+        if is_durable:
+            measuring.note_reports(inst, fleet, given)
+        return is_durable
 
     return contexts.Context(
         clock=inst.clock,
@@ -222,6 +199,7 @@
 ) -> None:
     """Waits until nothing is left to be written, but not for long."""
     del inst.ledgers[ledger.name]
+    signals.notify(inst.membership.view.routes)
     until_ms = inst.clock.now_ms() + FLUSH_MS
     while inst.clock.now_ms() < until_ms and journals.is_busy(ledger.journal):
         await asyncio.sleep(clock_lib.to_seconds(FLUSH_STEP_MS))
@@ -250,6 +228,7 @@
     """Stops serving a partition at once."""
     inst.ledgers.pop(name, None)
     inst.fleets.pop(name, None)
+    signals.notify(inst.membership.view.routes)
     part = inst.part_tasks.pop(name, None)
     if part is not None:
         await tasks.cancel_all(part)
--- a/src/nutmegknot/_internal/models/loads.py
+++ b/src/nutmegknot/_internal/models/loads.py
@@ -31,6 +31,7 @@
       shapes: Its workers by capacity, the largest capacity first.
       queued: What waits, by priority class.
       usage: What each team holds, by team.
+      services: Replicas that run or wait there, by service.
     """
 
     partition: str
@@ -49,6 +50,7 @@
     usage: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
+    services: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from nutmegknot._internal.platform import objects
 from nutmegknot._internal.platform import tables
 
 
@@ -18,7 +19,8 @@
       rows: Rows by key.
       last_version: Highest version given.
       faults: What happens to the next transactions, first one first:
-        'down' (nothing is done), 'lost' (done, but the answer is lost), 'late'
+        'down' (nothing is done), 'lost' (done, but the answer is lost), 'gone'
+        (not done, and the answer is lost), 'late'
         (the answer is lost, and it is done when apply_late says so), 'slow'
         (done, and the answer takes time) or ''.
       is_down: Whether nothing gets through.
@@ -50,6 +52,8 @@
         if fault == 'late':
             fake.late.append(transaction)
             return tables.Uncertain('late')
+        if fault == 'gone':
+            return tables.Uncertain('gone')
         result = _transact(fake, transaction)
         if fault == 'slow':
             fake.spend()
@@ -92,3 +96,46 @@
     read = {k: fake.rows[k] for k in transaction.reads if k in fake.rows}
     fake.rows_read += len(read)
     return tables.Committed(versions, read)
+
+
+@dataclasses.dataclass(slots=True)
+class FakeObjects:
+    """An object store in memory whose next answers can be spoilt.
+
+    Attributes:
+      contents: Contents by name.
+      faults: What happens to the next writes and deletions, as in FakeTable.
+    """
+
+    contents: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    faults: list[str] = dataclasses.field(default_factory=list)
+
+
+def connect_objects(fake: FakeObjects) -> objects.Objects:
+    """Returns access to a fake object store."""
+
+    def answer(fault: str) -> objects.PutResult:
+        if fault == 'lost':
+            return tables.Uncertain('lost')
+        return objects.Stored()
+
+    async def put(
+        name: str, value: bytes, timeout_ms: int
+    ) -> objects.PutResult:
+        fault = fake.faults.pop(0) if fake.faults else ''
+        if fault == 'down':
+            return tables.Unavailable('down')
+        fake.contents[name] = value
+        return answer(fault)
+
+    async def get(name: str, timeout_ms: int) -> objects.GetResult:
+        return fake.contents.get(name, objects.Missing())
+
+    async def delete(name: str, timeout_ms: int) -> objects.DeleteResult:
+        fault = fake.faults.pop(0) if fake.faults else ''
+        if fault == 'down':
+            return tables.Unavailable('down')
+        fake.contents.pop(name, None)
+        return answer(fault)
+
+    return objects.Objects(put, get, delete)
--- a/tests/lib/members.py
+++ b/tests/lib/members.py
@@ -18,9 +18,9 @@
     region = "r"
     domain = "d"
     [platform]
-    table_url = "t"
-    objects_url = "o"
-    fleet_url = "f"
+    table_url = "http://127.0.0.1:1"
+    objects_url = "http://127.0.0.1:1"
+    fleet_url = "http://127.0.0.1:1"
     [cell]
     ledger_partitions = 2
     domains = ["r/d"]
