--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -20,7 +20,7 @@
 
 from benchmarks import loads
 from benchmarks import probes
-from nutmegknot._internal.instance import entry
+from nutmegknot._internal.configuration import keys
 from nutmegknot._internal.models import cells
 from nutmegknot._internal.models import workers
 from nutmegknot_standins import control_pb2
@@ -266,7 +266,7 @@
 def make_configuration() -> cells.Configuration:
     """Returns the tests' configuration with a second key."""
     config = worlds.make_configuration()
-    digest = entry.compute_digest(worlds.SECRET)
+    digest = keys.compute_digest(worlds.SECRET)
     key = cells.Key(SECOND_KEY, worlds.TEAM, digest)
     return dataclasses.replace(config, keys={**config.keys, SECOND_KEY: key})
 
--- a/tests/functional/steps/failures.py
+++ b/tests/functional/steps/failures.py
@@ -89,25 +89,33 @@
     worlds.run(world, cut())
 
 
+def spoil_workers(
+    world: worlds.World,
+    prefix: str,
+    kind: control_pb2.FaultKind,
+    delay_ms: int = 0,
+    caller: str = '',
+) -> None:
+    """Puts a fault of some workers in force until it is mended."""
+    fault = processes.add_fault(
+        world.cluster,
+        part='worker',
+        prefix=prefix,
+        kind=kind,
+        delay_ms=delay_ms,
+        caller=caller,
+    )
+    worlds.run(world, fault)
+
+
 @pytest_bdd.when(
     parsers.parse('no call of its owner reaches the busiest worker')
 )
 def cut_worker(world: worlds.World) -> None:
     """Lets no call of the worker's present owner reach it."""
-
-    worker = find_busiest(world)
-
-    async def cut() -> None:
-        victim = await find_victim(world, 'fleet')
-        await processes.add_fault(
-            world.cluster,
-            part='worker',
-            prefix=worker,
-            kind=control_pb2.FAULT_KIND_CUT,
-            caller=victim.name,
-        )
-
-    worlds.run(world, cut())
+    kind = control_pb2.FAULT_KIND_CUT
+    owner = worlds.run(world, find_victim(world, 'fleet'))
+    spoil_workers(world, find_busiest(world), kind, caller=owner.name)
 
 
 @pytest_bdd.when(
@@ -115,16 +123,8 @@
 )
 def delay_calls(world: worlds.World, delay_ms: int) -> None:
     """Lets calls to a worker take effect too late for an answer in time."""
-    worlds.run(
-        world,
-        processes.add_fault(
-            world.cluster,
-            part='worker',
-            prefix=find_busiest(world),
-            kind=control_pb2.FAULT_KIND_LATE,
-            delay_ms=delay_ms,
-        ),
-    )
+    kind = control_pb2.FAULT_KIND_LATE
+    spoil_workers(world, find_busiest(world), kind, delay_ms)
 
 
 @pytest_bdd.when(parsers.parse('the busiest worker is {action}'))
@@ -132,9 +132,7 @@
     """Changes the state of a worker."""
     actions = {
         'leaving': control_pb2.WORKER_ACTION_LEAVE,
-        'killed': control_pb2.WORKER_ACTION_KILL,
         'rebooted': control_pb2.WORKER_ACTION_REBOOT,
-        'failing everything': control_pb2.WORKER_ACTION_FAIL_ALL,
     }
     worker = find_busiest(world)
     change = control_pb2.WorkerChange(worker=worker, action=actions[action])
@@ -161,16 +159,8 @@
 )
 def delay_workers(world: worlds.World, delay_ms: int) -> None:
     """Delays the answers of the workers of one failure domain."""
-    worlds.run(
-        world,
-        processes.add_fault(
-            world.cluster,
-            part='worker',
-            prefix='east',
-            kind=control_pb2.FAULT_KIND_SLOW,
-            delay_ms=delay_ms,
-        ),
-    )
+    kind = control_pb2.FAULT_KIND_SLOW
+    spoil_workers(world, processes.DOMAINS[0], kind, delay_ms)
 
 
 @pytest_bdd.when('the faults are mended')
--- a/tests/lib/worlds.py
+++ b/tests/lib/worlds.py
@@ -10,7 +10,7 @@
 from lib import processes
 
 from nutmegknot._internal.codec import configurations
-from nutmegknot._internal.instance import entry
+from nutmegknot._internal.configuration import keys
 from nutmegknot._internal.models import cells
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
@@ -92,7 +92,7 @@
     """Returns one team with a key, a queue and an open queue."""
     return cells.Configuration(
         teams={TEAM: cells.Team(TEAM, 1.0, WIDE)},
-        keys={KEY_ID: cells.Key(KEY_ID, TEAM, entry.compute_digest(SECRET))},
+        keys={KEY_ID: cells.Key(KEY_ID, TEAM, keys.compute_digest(SECRET))},
         queues={
             'batch': cells.Queue('batch'),
             'public': cells.Queue('public', open_team=TEAM),
