Divide upper limits in units that let a request start

Cause: a partition whose demand had ended kept its old demand in the grant row, and the part of one with few requests left was rounded down to nothing, so that 1 or more of 150 requests waited for good at a limit of 15 slots. Two modules divided limits. Change: the fleet uses the escrow of the decisions, which deals out whole requests; a standing is written when it has changed by a factor of two while something is lacking. The new test of a last waiting request failed until a lacking grant made a standing due.

--- a/src/nutmegknot/_internal/decisions/grants.py
+++ b/src/nutmegknot/_internal/decisions/grants.py
@@ -4,9 +4,9 @@
 granted. A partition places only within its own grant, so the team stays
 within its limit as long as the grants add up to no more.
 
-Every partition computes the same proposal from the same rows, but writes only
-its own row: lowering its grant takes effect in the partition before the
-row is written, raising it only after. `step_grant` gives the value to write.
+Every partition keeps its own standing in the team's row and changes no other.
+`choose_standing` gives the one to write: lowering its grant takes effect in
+the partition before the row is written, raising it only after.
 """
 
 from collections.abc import Mapping
@@ -103,6 +103,81 @@
     return resources.take_least(proposed[name], room)
 
 
+def choose_standing(
+    limit: resources.Resources,
+    standings: Mapping[str, Standing],
+    name: str,
+    present: Standing,
+) -> Standing:
+    """Returns the standing that a partition may write for itself now.
+
+    Args:
+      limit: The team's upper limit in the whole fleet.
+      standings: The present row, by partition.
+      name: The partition.
+      present: What it has now; its granted part is left out.
+
+    Returns:
+      The standing with its next grant. What is held stays granted, so that
+      nobody else takes it before it is freed.
+    """
+    granted = standings.get(name, Standing()).granted
+    mine = dataclasses.replace(present, granted=granted)
+    changed = {**standings, name: mine}
+    proposed = propose_grants(limit, changed)
+    rows = {key: one.granted for key, one in changed.items()}
+    step = step_grant(name, proposed, rows, limit)
+    return dataclasses.replace(
+        mine, granted=resources.take_most(step, mine.held)
+    )
+
+
+def choose_bound(
+    limit: resources.Resources, standings: Mapping[str, Standing], name: str
+) -> resources.Resources:
+    """Returns the most that a partition may start up to.
+
+    This is its grant, and less while a lowered limit is exceeded: then every
+    partition comes down in proportion to its grant.
+    """
+    granted = standings.get(name, Standing()).granted
+    total = _add_all([one.granted for one in standings.values()])
+    return _scale_by(granted, limit, total)
+
+
+def is_due(
+    limit: resources.Resources,
+    standings: Mapping[str, Standing],
+    name: str,
+    chosen: Standing,
+) -> bool:
+    """Tells whether a chosen standing is worth a write.
+
+    Grants are written when they move. What a partition wants is written only
+    while the limit is short or its grant is lacking, and when it has changed by
+    a factor of two, as the others then decide on it.
+    """
+    present = standings.get(name, Standing())
+    if chosen.granted != present.granted:
+        return True
+    before = _get_wanted(present)
+    after = _get_wanted(chosen)
+    wanted = [_get_wanted(one) for one in standings.values()]
+    is_short = not resources.fits(_add_all(wanted), limit)
+    if resources.fits(after, chosen.granted) and not is_short:
+        return False
+    return not (_is_double(before, after) and _is_double(after, before))
+
+
+def _get_wanted(one: Standing) -> resources.Resources:
+    return resources.add(one.held, one.demand)
+
+
+def _is_double(left: resources.Resources, right: resources.Resources) -> bool:
+    """Tells whether left is at most twice right."""
+    return resources.fits(left, resources.multiply(right, 2))
+
+
 def _compute_targets(
     limit: resources.Resources, standings: Mapping[str, Standing]
 ) -> dict[str, resources.Resources]:
--- a/src/nutmegknot/_internal/decisions/holdings.py
+++ b/src/nutmegknot/_internal/decisions/holdings.py
@@ -202,6 +202,17 @@
     return dict(sched.queue.demand)
 
 
+def compute_units(sched: states.Scheduler) -> dict[str, resources.Resources]:
+    """Returns each team's largest waiting request in every resource."""
+    units: dict[str, resources.Resources] = {}
+    for line in sched.queue.lines.values():
+        for shape in line.parts:
+            whole = resources.multiply(shape.size, shape.members)
+            before = units.get(line.team, resources.NOTHING)
+            units[line.team] = resources.take_most(before, whole)
+    return units
+
+
 def is_granted(
     sched: states.Scheduler, team: str, amount: resources.Resources
 ) -> bool:
--- a/src/nutmegknot/_internal/decisions/scheduling.py
+++ b/src/nutmegknot/_internal/decisions/scheduling.py
@@ -37,6 +37,7 @@
 release = holdings.release
 compute_usage = holdings.compute_usage
 compute_demand = holdings.compute_demand
+compute_units = holdings.compute_units
 set_fleet_usage = shares.set_fleet_usage
 explain = explanations.explain
 
--- a/src/nutmegknot/_internal/fleet/granting.py
+++ b/src/nutmegknot/_internal/fleet/granting.py
@@ -5,10 +5,10 @@
 import logging
 
 from nutmegknot._internal.codec import grants as grant_codec
+from nutmegknot._internal.decisions import grants
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import fleets
-from nutmegknot._internal.fleet import grants
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import table_pb2
@@ -33,7 +33,7 @@
 
     Attributes:
       version: Version of the row, ABSENT if there is none.
-      present: Grants by fleet partition.
+      present: Standings by fleet partition.
       doubtful: The lower bound of this partition's amount while the answer to
         a write is lost, or None.
       next_ms: Monotonic instant in ms before which the row is left alone.
@@ -41,7 +41,7 @@
     """
 
     version: int
-    present: grants.Grants
+    present: grant_codec.Standings
     backoff: retries.Backoff
     doubtful: resources.Resources | None = None
     next_ms: int = 0
@@ -106,7 +106,7 @@
         return
     grant.version = row.version
     message = table_pb2.GrantRow.FromString(row.value)
-    grant.present = grant_codec.decode_grants(message)
+    grant.present = grant_codec.decode_standings(message)
 
 
 def put_in_force(fleet: fleets.Fleet, state: Granting) -> None:
@@ -131,11 +131,14 @@
     """Writes each team's grant that is due, as one transaction each."""
     usage = scheduling.compute_usage(fleet.scheduler)
     demand = scheduling.compute_demand(fleet.scheduler)
+    units = scheduling.compute_units(fleet.scheduler)
     for name in sorted(fleet.scheduler.configuration.teams):
-        held = usage.get(name, resources.NOTHING)
-        waiting = demand.get(name, resources.NOTHING)
-        wanted = resources.add(held, waiting)
-        await ask(fleet, context, state, name, wanted, held)
+        standing = grants.Standing(
+            held=usage.get(name, resources.NOTHING),
+            demand=demand.get(name, resources.NOTHING),
+            unit=units.get(name, resources.NOTHING),
+        )
+        await ask(fleet, context, state, name, standing)
 
 
 async def ask(
@@ -143,8 +146,7 @@
     context: contexts.Context,
     state: Granting,
     team: str,
-    wanted: resources.Resources,
-    held: resources.Resources = resources.NOTHING,
+    standing: grants.Standing,
 ) -> None:
     """Moves a team's grant if that is due.
 
@@ -153,18 +155,16 @@
       context: What its tasks work with.
       state: Grant rows as last known.
       team: The team.
-      wanted: What it holds here and what its waiting requests ask for.
-      held: What it holds here.
+      standing: What it holds and wants here; the granted part is not used.
     """
     grant = state.teams.get(team)
     if grant is None:
-        if wanted == resources.NOTHING:
+        if standing == grants.Standing():
             return
         grant = _make_grant(context, None)
         state.teams[team] = grant
     if context.clock.now_ms() >= grant.next_ms and context.may_act():
-        demand = grants.Demand(held, wanted)
-        await _move(fleet, context, team, grant, demand)
+        await _move(fleet, context, team, grant, standing)
 
 
 async def _move(
@@ -172,21 +172,17 @@
     context: contexts.Context,
     team: str,
     grant: TeamGrant,
-    wants: grants.Demand,
+    standing: grants.Standing,
 ) -> None:
     limit = fleet.scheduler.configuration.teams[team].limit
-    cell = context.settings.cell
-    partitions = len(cell.domains) * cell.domain_partitions
-    chosen = grants.choose_grant(
-        limit, grant.present, fleet.name, wants, partitions
-    )
+    chosen = grants.choose_standing(limit, grant.present, fleet.name, standing)
     is_due = grants.is_due(limit, grant.present, fleet.name, chosen)
     if grant.doubtful is not None or not is_due:
-        await _look_again(fleet, context, team, grant, wants)
+        await _look_again(fleet, context, team, grant, standing)
         return
     changed = grant.present | {fleet.name: chosen}
     key = f'{PREFIX}{team}'
-    content = grant_codec.encode_grants(team, changed).SerializeToString()
+    content = grant_codec.encode_standings(team, changed).SerializeToString()
     result = await context.table.transact(
         tables.Transaction(
             (tables.Condition(key, grant.version), context.get_fence()),
@@ -206,7 +202,7 @@
     fleet: fleets.Fleet,
     grant: TeamGrant,
     key: str,
-    changed: grants.Grants,
+    changed: grant_codec.Standings,
     result: tables.Result,
 ) -> None:
     match result:
@@ -219,9 +215,9 @@
                 _take_row(grant, row)
         case tables.Uncertain():
             present = grant.present.get(fleet.name)
-            before = resources.NOTHING if present is None else present.amount
+            before = resources.NOTHING if present is None else present.granted
             grant.doubtful = resources.take_least(
-                before, changed[fleet.name].amount
+                before, changed[fleet.name].granted
             )
 
 
@@ -230,14 +226,15 @@
     context: contexts.Context,
     team: str,
     grant: TeamGrant,
-    wants: grants.Demand,
+    standing: grants.Standing,
 ) -> None:
     """Reads the row of a team that lacks something or has something to spare.
 
     Others write into it what they lack, or take what is given back.
     """
-    present = grant.present.get(fleet.name, grants.NO_GRANT)
-    if grant.doubtful is None and present.amount == wants.wanted:
+    present = grant.present.get(fleet.name, grants.Standing())
+    wanted = resources.add(standing.held, standing.demand)
+    if grant.doubtful is None and present.granted == wanted:
         return
     key = f'{PREFIX}{team}'
     result = await context.table.transact(
--- a/tests/lib/targets.py
+++ b/tests/lib/targets.py
@@ -95,7 +95,9 @@
 async def _call(wire: Wire, name: str, token: int, **body: object) -> Answer:
     if wire.fault == 'cut':
         return tables.Unavailable('cut')
-    answer = await machines.CALLS[name](wire.machine, {'token': token} | body)
+    sent_ms = wire.machine.clock.wall_ms()
+    body |= {'token': token, 'sent_ms': sent_ms}
+    answer = await machines.CALLS[name](wire.machine, body)
     if wire.fault == 'deaf':
         return tables.Uncertain('deaf')
     if 'stale' in answer:
--- a/tests/unit/fleet/test_granting.py
+++ b/tests/unit/fleet/test_granting.py
@@ -1,4 +1,4 @@
-"""Tests of fleet/grants.py and granting.py: the sum never passes the limit."""
+"""Tests of fleet/granting.py: the sum of grants never passes the limit."""
 
 import asyncio
 import random
@@ -8,11 +8,11 @@
 from lib import fakes
 
 from nutmegknot._internal.codec import grants as grant_codec
+from nutmegknot._internal.decisions import grants
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import fleets
 from nutmegknot._internal.fleet import granting
-from nutmegknot._internal.fleet import grants
 from nutmegknot._internal.models import cells
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.platform import tables
@@ -24,6 +24,8 @@
 LIMIT = resources.Resources(100, 100, 10, 10)
 NAMES = ['fleet-a-0', 'fleet-b-0', 'fleet-c-0']
 
+UNIT = resources.Resources(10, 10, 1, 1)
+
 amounts = strategies.builds(
     resources.Resources,
     strategies.integers(0, 150),
@@ -42,14 +44,19 @@
 def test_chosen_grants_never_pass_the_limit(
     steps: list[tuple[str, resources.Resources]],
 ) -> None:
-    present: grants.Grants = {}
+    present: dict[str, grants.Standing] = {}
     for name, wanted in steps:
-        before = present.get(name, grants.NO_GRANT)
-        held = resources.take_least(before.amount, wanted)
-        demand = grants.Demand(held, wanted)
-        present[name] = grants.choose_grant(LIMIT, present, name, demand, 3)
-        assert resources.fits(grants.add_amounts(present), LIMIT)
-        assert resources.fits(held, present[name].amount)
+        before = present.get(name, grants.Standing()).granted
+        held = resources.take_least(before, wanted)
+        demand = resources.subtract(wanted, held)
+        standing = grants.Standing(held=held, demand=demand, unit=UNIT)
+        chosen = grants.choose_standing(LIMIT, present, name, standing)
+        present[name] = chosen
+        total = resources.NOTHING
+        for one in present.values():
+            total = resources.add(total, one.granted)
+        assert resources.fits(total, LIMIT)
+        assert resources.fits(held, chosen.granted)
 
 
 @hypothesis.settings(derandomize=True, deadline=None)
@@ -59,7 +66,7 @@
 def test_bounds_come_within_a_lowered_limit(
     held: dict[str, resources.Resources],
 ) -> None:
-    present = {n: grants.Grant(amount, amount) for n, amount in held.items()}
+    present = {n: grants.Standing(amount, amount) for n, amount in held.items()}
     total = resources.NOTHING
     for name in present:
         bound = grants.choose_bound(LIMIT, present, name)
@@ -67,6 +74,23 @@
     assert resources.fits(total, LIMIT)
 
 
+def test_last_waiting_request_gets_its_grant() -> None:
+    """A partition that is done leaves room for one that has little left."""
+    present = {
+        'fleet-a-0': grants.Standing(granted=LIMIT, demand=LIMIT, unit=UNIT)
+    }
+    one = grants.Standing(demand=UNIT, unit=UNIT)
+    for _ in range(20):
+        for name, standing in (
+            ('fleet-a-0', grants.Standing()),
+            ('fleet-b-0', one),
+        ):
+            chosen = grants.choose_standing(LIMIT, present, name, standing)
+            if grants.is_due(LIMIT, present, name, chosen):
+                present[name] = chosen
+    assert resources.fits(UNIT, present['fleet-b-0'].granted)
+
+
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=40)
 @hypothesis.given(
     strategies.lists(
@@ -98,15 +122,19 @@
         fake.faults = [fault]
         manual.at_ms += 10_000
         context = make_context(fake, manual, fleet.name)
-        await granting.ask(fleet, context, state, 't', wanted)
+        standing = grants.Standing(demand=wanted, unit=UNIT)
+        await granting.ask(fleet, context, state, 't', standing)
         granting.put_in_force(fleet, state)
         row = fake.rows.get('grant/t')
         if row is None:
             continue
-        written = grant_codec.decode_grants(
+        written = grant_codec.decode_standings(
             table_pb2.GrantRow.FromString(row.value)
         )
-        assert resources.fits(grants.add_amounts(written), LIMIT)
+        total = resources.NOTHING
+        for standing in written.values():
+            total = resources.add(total, standing.granted)
+        assert resources.fits(total, LIMIT)
         total = resources.NOTHING
         for one in fleet_list:
             bounds = one.scheduler.grants or {}
