Pause before a damaged ledger partition is released

Cause: a partition that recovery finds damaged is released, which wakes the same task, which acquires it again at once: a loop as fast as the store answers. Change: a pause of 1 s before the release. Conclusion: the pause also holds up the instance's other take-overs by 1 s while a partition is damaged; a task of its own for it would be better.

--- a/src/nutmegknot/_internal/instance/ledger_opening.py
+++ b/src/nutmegknot/_internal/instance/ledger_opening.py
@@ -1,5 +1,6 @@
 """Opening a ledger partition that this instance has just acquired."""
 
+import asyncio
 import functools
 import logging
 
@@ -18,6 +19,7 @@
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import table_pb2
+from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
 
@@ -26,6 +28,9 @@
 BYTES_PER_KIB = 1024
 # Full segments that may wait before requests are refused as too many.
 MAX_WAITING_SEGMENTS = 16
+# Released, a damaged partition is acquired again at once; the pause bounds the
+# calls to the store.
+DAMAGED_PAUSE_MS = 1_000
 
 
 async def open_ledger(
@@ -49,6 +54,7 @@
                 'ledger_damaged',
                 extra={'partition': name, 'sequence': sequence, 'why': reason},
             )
+            await asyncio.sleep(clock_lib.to_seconds(DAMAGED_PAUSE_MS))
             await owning.release(inst.membership, name)
         case tables.Unavailable():
             await owning.release(inst.membership, name)
