--- a/specification/limits.py
+++ b/specification/limits.py
@@ -9,6 +9,8 @@
 
 import minicheck
 
+from specification import models
+
 LIMIT = 2
 PARTITIONS = (0, 1)
 
@@ -129,18 +131,10 @@
 def make_model(rules: Rules) -> minicheck.Protocol:
     """Returns the model under the given rules."""
 
-    def list_next(state: tuple) -> list[tuple[str, tuple]]:
-        return [
-            (label, tuple(after))
-            for label, after in list_steps(State(*state), rules)
-        ]
-
-    return minicheck.Protocol(
+    return models.make_model(
         name='limits',
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(State((0, 0), (Partition(), Partition()))),
-        transitions=list_next,
+        initial=State((0, 0), (Partition(), Partition())),
+        list_steps=lambda state: list_steps(state, rules),
         invariants={
             'never past the limit': lambda s: (
                 sum(part.held for part in s['parts']) <= LIMIT
--- a/specification/running.py
+++ b/specification/running.py
@@ -10,6 +10,8 @@
 
 import minicheck
 
+from specification import models
+
 WORKERS = (0, 1)
 OWNERS = (1, 2)
 MAX_PLACED = 2
@@ -220,18 +222,10 @@
 def make_model(rules: Rules) -> minicheck.Protocol:
     """Returns the model under the given rules."""
 
-    def list_next(state: tuple) -> list[tuple[str, tuple]]:
-        return [
-            (label, tuple(after))
-            for label, after in list_steps(State(*state), rules)
-        ]
-
-    return minicheck.Protocol(
+    return models.make_model(
         name='running',
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(INITIAL),
-        transitions=list_next,
+        initial=INITIAL,
+        list_steps=lambda state: list_steps(state, rules),
         invariants={
             'never two places': lambda s: (
                 sum(worker.is_running for worker in s['workers']) <= 1
--- a/src/nutmegknot/_internal/instance/entry.py
+++ b/src/nutmegknot/_internal/instance/entry.py
@@ -1,11 +1,9 @@
 """Entry of calls: authorization and forwarding to the ledger's owner."""
 
-import hashlib
-import hmac
-
 import grpclib.client
 
 from nutmegknot._internal.codec import values
+from nutmegknot._internal.configuration import keys
 from nutmegknot._internal.instance import authority
 from nutmegknot._internal.instance import forwarding
 from nutmegknot._internal.instance import instances
@@ -17,19 +15,14 @@
 from nutmegknot._internal.schema import common_pb2
 from nutmegknot._internal.schema import peer_grpc
 from nutmegknot._internal.schema import peer_pb2
+from nutmegknot._internal.telemetry import metrics
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import hashing
 
 MAX_ID_CHARS = 200
 MAX_MEMBERS = 10_000
-
-
-def compute_digest(secret: str) -> str:
-    """Returns the stored form of the secret part of a key.
-
-    Secrets are random and long, so one round of a cryptographic hash is enough.
-    """
-    return hashlib.sha256(secret.encode()).hexdigest()
+# Replicas of services have identifiers that begin with this.
+SERVICE_PREFIX = 'service/'
 
 
 def find_team(
@@ -52,13 +45,8 @@
     rejected = outcomes.Refused(
         outcomes.RefusalReason.KEY_REJECTED, 'the key is unknown or withdrawn'
     )
-    key_id, _, secret = key_text.partition('.')
-    key = config.keys.get(key_id)
-    if key is None or key.withdrawn:
-        return rejected
-    if not hmac.compare_digest(key.digest, compute_digest(secret)):
-        return rejected
-    return key.team
+    key = keys.find_holder(config.keys, key_text)
+    return key.team if isinstance(key, cells.Key) else rejected
 
 
 def authorize(
@@ -83,6 +71,8 @@
         return f'id must have 1 to {MAX_ID_CHARS} characters'
     if '#' in message.id:
         return "id must not contain '#'"
+    if message.id.startswith(SERVICE_PREFIX):
+        return f"id must not begin with '{SERVICE_PREFIX}'"
     if message.members > MAX_MEMBERS:
         return f'members must be at most {MAX_MEMBERS}'
     if min(amounts) < 0 or size.slots < 1:
@@ -98,6 +88,15 @@
     inst: instances.Instance, call: caller_pb2.SubmitCall, wait_ms: int
 ) -> common_pb2.Outcome:
     """Accepts a caller's request, or refuses it truthfully."""
+    outcome = await _submit(inst, call, wait_ms)
+    if outcome.HasField('refused'):
+        metrics.count(inst.metrics.refusals, outcome.refused.reason)
+    return outcome
+
+
+async def _submit(
+    inst: instances.Instance, call: caller_pb2.SubmitCall, wait_ms: int
+) -> common_pb2.Outcome:
     wrong = check_request(call.request)
     if wrong:
         return values.encode_outcome(
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -16,6 +16,7 @@
 from nutmegknot._internal.instance import authority
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import ledger_opening
+from nutmegknot._internal.instance import measuring
 from nutmegknot._internal.instance import reporting
 from nutmegknot._internal.instance import routing
 from nutmegknot._internal.ledger import journals
@@ -25,6 +26,7 @@
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import reports
 from nutmegknot._internal.platform import tables
+from nutmegknot._internal.telemetry import metrics
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
@@ -88,6 +90,7 @@
 
 async def open_partition(inst: instances.Instance, name: str) -> None:
     """Starts to serve an owned partition under an epoch not served before."""
+    metrics.count(inst.metrics.takeovers, name.partition('-')[0])
     inst.opened[name] = views.get_epoch(inst.membership.view, name)
     if name.startswith('ledger-'):
         await ledger_opening.open_ledger(inst, name, get_fence(inst, name))
@@ -140,7 +143,10 @@
     inst: instances.Instance, fleet: fleets.Fleet, part: tasks.Tasks
 ) -> contexts.Context:
     async def send_reports(ledger: str, given: list[reports.Report]) -> bool:
-        return await reporting.send_reports(inst, ledger, given)
+        is_durable = await reporting.send_reports(inst, ledger, given)
+        if is_durable:
+            measuring.note_reports(inst, fleet, given)
+        return is_durable
 
     return contexts.Context(
         clock=inst.clock,
