--- a/specification/ownership.py
+++ b/specification/ownership.py
@@ -12,6 +12,8 @@
 
 import minicheck
 
+from specification import models
+
 # Ticks; the product's lengths keep the same order. An answer has to count for
 # more than one tick, or no outage would ever be bridged; a lease must not lapse
 # before the answers heard earlier have ceased to count.
@@ -341,18 +343,10 @@
 def make_model(rules: Rules) -> minicheck.Protocol:
     """Returns the model under the given rules."""
 
-    def list_next(state: tuple) -> list[tuple[str, tuple]]:
-        return [
-            (label, tuple(after))
-            for label, after in list_steps(State(*state), rules)
-        ]
-
-    return minicheck.Protocol(
+    return models.make_model(
         name='ownership',
-        candidate=False,
-        fields=State._fields,
-        initial=tuple(make_initial(rules)),
-        transitions=list_next,
+        initial=make_initial(rules),
+        list_steps=lambda state: list_steps(state, rules),
         invariants={
             'no two owners acting': lambda s: not (s['taken'] and s['hold']),
         },
