Take and place nothing new while a fleet partition is handed over

Change: a closing partition refuses assignments, places nothing, and gives back both what waits and what has a place but never began. Conclusion: the next owner gets these requests as not begun.

--- a/src/nutmegknot/_internal/fleet/dispatching.py
+++ b/src/nutmegknot/_internal/fleet/dispatching.py
@@ -35,7 +35,7 @@
             lose_lapsed(fleet, context)
         jobs.resolve_held(fleet)
         jobs.stop_orphans(fleet, ledgers)
-        if context.may_act():
+        if context.may_act() and not fleet.closing:
             dispatch(fleet, context)
 
 
--- a/src/nutmegknot/_internal/fleet/fleets.py
+++ b/src/nutmegknot/_internal/fleet/fleets.py
@@ -143,6 +143,7 @@
       has_orphans: Whether some session may have a task without a job.
       outboxes: Reports by ledger partition.
       asking: Jobs that ask to begin, by ledger partition.
+      closing: Whether it is being handed over: nothing new is taken or placed.
       changed: Notified when a decision may be due.
       fenced: Set when a worker obeys a later owner.
     """
@@ -164,6 +165,7 @@
     has_orphans: bool = False
     outboxes: dict[str, Outbox] = dataclasses.field(default_factory=dict)
     asking: dict[str, Asking] = dataclasses.field(default_factory=dict)
+    closing: bool = False
     changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     fenced: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
--- a/src/nutmegknot/_internal/fleet/jobs.py
+++ b/src/nutmegknot/_internal/fleet/jobs.py
@@ -238,6 +238,21 @@
     fleets.add_report(fleet, job, fleets.make_report(fleet, job, news))
 
 
+def give_back_unbegun(fleet: fleets.Fleet) -> None:
+    """Gives back non-repeatable jobs that no start order was queued for.
+
+    The next owner could not know that they never began.
+    """
+    for key, job in list(fleet.jobs.items()):
+        if job.given.req.repeatable or job.reported:
+            continue
+        if scheduling.remove_waiting(fleet.scheduler, key):
+            news = reports.Returned('handover', '', may_have_run=False)
+            end(fleet, job, news)
+        elif is_placed(job):
+            stop(fleet, job, 'handover')
+
+
 def withdraw(fleet: fleets.Fleet, key: str) -> None:
     """Ends a job on the caller's wish."""
     job = fleet.jobs.get(key)
--- a/src/nutmegknot/_internal/instance/fleet_calls.py
+++ b/src/nutmegknot/_internal/instance/fleet_calls.py
@@ -14,7 +14,7 @@
 ) -> peer_pb2.AssignReply:
     """Takes assignments of a ledger partition."""
     fleet = inst.fleets.get(call.partition)
-    if fleet is None or fleet.epoch != call.epoch:
+    if fleet is None or fleet.closing or fleet.epoch != call.epoch:
         return peer_pb2.AssignReply(
             not_owner=peer_pb2.NotOwner(partition=call.partition)
         )
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -218,12 +218,8 @@
 
 async def _flush_fleet(inst: instances.Instance, fleet: fleets.Fleet) -> None:
     """Gives back what must not change owner, and waits for open orders."""
-    for key, job in list(fleet.jobs.items()):
-        if job.given.req.repeatable:
-            continue
-        if scheduling.remove_waiting(fleet.scheduler, key):
-            news = reports.Returned('handover', '', may_have_run=False)
-            jobs.end(fleet, job, news)
+    fleet.closing = True
+    jobs.give_back_unbegun(fleet)
     until_ms = inst.clock.now_ms() + FLUSH_MS
     while inst.clock.now_ms() < until_ms and _has_orders(fleet):
         await asyncio.sleep(clock_lib.to_seconds(FLUSH_STEP_MS))
--- a/tests/unit/fleet/test_jobs.py
+++ b/tests/unit/fleet/test_jobs.py
@@ -173,3 +173,17 @@
     place_without_order(fleet)
     jobs.lose_worker(fleet, 'w1')
     assert list_news(fleet) == [reports.Returned('lost', 'lost', False)]
+
+
+def test_handover_gives_back_what_never_began() -> None:
+    fleet = makers.make_fleet(['w1'])
+    place_without_order(fleet)
+    waiting = makers.make_assignment('m', repeatable=False)
+    jobs.take_assignment(fleet, waiting)
+    jobs.take_assignment(fleet, makers.make_assignment('r'))
+    jobs.give_back_unbegun(fleet)
+    given_back = [
+        report.request_key for report in fleet.outboxes['ledger-0'].waiting
+    ]
+    assert given_back == ['t/n', 't/m']
+    assert all(not news.may_have_run for news in list_news(fleet))  # type: ignore[attr-defined]
