Leave work in a closed domain that was expected to end, also when late

Cause: a run left to end was stopped as soon as it was late by its estimate, when it had most to lose.

Change: runs are judged by their mean estimate only, until finish_ms is over.

--- a/src/nutmegknot/_internal/decisions/domains.py
+++ b/src/nutmegknot/_internal/decisions/domains.py
@@ -6,10 +6,9 @@
 """
 
 from nutmegknot._internal.decisions import actions
+from nutmegknot._internal.decisions import estimates
 from nutmegknot._internal.decisions import preemption
-from nutmegknot._internal.decisions import reservations
 from nutmegknot._internal.decisions import states
-from nutmegknot._internal.models import requests
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
 
@@ -64,11 +63,18 @@
 
 
 def _ends_soon(sched: states.Scheduler, run: states.Run, now_ms: int) -> bool:
-    """Tells whether a run is expected to end within the time left to it."""
-    key = requests.get_key(run.given.req)
-    end_ms = reservations.expect_end(sched, key, now_ms)
-    until_ms = max(now_ms, sched.closed_ms + sched.policy.finish_ms)
-    return end_ms is not None and run.run_ms > 0 and end_ms <= until_ms
+    """Tells whether a run is left to end, as it was expected to in time.
+
+    A run that is late is not judged anew: it is likely to be near its end.
+    """
+    until_ms = sched.closed_ms + sched.policy.finish_ms
+    if now_ms > until_ms or not run.run_ms:
+        return False
+    req = run.given.req
+    mean_ms = estimates.expect_run(
+        sched.learned.get(req.queue), req.run_ms, deviations=0.0
+    )
+    return run.started_ms + mean_ms <= until_ms
 
 
 def _rank(run: states.Run) -> tuple[bool, int, int]:
