Say unknown where an earlier copy may have been accepted

Cause: a repeat of an accepted request was refused as not run when no owner of its ledger partition was found in time, and when an instance had not confirmed its authority. The request may have been accepted and run before. Change: these answers are Unknown; a refusal is given only by an owner that may act and knows all that its partition accepted. Conclusion: 'not run' speaks for the request, not for one call.

--- a/src/nutmegknot/_internal/instance/entry.py
+++ b/src/nutmegknot/_internal/instance/entry.py
@@ -51,15 +51,15 @@
 
 def authorize(
     inst: instances.Instance, queue_name: str, key_text: str
-) -> str | outcomes.Refused:
-    """Returns the team that a call acts for, if that is certain right now."""
+) -> str | outcomes.Refused | outcomes.Unknown:
+    """Returns the team that a call acts for, if that is certain right now.
+
+    Without confirmed authority the answer is Unknown and not a refusal, as an
+    earlier copy of the request may have been accepted.
+    """
     team = find_team(inst.membership.view.configuration, queue_name, key_text)
     if not authority.may_act(inst):
-        return outcomes.Refused(
-            outcomes.RefusalReason.UNAVAILABLE,
-            'authority is not confirmed',
-            retry_after_ms=1000,
-        )
+        return outcomes.Unknown('authority is not confirmed')
     return team
 
 
@@ -103,7 +103,7 @@
             outcomes.Refused(outcomes.RefusalReason.BAD_REQUEST, wrong)
         )
     team = authorize(inst, call.request.queue, call.key)
-    if isinstance(team, outcomes.Refused):
+    if not isinstance(team, str):
         return values.encode_outcome(team)
     call.request.team = team
     request_key = f'{team}/{call.request.id}'
@@ -134,8 +134,8 @@
 ) -> common_pb2.Outcome:
     """Forwards 'Wait', 'Cancel' or 'Describe' to the ledger's owner."""
     team = authorize(inst, call.queue, call.key)
-    if isinstance(team, outcomes.Refused):
-        return values.encode_outcome(_weaken(team))
+    if not isinstance(team, str):
+        return values.encode_outcome(team)
     request_key = f'{team}/{call.request_id}'
 
     async def ask_owner(
@@ -145,18 +145,9 @@
 
     held_ms = min(call.wait_ms, wait_ms) if method == 'Wait' else 0
     reply = await forwarding.ask_until_stop(inst, ask_owner, held_ms)
-    if isinstance(reply, outcomes.Refused):
-        reply = _weaken(reply)
     return _read_reply(reply)
 
 
-def _weaken(refused: outcomes.Refused) -> outcomes.Outcome:
-    """Returns what a refused question tells: nothing about its request."""
-    if refused.reason is outcomes.RefusalReason.UNAVAILABLE:
-        return outcomes.Unknown(refused.detail)
-    return refused
-
-
 async def _ask_owner(
     inst: instances.Instance,
     method: str,
--- a/src/nutmegknot/_internal/instance/forwarding.py
+++ b/src/nutmegknot/_internal/instance/forwarding.py
@@ -56,8 +56,7 @@
       remote: Makes it over a channel, with a time limit in ms.
 
     Returns:
-      The owner's reply; or Refused if no owner was ever reached, or Unknown if
-      one may have been.
+      The owner's reply, or Unknown if none came in time.
     """
     view = inst.membership.view
     until_ms = inst.clock.now_ms() + wait_ms
@@ -84,11 +83,9 @@
         elif reply is not None and not reply.HasField('not_owner'):
             return _check_reply(reply, epoch in unanswered)
         await _wait_for_route(inst, count, backoff, until_ms)
-    if unanswered:
-        return outcomes.Unknown('the owner did not answer in time')
-    return outcomes.Refused(
-        outcomes.RefusalReason.UNAVAILABLE, 'no owner was found in time', 1000
-    )
+    # An earlier copy of the request may have been accepted, so not even an
+    # instance that reached nobody can say that it was not run.
+    return outcomes.Unknown('no owner answered in time')
 
 
 def _check_reply(
--- a/src/nutmegknot/_internal/ledger/accepting.py
+++ b/src/nutmegknot/_internal/ledger/accepting.py
@@ -79,16 +79,14 @@
         pending = made
     elif pending.fingerprint != fingerprint:
         return outcomes.Conflict(key)
-    return await _await_acceptance(ledger, key, pending, wait_ms)
+    return await _await_acceptance(ledger, context, key, pending, wait_ms)
 
 
 def _find_refusal(
     ledger: ledgers.Ledger, context: Context, req: requests.Request
-) -> outcomes.Refused | None:
+) -> outcomes.Refused | outcomes.Unknown | None:
     if not context.may_act():
-        return outcomes.Refused(
-            outcomes.RefusalReason.UNAVAILABLE, 'authority is not confirmed'
-        )
+        return outcomes.Unknown('authority is not confirmed')
     if 0 < req.deadline_ms <= context.clock.wall_ms():
         return outcomes.Refused(
             outcomes.RefusalReason.DEADLINE_PASSED, 'its deadline has passed'
@@ -128,6 +126,7 @@
 
 async def _await_acceptance(
     ledger: ledgers.Ledger,
+    context: Context,
     key: str,
     pending: ledgers.Acceptance,
     wait_ms: int,
@@ -136,6 +135,9 @@
     match written:
         case journals.Durable():
             return outcomes.Accepted(key)
+        case journals.Withdrawn() if not context.may_act():
+            # A new owner may have accepted another copy.
+            return outcomes.Unknown('authority is not confirmed')
         case journals.Withdrawn():
             return outcomes.Refused(
                 outcomes.RefusalReason.UNAVAILABLE,
