--- a/src/nutmegknot_standins/machines.py
+++ b/src/nutmegknot_standins/machines.py
@@ -195,7 +195,8 @@
     its sender counts from the sending, and may have given the tasks up.
     """
     machine.lease_ms = call['lease_ms']
-    age_ms = max(0, machine.clock.wall_ms() - call['sent_ms'])
+    now_ms = machine.clock.wall_ms()
+    age_ms = max(0, now_ms - call.get('sent_ms', now_ms))
     until_ms = machine.clock.now_ms() + machine.lease_ms - age_ms
     for task in machine.tasks.values():
         task.lease_until_ms = max(task.lease_until_ms, until_ms)
