Give back what comes in while a fleet partition is flushed

Conclusion: an assignment that reaches the owner after the close is still "may have run"; the ledger would have to assign it anew when it is refused.

--- a/src/nutmegknot/_internal/instance/forwarding.py
+++ b/src/nutmegknot/_internal/instance/forwarding.py
@@ -51,13 +51,11 @@
       partition: The ledger partition.
       request_key: The request that the call is about.
       wait_ms: Time left in ms.
-      local: Makes the call if this instance owns the partition, with the time
-        left in ms.
+      local: Makes it in this instance, with the time left in ms.
       remote: Makes it over a channel, with a time limit in ms.
 
     Returns:
-      The owner's reply; or Refused if no owner was ever reached, or Unknown if
-      one may have been.
+      The owner's reply; Refused if none was ever reached, or else Unknown.
     """
     view = inst.membership.view
     until_ms = inst.clock.now_ms() + wait_ms
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -217,16 +217,25 @@
 
 
 async def _flush_fleet(inst: instances.Instance, fleet: fleets.Fleet) -> None:
-    """Gives back what must not change owner, and waits for open orders."""
+    """Gives back what must not change owner, and waits for open orders.
+
+    Assignments still come in meanwhile, so that each round looks anew.
+    """
+    until_ms = inst.clock.now_ms() + FLUSH_MS
+    _give_back_waiting(fleet)
+    while inst.clock.now_ms() < until_ms and _has_orders(fleet):
+        await asyncio.sleep(clock_lib.to_seconds(FLUSH_STEP_MS))
+        _give_back_waiting(fleet)
+
+
+def _give_back_waiting(fleet: fleets.Fleet) -> None:
+    """Returns waiting requests that only this epoch may start."""
     for key, job in list(fleet.jobs.items()):
         if job.given.req.repeatable:
             continue
         if scheduling.remove_waiting(fleet.scheduler, key):
             news = reports.Returned('handover', '', may_have_run=False)
             jobs.end(fleet, job, news)
-    until_ms = inst.clock.now_ms() + FLUSH_MS
-    while inst.clock.now_ms() < until_ms and _has_orders(fleet):
-        await asyncio.sleep(clock_lib.to_seconds(FLUSH_STEP_MS))
 
 
 def _has_orders(fleet: fleets.Fleet) -> bool:
