--- a/src/nutmegknot/_internal/instance/forwarding.py
+++ b/src/nutmegknot/_internal/instance/forwarding.py
@@ -51,8 +51,7 @@
       partition: The ledger partition.
       request_key: The request that the call is about.
       wait_ms: Time left in ms.
-      local: Makes the call if this instance owns the partition, with the time
-        left in ms.
+      local: Makes it in this instance, with the time left in ms.
       remote: Makes it over a channel, with a time limit in ms.
 
     Returns:
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -223,6 +223,8 @@
     until_ms = inst.clock.now_ms() + FLUSH_MS
     while inst.clock.now_ms() < until_ms and _has_orders(fleet):
         await asyncio.sleep(clock_lib.to_seconds(FLUSH_STEP_MS))
+        # A start that a worker refused meanwhile waits again.
+        jobs.give_back_unbegun(fleet)
 
 
 def _has_orders(fleet: fleets.Fleet) -> bool:
