Demand in the audit test that the request finished first

Cause: one of 5 runs, beside a whole test run, found no step of the request; whether it had been accepted was not looked at. Change: the fixture fails unless the request has finished. Conclusion: open whether the list was empty or the request was refused; the next failure will tell.

--- a/tests/functional/test_audit.py
+++ b/tests/functional/test_audit.py
@@ -26,7 +26,8 @@
     client = clients.connect(started.addresses[0])
     await demonstration.wait_ready(client)
     call = demonstration.make_call('seen', repeatable=False)
-    await demonstration.submit_and_wait(client, call)
+    outcome = await demonstration.submit_and_wait(client, call)
+    assert outcome.HasField('finished'), outcome
     yield started
     clients.close(client)
     await cells.stop(started)
