--- a/tests/functional/steps/failures.py
+++ b/tests/functional/steps/failures.py
@@ -1,6 +1,7 @@
 """Steps that cause failures."""
 
 import asyncio
+import signal
 
 from lib import processes
 from lib import worlds
@@ -42,6 +43,59 @@
     return max(sorted(set(names)), key=names.count)
 
 
+@pytest_bdd.when(parsers.parse('the owner of a {owned} partition is killed'))
+def kill_owner(world: worlds.World, owned: str) -> None:
+    """Kills an owner."""
+
+    async def kill() -> None:
+        await processes.kill(await find_victim(world, owned))
+
+    worlds.run(world, kill())
+
+
+@pytest_bdd.when(
+    parsers.parse('the owner of a {owned} partition pauses past its lease')
+)
+def pause_owner(world: worlds.World, owned: str) -> None:
+    """Stops an owner's process for longer than its lease, then lets it go."""
+
+    async def pause() -> None:
+        victim = await find_victim(world, owned)
+        world.draining.add(victim.name)
+        processes.send(victim, signal.SIGSTOP)
+
+        async def is_taken_over() -> bool:
+            owner = await processes.find_owner(world.cluster, PARTITIONS[owned])
+            return owner is not None and owner is not victim
+
+        await processes.wait_until(is_taken_over, 'another owner')
+        processes.send(victim, signal.SIGCONT)
+        world.draining.discard(victim.name)
+
+    worlds.run(world, pause())
+
+
+@pytest_bdd.given(
+    parsers.parse('the owner of a {owned} partition is cut off the table')
+)
+@pytest_bdd.when(
+    parsers.parse('the owner of a {owned} partition is cut off the table')
+)
+def cut_owner_off(world: worlds.World, owned: str) -> None:
+    """Lets no call of an owner reach the table."""
+
+    async def cut() -> None:
+        victim = await find_victim(world, owned)
+        await processes.add_fault(
+            world.cluster,
+            part='table',
+            kind=control_pb2.FAULT_KIND_CUT,
+            caller=victim.name,
+        )
+
+    worlds.run(world, cut())
+
+
 def spoil_workers(
     world: worlds.World,
     prefix: str,
