Keep one stream of digests to each peer

Change: Exchange is a stream each way; the task of a peer keeps it open and opens another when it ends. Streams do not count as calls that a stop waits for.

--- a/src/nutmegknot/_internal/instance/links.py
+++ b/src/nutmegknot/_internal/instance/links.py
@@ -4,6 +4,8 @@
 import dataclasses
 import logging
 
+import grpclib.client
+
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import loads
 from nutmegknot._internal.membership import digests
@@ -22,6 +24,8 @@
 # Questions that are asked while an answer of another instance counts.
 QUESTIONS_PER_ANSWER = 4
 
+_Stream = grpclib.client.Stream[digest_pb2.Digest, digest_pb2.DigestReply]
+
 
 @dataclasses.dataclass(slots=True)
 class Link:
@@ -71,34 +75,67 @@
 
 
 async def _keep_link(inst: instances.Instance, link: Link) -> None:
-    """Sends digests to one member on a steady tick, and news at once."""
+    """Keeps a stream to one member open, and opens another when it ends."""
     view = inst.membership.view
+    while True:
+        count = view.news.count
+        stub = digest_grpc.PeerStub(channels.get(inst.channels, link.address))
+        try:
+            async with stub.Exchange.open() as stream:
+                await _keep_exchanging(inst, link, stream)
+        except calls.CALL_ERRORS as error:
+            _note_unreached(inst, link, repr(error))
+        await signals.wait_at_most(view.news, count, _get_tick(inst))
+
+
+def _get_tick(inst: instances.Instance) -> int:
+    """Returns the time between two digests in ms."""
     membership = inst.settings.membership
+    if inst.membership.view.reached_since_ms is not None:
+        return membership.digest_ms
+    asking_ms = membership.answer_ms // QUESTIONS_PER_ANSWER
+    return min(membership.digest_ms, asking_ms)
+
+
+async def _keep_exchanging(
+    inst: instances.Instance, link: Link, stream: _Stream
+) -> None:
+    """Sends digests on a steady tick, and news at once, until it fails."""
+    view = inst.membership.view
     while True:
         count = view.news.count
-        await _send_digest(inst, link)
-        wait_ms = membership.digest_ms
-        if view.reached_since_ms is None:
-            wait_ms = min(wait_ms, membership.answer_ms // QUESTIONS_PER_ANSWER)
-        await signals.wait_at_most(view.news, count, wait_ms)
+        if not await _exchange_digest(inst, link, stream):
+            _note_unreached(inst, link, 'the stream ended')
+            return
+        await signals.wait_at_most(view.news, count, _get_tick(inst))
 
 
-async def _send_digest(inst: instances.Instance, link: Link) -> None:
+async def _exchange_digest(
+    inst: instances.Instance, link: Link, stream: _Stream
+) -> bool:
+    """Sends a digest and takes its answer; tells whether there was one."""
     owned = [
         seen.load for name, seen in inst.loads.items() if name in inst.fleets
     ]
     made = digests.make_digest(link.sender, owned)
     made.message.standing.CopyFrom(make_standing(inst))
     asked_ms = inst.clock.now_ms()
-    stub = digest_grpc.PeerStub(channels.get(inst.channels, link.address))
-    timeout_ms = inst.settings.membership.answer_ms
-    try:
-        reply = await stub.Exchange(
-            made.message, timeout=clock_lib.to_seconds(timeout_ms)
-        )
-    except calls.CALL_ERRORS as error:
-        _note_unreached(inst, link, repr(error))
-        return
+    answer_ms = inst.settings.membership.answer_ms
+    async with asyncio.timeout(clock_lib.to_seconds(answer_ms)):
+        await stream.send_message(made.message)
+        reply = await stream.recv_message()
+    if reply is not None:
+        _take_reply(inst, link, made, asked_ms, reply)
+    return reply is not None
+
+
+def _take_reply(
+    inst: instances.Instance,
+    link: Link,
+    made: digests.Made,
+    asked_ms: int,
+    reply: digest_pb2.DigestReply,
+) -> None:
     if reply.standing.member != link.member:
         # Another instance has the address now; the lease row will tell.
         return
--- a/src/nutmegknot/_internal/network/services.py
+++ b/src/nutmegknot/_internal/network/services.py
@@ -114,9 +114,16 @@
     handlers = {}
     for method in service.methods:
         path = f'/{service.full_name}/{method.name}'
+        handle = handles[method.name]
+        if method.client_streaming:
+            serve_call = _make_streaming(handle, calls, limits)
+            cardinality = grpclib.const.Cardinality.STREAM_STREAM
+        else:
+            serve_call = _make_unary(handle, calls, limits)
+            cardinality = grpclib.const.Cardinality.UNARY_UNARY
         handlers[path] = grpclib.const.Handler(
-            _make_unary(handles[method.name], calls, limits),
-            grpclib.const.Cardinality.UNARY_UNARY,
+            serve_call,
+            cardinality,
             message_factory.GetMessageClass(method.input_type),
             message_factory.GetMessageClass(method.output_type),
         )
@@ -149,6 +156,29 @@
     return serve_call
 
 
+def _make_streaming(
+    handle: Handle, calls: Calls, limits: Limits
+) -> Callable[[grpclib.server.Stream[Any, Any]], Awaitable[None]]:
+    """Answers each message of a stream before the next one is read.
+
+    Streams last as long as their peer, so they don't count as calls that a
+    stop waits for.
+    """
+
+    async def serve_stream(stream: grpclib.server.Stream[Any, Any]) -> None:
+        call = await _receive(stream, limits.message_bytes)
+        while not isinstance(call, Rejected):
+            try:
+                reply = await handle(call, DEFAULT_WAIT_MS)
+            except Exception as error:
+                calls.report_broken(error)
+                raise
+            await stream.send_message(reply)
+            call = await _read_message(stream)
+
+    return serve_stream
+
+
 async def _receive(
     stream: grpclib.server.Stream[Any, Any], most_bytes: int
 ) -> Any:  # noqa: ANN401 - the method's message, or Rejected
@@ -170,6 +200,12 @@
         return data
 
     below.recv_data = read_limited
+    return await _read_message(stream)
+
+
+async def _read_message(
+    stream: grpclib.server.Stream[Any, Any],
+) -> Any:  # noqa: ANN401 - the method's message, or Rejected
     unreadable = Rejected(
         grpclib.const.Status.INVALID_ARGUMENT, 'the message cannot be read'
     )
--- a/src/nutmegknot/_internal/schema/digest_grpc.py
+++ b/src/nutmegknot/_internal/schema/digest_grpc.py
@@ -23,7 +23,7 @@
         return {
             '/nutmegknot.v1.Peer/Exchange': grpclib.const.Handler(
                 self.Exchange,
-                grpclib.const.Cardinality.UNARY_UNARY,
+                grpclib.const.Cardinality.STREAM_STREAM,
                 nutmegknot._internal.schema.digest_pb2.Digest,
                 nutmegknot._internal.schema.digest_pb2.DigestReply,
             ),
@@ -33,7 +33,7 @@
 class PeerStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Exchange = grpclib.client.UnaryUnaryMethod(
+        self.Exchange = grpclib.client.StreamStreamMethod(
             channel,
             '/nutmegknot.v1.Peer/Exchange',
             nutmegknot._internal.schema.digest_pb2.Digest,
