Transfer the list of workers only when it has changed

Cause: each fleet partition read and parsed the whole list every second; at 940 workers that alone would pass the control budget. A worker that was leaving when it was claimed could be given work until the next list. Change: the list carries an entity tag; an unchanged one is answered with 304, and the fleet takes a list only if it is not the one it took last. Only live workers are offered to the decisions at a claim.

--- a/src/nutmegknot/_internal/fleet/fleets.py
+++ b/src/nutmegknot/_internal/fleet/fleets.py
@@ -133,6 +133,8 @@
       jobs: Assignments by request key.
       sessions: Workers by id.
       places: Worker of each task that some session has, by task.
+      taken_list: The list that was last taken; None to take the next one in
+        any case.
       listed: Whether the platform's list has been read.
       held: Keys of jobs of an earlier epoch that may be running on a worker
         that has not shown its inventory yet.
@@ -156,6 +158,7 @@
     jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
     sessions: dict[str, Session] = dataclasses.field(default_factory=dict)
     places: dict[workers.TaskId, str] = dataclasses.field(default_factory=dict)
+    taken_list: list[workers.Worker] | None = None
     listed: bool = False
     held: set[str] = dataclasses.field(default_factory=set)
     calls: dict[str, tuple[int, int]] = dataclasses.field(default_factory=dict)
--- a/src/nutmegknot/_internal/fleet/jobs.py
+++ b/src/nutmegknot/_internal/fleet/jobs.py
@@ -333,6 +333,8 @@
 def lose_worker(fleet: fleets.Fleet, worker_id: str) -> None:
     """Ends what a worker ran whose leases have all lapsed."""
     session = fleet.sessions.pop(worker_id)
+    # It may be listed all the same, and then gets a new session.
+    fleet.taken_list = None
     session.closed = True
     signals.notify(session.wake)
     scheduling.forget_worker(fleet.scheduler, worker_id)
--- a/src/nutmegknot/_internal/fleet/listing.py
+++ b/src/nutmegknot/_internal/fleet/listing.py
@@ -23,10 +23,21 @@
             settings.platform.timeout_ms
         )
         if not isinstance(listed, tables.Unavailable):
-            take_list(fleet, context, listed)
+            take_changed(fleet, context, listed)
         await asyncio.sleep(clock_lib.to_seconds(settings.fleet.list_ms))
 
 
+def take_changed(
+    fleet: fleets.Fleet,
+    context: contexts.Context,
+    listed: list[workers.Worker],
+) -> None:
+    """Takes a list unless it is the very one that was taken last."""
+    if listed is not fleet.taken_list:
+        take_list(fleet, context, listed)
+        fleet.taken_list = listed
+
+
 def take_list(
     fleet: fleets.Fleet,
     context: contexts.Context,
--- a/src/nutmegknot/_internal/fleet/sessions.py
+++ b/src/nutmegknot/_internal/fleet/sessions.py
@@ -61,7 +61,8 @@
     session.boot = claimed.boot
     session.event = claimed.event
     session.claimed = True
-    scheduling.add_worker(fleet.scheduler, session.worker)
+    if session.worker.state is workers.TargetState.LIVE:
+        scheduling.add_worker(fleet.scheduler, session.worker)
     for entry in claimed.inventory:
         jobs.take_entry(fleet, session.worker.id, entry, now_ms)
     signals.notify(fleet.changed)
--- a/src/nutmegknot/_internal/platform/http_fleets.py
+++ b/src/nutmegknot/_internal/platform/http_fleets.py
@@ -32,18 +32,12 @@
         that a poll may wait.
     """
 
+    listing = _Listing()
+
     async def list_workers(
         list_timeout_ms: int,
     ) -> list[workers.Worker] | tables.Unavailable:
-        answer = await http_calls.call_json(
-            session, 'GET', f'{url}/fleet/workers', list_timeout_ms
-        )
-        if not isinstance(answer, dict):
-            return http_calls.weaken(answer)
-        listed = http_calls.decode(_read_workers, answer)
-        if isinstance(listed, tables.Uncertain):
-            return http_calls.weaken(listed)
-        return listed
+        return await _list_workers(session, url, list_timeout_ms, listing)
 
     def connect_target(worker: workers.Worker) -> fleets.Target:
         return _make_target(session, worker.address, timeout_ms)
@@ -51,6 +45,41 @@
     return fleets.Fleet(list_workers, connect_target)
 
 
+@dataclasses.dataclass(slots=True)
+class _Listing:
+    """The list as last read; it is transferred again only once it changes.
+
+    Attributes:
+      tag: Its entity tag, or ''.
+      listed: The workers; the same object as long as nothing changes.
+    """
+
+    tag: str = ''
+    listed: list[workers.Worker] = dataclasses.field(default_factory=list)
+
+
+async def _list_workers(
+    session: aiohttp.ClientSession,
+    url: str,
+    timeout_ms: int,
+    listing: _Listing,
+) -> list[workers.Worker] | tables.Unavailable:
+    result = await http_calls.fetch(
+        session, f'{url}/fleet/workers', timeout_ms, listing.tag
+    )
+    match result:
+        case http_calls.Unchanged():
+            return listing.listed
+        case http_calls.Fetched():
+            listed = http_calls.decode(_read_workers, result.answer)
+            if isinstance(listed, tables.Uncertain):
+                return http_calls.weaken(listed)
+            listing.tag, listing.listed = result.tag, listed
+            return listed
+        case _:
+            return http_calls.weaken(result)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Link:
     """Where the calls to one worker go.
--- a/src/nutmegknot_standins/servers.py
+++ b/src/nutmegknot_standins/servers.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import json
 
 from aiohttp import web
+import xxhash
 
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
@@ -16,6 +18,7 @@
 from nutmegknot_standins import stores
 
 _NOT_FOUND = 404
+_NOT_MODIFIED = 304
 _SERVICE_UNAVAILABLE = 503
 _MAX_BODY_BYTES = 64 * 1024 * 1024
 _CALLS_THAT_READ = frozenset({'poll'})
@@ -128,7 +131,7 @@
         caller = fault_lib.get_caller(req)
 
         async def take_effect() -> web.Response:
-            return web.json_response({'workers': _list(platform, caller)})
+            return _reply_tagged(req, {'workers': _list(platform, caller)})
 
         call = fault_lib.Call('list', ('',), caller, writes=False)
         return await fault_lib.carry_out(
@@ -194,6 +197,18 @@
         machine.connections -= 1
 
 
+def _reply_tagged(req: web.Request, content: dict) -> web.Response:
+    """Returns content with an entity tag, or only that it is unchanged."""
+    text = json.dumps(content)
+    tag = f'"{xxhash.xxh64_hexdigest(text.encode())}"'
+    headers = {'ETag': tag}
+    if req.headers.get('If-None-Match') == tag:
+        return web.Response(status=_NOT_MODIFIED, headers=headers)
+    return web.Response(
+        text=text, content_type='application/json', headers=headers
+    )
+
+
 def _list(platform: Platform, caller: str) -> list[dict]:
     """Returns the list of workers as it was list_lag_ms ago."""
     now_ms = platform.book.clock.wall_ms()
--- a/tests/unit/platform/test_http_adapters.py
+++ b/tests/unit/platform/test_http_adapters.py
@@ -1,5 +1,7 @@
 """Failures of the platform as the adapters show them."""
 
+import dataclasses
+
 import aiohttp
 from lib import standins
 import pytest
@@ -54,6 +56,21 @@
         assert isinstance(read, tables.Unavailable)
 
 
+async def test_unchanged_list_is_not_transferred_again() -> None:
+    async with standins.serve() as (platform, session):
+        fleet = http_fleets.connect(session, platform.url, TIMEOUT_MS)
+        first = await fleet.list_workers(TIMEOUT_MS)
+        assert await fleet.list_workers(TIMEOUT_MS) is first
+        assert isinstance(first, list)
+        machine = platform.machines[first[0].id]
+        machine.worker = dataclasses.replace(
+            machine.worker, state=workers.TargetState.LEAVING
+        )
+        changed = await fleet.list_workers(TIMEOUT_MS)
+        assert isinstance(changed, list)
+        assert changed[0].state is workers.TargetState.LEAVING
+
+
 async def test_refused_connection_means_no_effect() -> None:
     async with standins.serve() as (platform, session):
         url = platform.url
