--- a/src/nutmegknot/_internal/instance/ledger_opening.py
+++ b/src/nutmegknot/_internal/instance/ledger_opening.py
@@ -101,45 +101,28 @@
     store: recovery.Store,
     recovered: recovery.Recovered,
 ) -> None:
+    """Starts the tasks of a recovered ledger partition."""
     name = ledger.name
-    settings = inst.settings.ledger
     part = tasks.Tasks(broken=inst.tasks.broken)
     inst.ledgers[name] = ledger
     inst.part_tasks[name] = part
     signals.notify(inst.membership.view.routes)
-    writer = writing.Context(
-        table=store.table,
-        rng=inst.rng,
-        clock=inst.clock,
-        commit_ms=settings.commit_ms,
-        timeout_ms=store.timeout_ms,
-        segment_bytes=settings.segment_kib * BYTES_PER_KIB,
-        apply=functools.partial(ledgers.apply_record, ledger),
-    )
-    snapshotter = snapshotting.Snapshotter(
-        ledger,
-        store,
-        inst.rng,
-        settings.snapshot_segments,
-        recovered.pointer,
-        recovered.snapshot_bytes,
-    )
-    forget = forgetting.keep_forgetting(
-        ledger, inst.clock, settings.retention_ms
-    )
+    writer = _make_writer(inst, ledger, store)
+    snapshotter = _make_snapshotter(inst, ledger, store, recovered)
+    retention_ms = inst.settings.ledger.retention_ms
     work = {
-        f'write {name}': writing.keep_writing(ledger.journal, writer),
-        f'snapshot {name}': snapshotting.keep_snapshotting(snapshotter),
-        f'forget {name}': forget,
-        f'keep {name}': replicas.keep_services(inst, ledger),
+        'write': writing.keep_writing(ledger.journal, writer),
+        'snapshot': snapshotting.keep_snapshotting(snapshotter),
+        'forget': forgetting.keep_forgetting(ledger, inst.clock, retention_ms),
+        'keep': replicas.keep_services(inst, ledger),
     }
     for fleet in owning.list_partitions(inst.settings):
         if fleet.startswith('fleet-'):
-            work[f'assign {name} {fleet}'] = assigning.keep_assigning(
+            work[f'assign {fleet}'] = assigning.keep_assigning(
                 inst, ledger, fleet
             )
     for task_name, coroutine in work.items():
-        tasks.spawn(part, coroutine, task_name)
+        tasks.spawn(part, coroutine, f'{name} {task_name}')
     logger.info(
         'ledger_opened',
         extra={
@@ -148,3 +131,34 @@
             'entries': len(ledger.entries),
         },
     )
+
+
+def _make_writer(
+    inst: instances.Instance, ledger: ledgers.Ledger, store: recovery.Store
+) -> writing.Context:
+    settings = inst.settings.ledger
+    return writing.Context(
+        table=store.table,
+        rng=inst.rng,
+        clock=inst.clock,
+        commit_ms=settings.commit_ms,
+        timeout_ms=store.timeout_ms,
+        segment_bytes=settings.segment_kib * BYTES_PER_KIB,
+        apply=functools.partial(ledgers.apply_record, ledger),
+    )
+
+
+def _make_snapshotter(
+    inst: instances.Instance,
+    ledger: ledgers.Ledger,
+    store: recovery.Store,
+    recovered: recovery.Recovered,
+) -> snapshotting.Snapshotter:
+    return snapshotting.Snapshotter(
+        ledger,
+        store,
+        inst.rng,
+        inst.settings.ledger.snapshot_segments,
+        recovered.pointer,
+        recovered.snapshot_bytes,
+    )
--- a/tests/lib/targets.py
+++ b/tests/lib/targets.py
@@ -2,6 +2,7 @@
 
 import base64
 import dataclasses
+import functools
 from typing import Any
 
 from nutmegknot._internal.models import workers
@@ -30,66 +31,77 @@
 
 def connect(wire: Wire) -> fleets.Target:
     """Returns the calls to a worker."""
-    machine = wire.machine
-
-    async def claim(
-        token: int, partition: str, lease_ms: int
-    ) -> fleets.ClaimResult:
-        answer = await _call(wire, 'claim', token, lease_ms=lease_ms)
-        if isinstance(answer, dict):
-            inventory = [
-                dataclasses.replace(task.entry)
-                for task in machine.tasks.values()
-            ]
-            return fleets.Claimed(machine.boot, inventory, answer['event'])
+    return fleets.Target(
+        claim=functools.partial(_claim, wire),
+        poll=functools.partial(_poll, wire),
+        start=functools.partial(_start, wire),
+        stop=functools.partial(_stop, wire),
+        throttle=_throttle,
+    )
+
+
+async def _claim(
+    wire: Wire, token: int, partition: str, lease_ms: int
+) -> fleets.ClaimResult:
+    answer = await _call(wire, 'claim', token, lease_ms=lease_ms)
+    if not isinstance(answer, dict):
         return _weaken(answer)
-
-    async def poll(token: int, news: fleets.Poll) -> fleets.PollResult:
-        answer = await _call(
-            wire,
-            'poll',
-            token,
-            lease_ms=news.lease_ms,
-            wait_ms=0,
-            after=news.after,
-            acknowledged=[workers.format_task(t) for t in news.acknowledged],
-        )
-        if isinstance(answer, dict):
-            ended = [
-                dataclasses.replace(task.entry)
-                for task in machine.tasks.values()
-                if task.event > news.after
-            ]
-            return fleets.Polled(ended, [], False, answer['event'])
+    machine = wire.machine
+    inventory = _copy_entries(machine, -1)
+    return fleets.Claimed(machine.boot, inventory, answer['event'])
+
+
+async def _poll(wire: Wire, token: int, news: fleets.Poll) -> fleets.PollResult:
+    answer = await _call(
+        wire,
+        'poll',
+        token,
+        lease_ms=news.lease_ms,
+        wait_ms=0,
+        after=news.after,
+        acknowledged=[workers.format_task(t) for t in news.acknowledged],
+    )
+    if not isinstance(answer, dict):
         return _weaken(answer)
-
-    async def start(
-        token: int, orders: list[fleets.Start]
-    ) -> fleets.StartResult:
-        shown = [_show_start(order) for order in orders]
-        answer = await _call(wire, 'start', token, tasks=shown)
-        if not isinstance(answer, dict):
-            return answer
-        return [
-            fleets.StartRefused(reason) if reason else fleets.Started()
-            for reason in answer['results']
-        ]
-
-    async def stop(
-        token: int, tasks: list[workers.TaskId], grace_ms: int
-    ) -> fleets.StopResult:
-        texts = [workers.format_task(task) for task in tasks]
-        answer = await _call(
-            wire, 'stop', token, tasks=texts, grace_ms=grace_ms
-        )
-        return None if isinstance(answer, dict) else answer
-
-    async def throttle(
-        token: int, task: workers.TaskId, millicores: int
-    ) -> fleets.StopResult:
-        return None
-
-    return fleets.Target(claim, poll, start, stop, throttle)
+    ended = _copy_entries(wire.machine, news.after)
+    return fleets.Polled(ended, [], False, answer['event'])
+
+
+def _copy_entries(
+    machine: machines.Machine, after: int
+) -> list[workers.InventoryEntry]:
+    return [
+        dataclasses.replace(task.entry)
+        for task in machine.tasks.values()
+        if task.event > after
+    ]
+
+
+async def _start(
+    wire: Wire, token: int, orders: list[fleets.Start]
+) -> fleets.StartResult:
+    shown = [_show_start(order) for order in orders]
+    answer = await _call(wire, 'start', token, tasks=shown)
+    if not isinstance(answer, dict):
+        return answer
+    return [
+        fleets.StartRefused(reason) if reason else fleets.Started()
+        for reason in answer['results']
+    ]
+
+
+async def _stop(
+    wire: Wire, token: int, tasks: list[workers.TaskId], grace_ms: int
+) -> fleets.StopResult:
+    texts = [workers.format_task(task) for task in tasks]
+    answer = await _call(wire, 'stop', token, tasks=texts, grace_ms=grace_ms)
+    return None if isinstance(answer, dict) else answer
+
+
+async def _throttle(
+    token: int, task: workers.TaskId, millicores: int
+) -> fleets.StopResult:
+    return None
 
 
 async def _call(wire: Wire, name: str, token: int, **body: object) -> Answer:
