Leave room in a team's limit for partitions that have not asked yet

Cause: the first fleet partition to ask was granted the whole unused limit, as the others had no standing yet; they then waited for its next look at the row, up to 8 s. A partition that had lacked nothing for long waited for its own next look as well. Change: every partition counts in the division, and a partition that begins to lack something looks at once. Conclusion: grants are divided before they are needed.

--- a/src/nutmegknot/_internal/fleet/granting.py
+++ b/src/nutmegknot/_internal/fleet/granting.py
@@ -9,6 +9,7 @@
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import fleets
+from nutmegknot._internal.membership import owning
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import table_pb2
@@ -38,6 +39,7 @@
         a write is lost, or None.
       next_ms: Monotonic instant in ms before which the row is left alone.
       backoff: Intervals of looking at the row without a change.
+      lacks: Whether the partition wanted more than its grant when last asked.
     """
 
     version: int
@@ -45,6 +47,7 @@
     backoff: retries.Backoff
     doubtful: resources.Resources | None = None
     next_ms: int = 0
+    lacks: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -163,10 +166,41 @@
             return
         grant = _make_grant(context, None)
         state.teams[team] = grant
+    _note_lack(fleet, grant, standing)
     if context.clock.now_ms() >= grant.next_ms and context.may_act():
         await _move(fleet, context, team, grant, standing)
 
 
+def _note_lack(
+    fleet: fleets.Fleet, grant: TeamGrant, standing: grants.Standing
+) -> None:
+    """Ends the wait before the next look once the partition lacks something.
+
+    While it lacked nothing, the row was looked at seldom, so that it may have
+    changed a lot since.
+    """
+    present = grant.present.get(fleet.name, grants.Standing())
+    wanted = resources.add(standing.held, standing.demand)
+    lacks = not resources.fits(wanted, present.granted)
+    if lacks and not grant.lacks:
+        grant.next_ms = 0
+        retries.reset(grant.backoff)
+    grant.lacks = lacks
+
+
+def _list_standings(
+    context: contexts.Context, grant: TeamGrant
+) -> grant_codec.Standings:
+    """Returns the standing of every partition, empty where it has none.
+
+    So what nobody wants is divided among all, and the first to ask does not
+    take what others will need in a moment.
+    """
+    names = owning.list_partitions(context.settings)
+    every = {n: grants.Standing() for n in names if n.startswith('fleet-')}
+    return every | grant.present
+
+
 async def _move(
     fleet: fleets.Fleet,
     context: contexts.Context,
@@ -175,7 +209,8 @@
     standing: grants.Standing,
 ) -> None:
     limit = fleet.scheduler.configuration.teams[team].limit
-    chosen = grants.choose_standing(limit, grant.present, fleet.name, standing)
+    present = _list_standings(context, grant)
+    chosen = grants.choose_standing(limit, present, fleet.name, standing)
     is_due = grants.is_due(limit, grant.present, fleet.name, chosen)
     if grant.doubtful is not None or not is_due:
         await _look_again(fleet, context, team, grant, standing)
--- a/tests/unit/fleet/test_granting.py
+++ b/tests/unit/fleet/test_granting.py
@@ -171,3 +171,17 @@
         begin=accept,  # type: ignore[arg-type]
         send_reports=accept,
     )
+
+
+async def test_first_to_ask_leaves_room_for_others() -> None:
+    fake = fakes.FakeTable(rows={n: tables.Row(n, b'', 1) for n in NAMES})
+    manual = clock_lib.ManualTime()
+    one = grants.Standing(demand=UNIT, unit=UNIT)
+    for name in NAMES:
+        fleet, state = make_fleet(name), granting.Granting()
+        context = make_context(fake, manual, name)
+        for _ in range(3):
+            await granting.ask(fleet, context, state, 't', one)
+            granting.put_in_force(fleet, state)
+        assert fleet.scheduler.grants is not None
+        assert resources.fits(UNIT, fleet.scheduler.grants['t'])
