Change configurations only through instances that all others know

Cause: in an outage a member asks only those that it knows; one that does not know the instance an operator uses could go on acting on the older configuration. The rule stood in membership and nobody called it. The doc of a poll said that leases count from its arrival.

--- a/src/nutmegknot/_internal/instance/operators.py
+++ b/src/nutmegknot/_internal/instance/operators.py
@@ -13,6 +13,7 @@
 from nutmegknot._internal.instance import dumps
 from nutmegknot._internal.instance import inspecting
 from nutmegknot._internal.instance import instances
+from nutmegknot._internal.membership import holding
 from nutmegknot._internal.membership import leases
 from nutmegknot._internal.models import cells
 from nutmegknot._internal.network import channels
@@ -112,6 +113,11 @@
             grpclib.const.Status.UNAVAILABLE,
             'authority is not confirmed; nothing was changed',
         )
+    if not holding.may_change_configuration(inst.membership.view):
+        return services.Rejected(
+            grpclib.const.Status.UNAVAILABLE,
+            'not every instance knows this one yet; nothing was changed',
+        )
     pb = operator_pb2
     change = _read_change(inst, call)
     if isinstance(change, changes.Invalid):
--- a/src/nutmegknot/_internal/platform/fleets.py
+++ b/src/nutmegknot/_internal/platform/fleets.py
@@ -106,8 +106,8 @@
     """Asks for news and renews the leases of the worker's tasks.
 
     Attributes:
-      lease_ms: Length of the new lease in ms, from its arrival; 0 leaves the
-        leases as they are.
+      lease_ms: Length of the new lease in ms, from the sending of the poll; 0
+        leaves the leases as they are.
       wait_ms: How long the worker may hold the call if there is no news, in ms.
       after: Number of the newest event known; only later ones are news.
       acknowledged: Ended tasks that the worker may forget.
