Keep one list of call errors, and drop what nothing calls

Cause: the errors of a lost gRPC call were listed in two modules, and four functions of resources and outcomes had lost their callers when the limits moved to the escrow of the decisions. Change: network/calls.py has the lists and clients names them; split, divide, its part and is_final are gone. The whole suite was not run again. Conclusion: no change of behaviour.

--- a/src/nutmegknot/_internal/models/outcomes.py
+++ b/src/nutmegknot/_internal/models/outcomes.py
@@ -132,8 +132,3 @@
 
 Final = Finished | Failed | Cancelled | MayHaveRun
 Outcome = Accepted | Refused | Conflict | Final | Pending | NotFound | Unknown
-
-
-def is_final(outcome: Outcome) -> bool:
-    """Tells whether outcome ends an accepted request."""
-    return isinstance(outcome, Final)
--- a/src/nutmegknot/_internal/models/resources.py
+++ b/src/nutmegknot/_internal/models/resources.py
@@ -88,16 +88,6 @@
     return max(0, min(have // part for part, have in parts if part > 0))
 
 
-def split(amount: Resources, count: int) -> Resources:
-    """Returns one of count even parts of an amount, rounded down."""
-    return Resources(
-        amount.millicores // count,
-        amount.memory_mib // count,
-        amount.accelerators // count,
-        amount.slots // count,
-    )
-
-
 def take_least(left: Resources, right: Resources) -> Resources:
     """Returns the lower of two amounts in each part."""
     return Resources(
@@ -116,20 +106,3 @@
         max(left.accelerators, right.accelerators),
         max(left.slots, right.slots),
     )
-
-
-def divide(amount: Resources, part: Resources, whole: Resources) -> Resources:
-    """Returns amount times part over whole in each part, rounded down.
-
-    Where whole has nothing, the result has nothing.
-    """
-    return Resources(
-        _divide(amount.millicores, part.millicores, whole.millicores),
-        _divide(amount.memory_mib, part.memory_mib, whole.memory_mib),
-        _divide(amount.accelerators, part.accelerators, whole.accelerators),
-        _divide(amount.slots, part.slots, whole.slots),
-    )
-
-
-def _divide(amount: int, part: int, whole: int) -> int:
-    return amount * part // whole if whole > 0 else 0
--- a/src/nutmegknot/_internal/network/calls.py
+++ b/src/nutmegknot/_internal/network/calls.py
@@ -1,13 +1,14 @@
-"""Errors of calls between instances."""
+"""Errors of calls over gRPC."""
 
 import asyncio
 
 import grpclib.exceptions
 
-CALL_ERRORS = (
-    grpclib.exceptions.GRPCError,
+# The call may have taken effect; its answer did not come.
+LOST_ERRORS = (
     grpclib.exceptions.StreamTerminatedError,
     grpclib.exceptions.ProtocolError,
     OSError,
     asyncio.TimeoutError,
 )
+CALL_ERRORS = (grpclib.exceptions.GRPCError, *LOST_ERRORS)
--- a/src/nutmegknot/_internal/network/clients.py
+++ b/src/nutmegknot/_internal/network/clients.py
@@ -1,24 +1,17 @@
 """Client of the caller and operator interfaces."""
 
-import asyncio
 import dataclasses
 import ssl
 
 import grpclib.client
-import grpclib.exceptions
 
+from nutmegknot._internal.network import calls
 from nutmegknot._internal.network import channels
 from nutmegknot._internal.schema import caller_grpc
 from nutmegknot._internal.schema import operator_grpc
 
-# The call may have taken effect; its answer did not come.
-LOST_ERRORS = (
-    grpclib.exceptions.StreamTerminatedError,
-    grpclib.exceptions.ProtocolError,
-    OSError,
-    asyncio.TimeoutError,
-)
-CALL_ERRORS = (grpclib.exceptions.GRPCError, *LOST_ERRORS)
+LOST_ERRORS = calls.LOST_ERRORS
+CALL_ERRORS = calls.CALL_ERRORS
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
