Move the stand-ins' interfaces and adapters to backing/

Cause: the adapter to the users' platform takes the folder platform/, which is to hold all that the platform speaks and nothing else. Only modules move; behaviour and tests are as before.

--- a/benchmarks/journal.py
+++ b/benchmarks/journal.py
@@ -13,6 +13,7 @@
 from lib import makers
 from lib import partitions
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import accepting
 from nutmegknot._internal.ledger import recovery
 from nutmegknot._internal.ledger import reporting
@@ -21,7 +22,6 @@
 from nutmegknot._internal.ledger import writing
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import reports
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.settings import reader
 from nutmegknot._internal.utils import clock as clock_lib
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -17,6 +17,8 @@
 from lib import partitions
 
 from benchmarks import fits
+from nutmegknot._internal.backing import fleets as platform_fleets
+from nutmegknot._internal.backing import http_fleets
 from nutmegknot._internal.codec import values
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import fleets
@@ -29,8 +31,6 @@
 from nutmegknot._internal.models import requests
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import fleets as platform_fleets
-from nutmegknot._internal.platform import http_fleets
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot_standins import servers
 
--- a/src/nutmegknot/_internal/audit/histories.py
+++ b/src/nutmegknot/_internal/audit/histories.py
@@ -3,11 +3,11 @@
 from collections.abc import AsyncIterator
 import dataclasses
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import archives
 from nutmegknot._internal.ledger import pointers
 from nutmegknot._internal.ledger import recovery
 from nutmegknot._internal.ledger import segments
-from nutmegknot._internal.platform import tables
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/nutmegknot/_internal/audit/queries.py
+++ b/src/nutmegknot/_internal/audit/queries.py
@@ -4,10 +4,10 @@
 import dataclasses
 
 from nutmegknot._internal.audit import histories
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import recovery
 from nutmegknot._internal.ledger import segments
 from nutmegknot._internal.models import records
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.utils import hashing
 
 
--- a/src/nutmegknot/_internal/audit/verification.py
+++ b/src/nutmegknot/_internal/audit/verification.py
@@ -3,10 +3,10 @@
 import dataclasses
 
 from nutmegknot._internal.audit import histories
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import pointers
 from nutmegknot._internal.ledger import recovery
 from nutmegknot._internal.ledger import segments
-from nutmegknot._internal.platform import tables
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/nutmegknot/_internal/platform/fleets.py
+++ b/src/nutmegknot/_internal/backing/fleets.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 import dataclasses
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import tables
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/nutmegknot/_internal/platform/http_calls.py
+++ b/src/nutmegknot/_internal/backing/http_calls.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from nutmegknot._internal.platform import tables
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.utils import clock as clock_lib
 
 _BAD_ANSWER_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
--- a/src/nutmegknot/_internal/platform/http_fleets.py
+++ b/src/nutmegknot/_internal/backing/http_fleets.py
@@ -8,11 +8,11 @@
 
 import aiohttp
 
+from nutmegknot._internal.backing import fleets
+from nutmegknot._internal.backing import http_calls
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import fleets
-from nutmegknot._internal.platform import http_calls
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.utils import clock as clock_lib
 
 # Connections of one instance to one worker. A worker takes 64, and six
--- a/src/nutmegknot/_internal/platform/http_objects.py
+++ b/src/nutmegknot/_internal/backing/http_objects.py
@@ -2,9 +2,9 @@
 
 import aiohttp
 
-from nutmegknot._internal.platform import http_calls
-from nutmegknot._internal.platform import objects
-from nutmegknot._internal.platform import tables
+from nutmegknot._internal.backing import http_calls
+from nutmegknot._internal.backing import objects
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.utils import clock as clock_lib
 
 _OK = 200
--- a/src/nutmegknot/_internal/platform/http_tables.py
+++ b/src/nutmegknot/_internal/backing/http_tables.py
@@ -5,8 +5,8 @@
 
 import aiohttp
 
-from nutmegknot._internal.platform import http_calls
-from nutmegknot._internal.platform import tables
+from nutmegknot._internal.backing import http_calls
+from nutmegknot._internal.backing import tables
 
 
 def connect(session: aiohttp.ClientSession, url: str) -> tables.Table:
--- a/src/nutmegknot/_internal/platform/objects.py
+++ b/src/nutmegknot/_internal/backing/objects.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 
-from nutmegknot._internal.platform import tables
+from nutmegknot._internal.backing import tables
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/nutmegknot/_internal/configuration/changes.py
+++ b/src/nutmegknot/_internal/configuration/changes.py
@@ -10,12 +10,12 @@
 import dataclasses
 import hashlib
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.codec import configurations
 from nutmegknot._internal.configuration import checks
 from nutmegknot._internal.configuration import differences
 from nutmegknot._internal.membership import leases
 from nutmegknot._internal.models import cells
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import operator_pb2
 from nutmegknot._internal.schema import table_pb2
 from nutmegknot._internal.utils import clock as clock_lib
--- a/src/nutmegknot/_internal/fleet/contexts.py
+++ b/src/nutmegknot/_internal/fleet/contexts.py
@@ -5,10 +5,10 @@
 import dataclasses
 import random
 
+from nutmegknot._internal.backing import fleets as platform_fleets
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import beginning
 from nutmegknot._internal.models import reports
-from nutmegknot._internal.platform import fleets as platform_fleets
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import settings_pb2
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import tasks
--- a/src/nutmegknot/_internal/fleet/fleets.py
+++ b/src/nutmegknot/_internal/fleet/fleets.py
@@ -3,13 +3,13 @@
 import asyncio
 import dataclasses
 
+from nutmegknot._internal.backing import fleets as platform_fleets
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.models import partitions
 from nutmegknot._internal.models import reports
 from nutmegknot._internal.models import requests
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import fleets as platform_fleets
 from nutmegknot._internal.utils import signals
 
 
--- a/src/nutmegknot/_internal/fleet/granting.py
+++ b/src/nutmegknot/_internal/fleet/granting.py
@@ -4,6 +4,7 @@
 import dataclasses
 import logging
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.codec import grants as grant_codec
 from nutmegknot._internal.decisions import grants
 from nutmegknot._internal.decisions import scheduling
@@ -11,7 +12,6 @@
 from nutmegknot._internal.fleet import fleets
 from nutmegknot._internal.membership import owning
 from nutmegknot._internal.models import resources
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import table_pb2
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import retries
--- a/src/nutmegknot/_internal/fleet/listing.py
+++ b/src/nutmegknot/_internal/fleet/listing.py
@@ -4,12 +4,12 @@
 
 import xxhash
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import fleets
 from nutmegknot._internal.fleet import sessions
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
--- a/src/nutmegknot/_internal/fleet/orders.py
+++ b/src/nutmegknot/_internal/fleet/orders.py
@@ -1,12 +1,12 @@
 """Turning placements into start orders."""
 
+from nutmegknot._internal.backing import fleets as platform_fleets
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import fleets
 from nutmegknot._internal.models import requests
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import fleets as platform_fleets
 from nutmegknot._internal.utils import signals
 
 
--- a/src/nutmegknot/_internal/fleet/sessions.py
+++ b/src/nutmegknot/_internal/fleet/sessions.py
@@ -3,12 +3,12 @@
 import asyncio
 import logging
 
+from nutmegknot._internal.backing import fleets as platform_fleets
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import fleets
 from nutmegknot._internal.fleet import jobs
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import fleets as platform_fleets
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import retries
 from nutmegknot._internal.utils import signals
--- a/src/nutmegknot/_internal/instance/auditing.py
+++ b/src/nutmegknot/_internal/instance/auditing.py
@@ -3,6 +3,7 @@
 from nutmegknot._internal.audit import chains
 from nutmegknot._internal.audit import queries
 from nutmegknot._internal.audit import verification
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.codec import values
 from nutmegknot._internal.configuration import changes
 from nutmegknot._internal.instance import inspecting
@@ -12,7 +13,6 @@
 from nutmegknot._internal.membership import leases
 from nutmegknot._internal.membership import owning
 from nutmegknot._internal.models import records
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import inspect_pb2
 from nutmegknot._internal.schema import operator_pb2
 from nutmegknot._internal.schema import table_pb2
--- a/src/nutmegknot/_internal/instance/instances.py
+++ b/src/nutmegknot/_internal/instance/instances.py
@@ -4,6 +4,9 @@
 import dataclasses
 import random
 
+from nutmegknot._internal.backing import fleets as platform_fleets
+from nutmegknot._internal.backing import objects
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.decisions import routing
 from nutmegknot._internal.fleet import fleets as fleet_lib
 from nutmegknot._internal.ledger import ledgers as ledger_lib
@@ -12,9 +15,6 @@
 from nutmegknot._internal.models import loads as load_lib
 from nutmegknot._internal.network import channels as channel_lib
 from nutmegknot._internal.network import services
-from nutmegknot._internal.platform import fleets as platform_fleets
-from nutmegknot._internal.platform import objects
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import settings_pb2
 from nutmegknot._internal.telemetry import metrics as metrics_lib
 from nutmegknot._internal.utils import clock as clock_lib
--- a/src/nutmegknot/_internal/instance/ledger_opening.py
+++ b/src/nutmegknot/_internal/instance/ledger_opening.py
@@ -4,6 +4,7 @@
 import functools
 import logging
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.instance import assigning
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import replicas
@@ -17,7 +18,6 @@
 from nutmegknot._internal.membership import owning
 from nutmegknot._internal.membership import rows
 from nutmegknot._internal.membership import views
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import table_pb2
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
--- a/src/nutmegknot/_internal/instance/running.py
+++ b/src/nutmegknot/_internal/instance/running.py
@@ -9,6 +9,9 @@
 import aiohttp
 import grpclib.server
 
+from nutmegknot._internal.backing import http_fleets
+from nutmegknot._internal.backing import http_objects
+from nutmegknot._internal.backing import http_tables
 from nutmegknot._internal.instance import exposing
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.instance import links
@@ -23,9 +26,6 @@
 from nutmegknot._internal.network import services
 from nutmegknot._internal.network import tls
 from nutmegknot._internal.network import web
-from nutmegknot._internal.platform import http_fleets
-from nutmegknot._internal.platform import http_objects
-from nutmegknot._internal.platform import http_tables
 from nutmegknot._internal.schema import settings_pb2
 from nutmegknot._internal.telemetry import metrics
 from nutmegknot._internal.utils import clock as clock_lib
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -4,6 +4,7 @@
 import logging
 import random
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.codec import policies as policy_codec
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import beginning as fleet_beginning
@@ -27,7 +28,6 @@
 from nutmegknot._internal.membership import rows
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import reports
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.telemetry import metrics
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
--- a/src/nutmegknot/_internal/ledger/journals.py
+++ b/src/nutmegknot/_internal/ledger/journals.py
@@ -4,10 +4,10 @@
 import collections
 import dataclasses
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.codec import records as record_codec
 from nutmegknot._internal.ledger import segments
 from nutmegknot._internal.models import records
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import journal_pb2
 from nutmegknot._internal.utils import signals
 
--- a/src/nutmegknot/_internal/ledger/pointers.py
+++ b/src/nutmegknot/_internal/ledger/pointers.py
@@ -4,8 +4,8 @@
 
 from google.protobuf import message as message_lib
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import segments
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import journal_pb2
 
 
--- a/src/nutmegknot/_internal/ledger/recovery.py
+++ b/src/nutmegknot/_internal/ledger/recovery.py
@@ -2,13 +2,13 @@
 
 import dataclasses
 
+from nutmegknot._internal.backing import objects
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import journals
 from nutmegknot._internal.ledger import ledgers
 from nutmegknot._internal.ledger import pointers
 from nutmegknot._internal.ledger import segments
 from nutmegknot._internal.ledger import snapshots
-from nutmegknot._internal.platform import objects
-from nutmegknot._internal.platform import tables
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/nutmegknot/_internal/ledger/snapshotting.py
+++ b/src/nutmegknot/_internal/ledger/snapshotting.py
@@ -6,6 +6,8 @@
 import random
 import uuid
 
+from nutmegknot._internal.backing import objects
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import archives
 from nutmegknot._internal.ledger import journals
 from nutmegknot._internal.ledger import ledgers
@@ -13,8 +15,6 @@
 from nutmegknot._internal.ledger import recovery
 from nutmegknot._internal.ledger import segments
 from nutmegknot._internal.ledger import snapshots
-from nutmegknot._internal.platform import objects
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import retries
 from nutmegknot._internal.utils import signals
--- a/src/nutmegknot/_internal/ledger/writing.py
+++ b/src/nutmegknot/_internal/ledger/writing.py
@@ -7,10 +7,10 @@
 import random
 import uuid
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import journals
 from nutmegknot._internal.ledger import segments
 from nutmegknot._internal.models import records
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import journal_pb2
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import retries
--- a/src/nutmegknot/_internal/membership/leases.py
+++ b/src/nutmegknot/_internal/membership/leases.py
@@ -6,13 +6,13 @@
 
 from google.protobuf import message as message_lib
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.codec import configurations
 from nutmegknot._internal.membership import holding
 from nutmegknot._internal.membership import rows
 from nutmegknot._internal.membership import sightings
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import cells
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import operator_pb2
 from nutmegknot._internal.schema import settings_pb2
 from nutmegknot._internal.utils import clock as clock_lib
--- a/src/nutmegknot/_internal/membership/owning.py
+++ b/src/nutmegknot/_internal/membership/owning.py
@@ -2,13 +2,13 @@
 
 import logging
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.membership import holding
 from nutmegknot._internal.membership import leases
 from nutmegknot._internal.membership import rows
 from nutmegknot._internal.membership import sightings
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import partitions
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import settings_pb2
 from nutmegknot._internal.utils import hashing
 from nutmegknot._internal.utils import signals
--- a/src/nutmegknot/_internal/membership/rows.py
+++ b/src/nutmegknot/_internal/membership/rows.py
@@ -1,7 +1,7 @@
 """Keys and values of the rows that instances keep in the table."""
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.models import partitions
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import table_pb2
 
 MEMBER_PREFIX = 'member/'
--- a/src/nutmegknot/_internal/membership/sightings.py
+++ b/src/nutmegknot/_internal/membership/sightings.py
@@ -1,8 +1,8 @@
 """Lease rows of all members, and when each was seen to change."""
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.membership import rows
 from nutmegknot._internal.membership import views
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import settings_pb2
 
 
--- a/src/nutmegknot/_internal/telemetry/store_calls.py
+++ b/src/nutmegknot/_internal/telemetry/store_calls.py
@@ -5,8 +5,8 @@
 import dataclasses
 from typing import Any
 
-from nutmegknot._internal.platform import objects
-from nutmegknot._internal.platform import tables
+from nutmegknot._internal.backing import objects
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.telemetry import metrics
 
 
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 import dataclasses
 
-from nutmegknot._internal.platform import objects
-from nutmegknot._internal.platform import tables
+from nutmegknot._internal.backing import objects
+from nutmegknot._internal.backing import tables
 
 
 def _ignore() -> None:
--- a/tests/lib/makers.py
+++ b/tests/lib/makers.py
@@ -1,5 +1,7 @@
 """Short ways to make core types in tests."""
 
+from nutmegknot._internal.backing import fleets as platform_fleets
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import fleets
 from nutmegknot._internal.models import cells
@@ -7,8 +9,6 @@
 from nutmegknot._internal.models import requests
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import fleets as platform_fleets
-from nutmegknot._internal.platform import tables
 
 SIZE = resources.Resources(1000, 1024, 0, 1)
 CAPACITY = resources.Resources(4000, 4096, 0, 4)
--- a/tests/lib/partitions.py
+++ b/tests/lib/partitions.py
@@ -7,6 +7,7 @@
 
 from lib import fakes
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import accepting
 from nutmegknot._internal.ledger import journals
 from nutmegknot._internal.ledger import ledgers
@@ -16,7 +17,6 @@
 from nutmegknot._internal.ledger import writing
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import requests
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.utils import clock as clock_lib
 
 NAME = 'ledger-0'
--- a/tests/lib/targets.py
+++ b/tests/lib/targets.py
@@ -5,9 +5,9 @@
 import functools
 from typing import Any
 
+from nutmegknot._internal.backing import fleets
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import fleets
-from nutmegknot._internal.platform import tables
 from nutmegknot_standins import machines
 
 
--- a/tests/unit/audit/test_audit.py
+++ b/tests/unit/audit/test_audit.py
@@ -9,6 +9,7 @@
 from nutmegknot._internal.audit import chains
 from nutmegknot._internal.audit import queries
 from nutmegknot._internal.audit import verification
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import accepting
 from nutmegknot._internal.ledger import reporting
 from nutmegknot._internal.ledger import segments
@@ -16,7 +17,6 @@
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import records
 from nutmegknot._internal.models import reports
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import journal_pb2
 
 FINISHED = outcomes.Finished((b'answer',))
--- a/tests/unit/platform/test_http_adapters.py
+++ b/tests/unit/backing/test_http_adapters.py
@@ -6,14 +6,14 @@
 from lib import standins
 import pytest
 
+from nutmegknot._internal.backing import fleets
+from nutmegknot._internal.backing import http_fleets
+from nutmegknot._internal.backing import http_objects
+from nutmegknot._internal.backing import http_tables
+from nutmegknot._internal.backing import objects
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import fleets
-from nutmegknot._internal.platform import http_fleets
-from nutmegknot._internal.platform import http_objects
-from nutmegknot._internal.platform import http_tables
-from nutmegknot._internal.platform import objects
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot_standins import books
 from nutmegknot_standins import control_pb2
--- a/tests/unit/codec/test_damage.py
+++ b/tests/unit/codec/test_damage.py
@@ -9,6 +9,7 @@
 from lib import partitions
 import pytest
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.codec import records as record_codec
 from nutmegknot._internal.codec import reports as report_codec
 from nutmegknot._internal.codec import values
@@ -20,7 +21,6 @@
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import records
 from nutmegknot._internal.models import reports
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import journal_pb2
 from nutmegknot._internal.schema import peer_pb2
 
--- a/tests/unit/configuration/test_changes.py
+++ b/tests/unit/configuration/test_changes.py
@@ -6,11 +6,11 @@
 from lib import fakes
 import pytest
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.configuration import changes
 from nutmegknot._internal.configuration import keys
 from nutmegknot._internal.models import cells
 from nutmegknot._internal.models import resources
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import operator_pb2
 
 TIMEOUT_MS = 100
--- a/tests/unit/fleet/test_granting.py
+++ b/tests/unit/fleet/test_granting.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 from lib import fakes
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.codec import grants as grant_codec
 from nutmegknot._internal.decisions import grants
 from nutmegknot._internal.decisions import scheduling
@@ -15,7 +16,6 @@
 from nutmegknot._internal.fleet import granting
 from nutmegknot._internal.models import cells
 from nutmegknot._internal.models import resources
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import settings_pb2
 from nutmegknot._internal.schema import table_pb2
 from nutmegknot._internal.utils import clock as clock_lib
--- a/tests/unit/fleet/test_takeovers.py
+++ b/tests/unit/fleet/test_takeovers.py
@@ -17,6 +17,7 @@
 from lib import makers
 from lib import targets
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.decisions import scheduling
 from nutmegknot._internal.fleet import beginning as fleet_beginning
 from nutmegknot._internal.fleet import contexts
@@ -30,7 +31,6 @@
 from nutmegknot._internal.models import reports
 from nutmegknot._internal.models import requests
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import settings_pb2
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot_standins import books
--- a/tests/unit/instance/test_forwarding.py
+++ b/tests/unit/instance/test_forwarding.py
@@ -9,6 +9,7 @@
 import grpclib.client
 from lib import members
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.instance import forwarding
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.membership import leases
@@ -16,7 +17,6 @@
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import partitions
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import common_pb2
 from nutmegknot._internal.schema import peer_pb2
 from nutmegknot._internal.utils import clock as clock_lib
--- a/tests/unit/ledger/test_journals.py
+++ b/tests/unit/ledger/test_journals.py
@@ -6,11 +6,11 @@
 from lib import fakes
 import pytest
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import journals
 from nutmegknot._internal.ledger import segments
 from nutmegknot._internal.ledger import writing
 from nutmegknot._internal.models import records
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.utils import clock as clock_lib
 
 OWNER = 'owner/ledger-0'
--- a/tests/unit/ledger/test_snapshots.py
+++ b/tests/unit/ledger/test_snapshots.py
@@ -7,14 +7,14 @@
 from lib import partitions
 import pytest
 
+from nutmegknot._internal.backing import objects as object_lib
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.ledger import accepting
 from nutmegknot._internal.ledger import recovery
 from nutmegknot._internal.ledger import segments
 from nutmegknot._internal.ledger import snapshots
 from nutmegknot._internal.ledger import snapshotting
 from nutmegknot._internal.models import outcomes
-from nutmegknot._internal.platform import objects as object_lib
-from nutmegknot._internal.platform import tables
 
 
 async def fill(owner: partitions.Owner, names: range) -> None:
--- a/tests/unit/membership/test_leases.py
+++ b/tests/unit/membership/test_leases.py
@@ -4,6 +4,7 @@
 from lib import members
 import pytest
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.codec import configurations
 from nutmegknot._internal.membership import holding
 from nutmegknot._internal.membership import leases
@@ -11,7 +12,6 @@
 from nutmegknot._internal.membership import rows
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import cells
-from nutmegknot._internal.platform import tables
 from nutmegknot._internal.schema import table_pb2
 from nutmegknot._internal.utils import clock as clock_lib
 
--- a/tests/unit/telemetry/test_metrics.py
+++ b/tests/unit/telemetry/test_metrics.py
@@ -2,7 +2,7 @@
 
 from lib import fakes
 
-from nutmegknot._internal.platform import tables
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.telemetry import exposition
 from nutmegknot._internal.telemetry import metrics
 from nutmegknot._internal.telemetry import store_calls
