Add jobs of steps with one owner, its chain of writes and its workers

Cause: the platform hands in jobs of steps, and the product knows requests of one task or of like tasks only. A job is a core type now, with its own rows and calls in the schema. One instance owns all jobs: every write of its demands the version that the last one gave the owner row, so that a late or lost write can do no harm, an owner that was replaced can't write, and each write renews the ownership. Workers hold the truth about runs; a new owner claims them with its epoch as fencing token.

--- /dev/null
+++ b/src/nutmegknot/_internal/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of steps: their owner's memory, its writes, and its workers."""
--- /dev/null
+++ b/src/nutmegknot/_internal/jobs/admitting.py
@@ -0,0 +1,52 @@
+"""Which queue and customer a call is for, by the settings in force."""
+
+import dataclasses
+
+from nutmegknot._internal.models import catalogs
+from nutmegknot._internal.models import outcomes
+
+# When a caller may come back who meets an instance without settings, in ms.
+NO_SETTINGS_RETRY_MS = 1_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Admitted:
+    """A call that the settings allow.
+
+    Attributes:
+      queue: The queue.
+      customer: Name of the customer; '' on a queue open to all.
+      rest: The path after the queue's prefix.
+    """
+
+    queue: catalogs.Queue
+    customer: str
+    rest: str
+
+
+def admit(
+    catalog: catalogs.Catalog | None, host: str, path: str, key: str
+) -> Admitted | outcomes.Refused:
+    """Returns what a call is for, or why it is refused.
+
+    Args:
+      catalog: The settings in force; None while there are none.
+      host: Host name that the caller used.
+      path: Path of the call.
+      key: The caller's key; '' if it sent none.
+    """
+    if catalog is None:
+        return outcomes.Refused(
+            outcomes.RefusalReason.UNAVAILABLE,
+            'no settings are in force yet',
+            NO_SETTINGS_RETRY_MS,
+        )
+    queue = catalogs.find_queue(catalog, host, path)
+    if queue is None:
+        reason = outcomes.RefusalReason.UNKNOWN_QUEUE
+        return outcomes.Refused(reason, f'{host}{path}')
+    customer = catalog.customer_by_key.get(key, '')
+    if not customer and not queue.is_open:
+        reason = outcomes.RefusalReason.KEY_REJECTED
+        return outcomes.Refused(reason, f'queue {queue.name}')
+    return Admitted(queue, customer, path.removeprefix(queue.prefix))
--- /dev/null
+++ b/src/nutmegknot/_internal/jobs/nodes.py
@@ -0,0 +1,108 @@
+"""An instance that takes part in owning the jobs."""
+
+import dataclasses
+import random
+
+from nutmegknot._internal.backing import advisers
+from nutmegknot._internal.backing import listings
+from nutmegknot._internal.backing import runners
+from nutmegknot._internal.backing import tables
+from nutmegknot._internal.jobs import bounds
+from nutmegknot._internal.jobs import ownerships
+from nutmegknot._internal.jobs import rosters
+from nutmegknot._internal.models import catalogs
+from nutmegknot._internal.network import channels as channels_lib
+from nutmegknot._internal.schema import jobs_pb2
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import signals
+from nutmegknot._internal.utils import tasks
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outside:
+    """What an instance reaches outside.
+
+    Attributes:
+      table: The store.
+      listings: Operators' settings and the list of workers.
+      runners: The workers.
+      advise: The service for advice.
+    """
+
+    table: tables.Table
+    listings: listings.Listings
+    runners: runners.Runners
+    advise: advisers.Advise
+
+
+@dataclasses.dataclass(slots=True)
+class Sighting:
+    """The owner row as this instance saw it.
+
+    Attributes:
+      row: What it says.
+      version: Its version.
+      since_ms: When this version was first seen, by our clock.
+      answered_ms: When its holder last answered, by our clock; 0 if never.
+    """
+
+    row: jobs_pb2.JobsOwnerRow
+    version: int
+    since_ms: int
+    answered_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """State of one instance.
+
+    Attributes:
+      id: Unique to this process.
+      address: Address for calls between instances.
+      domain: Its failure domain.
+      strength: Processors that it has, in thousandths of a core.
+      clock: Source of time.
+      rng: Source of jitter.
+      limits: Bounds on time.
+      outside: What it reaches.
+      tasks: Its tasks.
+      catalog: Operators' settings in force; None before the first reading.
+      position: Position of those settings.
+      news_ms: When they were last confirmed, by our clock.
+      known_revision: Newest revision that another instance has named.
+      owner: The owner row; None before the first reading.
+      own: The ownership, if this instance holds it.
+      reach: Whether the list of workers can be read.
+      channels: Connections to other instances.
+      is_stopping: Whether a planned stop has begun.
+      changed: Notified when the owner or the settings change.
+    """
+
+    id: str
+    address: str
+    domain: str
+    strength: int
+    clock: clock_lib.Clock
+    rng: random.Random
+    limits: bounds.Bounds
+    outside: Outside
+    tasks: tasks.Tasks
+    catalog: catalogs.Catalog | None = None
+    position: int = -1
+    news_ms: int = 0
+    known_revision: int = 0
+    owner: Sighting | None = None
+    own: ownerships.Ownership | None = None
+    reach: rosters.Reach = dataclasses.field(default_factory=rosters.Reach)
+    channels: channels_lib.Channels = dataclasses.field(
+        default_factory=channels_lib.Channels
+    )
+    is_stopping: bool = False
+    changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
+
+
+def get_acting(node: Node) -> ownerships.Ownership | None:
+    """Returns the ownership if this instance surely holds it now."""
+    if node.own is None or not ownerships.may_act(node.own):
+        return None
+    return node.own
--- /dev/null
+++ b/src/nutmegknot/_internal/jobs/owning.py
@@ -0,0 +1,259 @@
+"""Finds the owner of the jobs, and takes the ownership over where it is free.
+
+The owner row changes with each of the owner's writes. Who sees it unchanged
+for the length of the lease, by its own clock, may replace it; the condition on
+its version lets one succeed.
+"""
+
+import asyncio
+import logging
+
+from nutmegknot._internal.backing import tables
+from nutmegknot._internal.jobs import advising
+from nutmegknot._internal.jobs import forgetting
+from nutmegknot._internal.jobs import nodes
+from nutmegknot._internal.jobs import opening
+from nutmegknot._internal.jobs import ownerships
+from nutmegknot._internal.jobs import peers
+from nutmegknot._internal.jobs import placing
+from nutmegknot._internal.jobs import rosters
+from nutmegknot._internal.jobs import writes
+from nutmegknot._internal.models import jobs
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import signals
+from nutmegknot._internal.utils import tasks
+
+logger = logging.getLogger(__name__)
+
+# Interval of greeting the owner, and of reading its row while it is silent.
+GREET_MS = 400
+WATCH_MS = 120
+STORE_MS = 700
+# How much longer an instance waits for each core that it has less than
+# FULL_STRENGTH, so that the strongest takes over first.
+FULL_STRENGTH = 2_200
+WAIT_PER_CORE_MS = 150
+READ_BOOK_MS = 6_000
+
+
+async def keep_owner(node: nodes.Node) -> None:
+    """Follows the owner, and becomes it where it is free."""
+    while not node.is_stopping:
+        if node.own is not None:
+            await _wait_end(node, node.own)
+            continue
+        if await _is_answered(node):
+            await _sleep(GREET_MS)
+            continue
+        await _watch(node)
+
+
+async def _is_answered(node: nodes.Node) -> bool:
+    """Greets the owner that is known; tells whether it is the owner still."""
+    owner = node.owner
+    if owner is None or not owner.row.holder:
+        return False
+    reply = await peers.greet(node, owner.row.address)
+    if reply is None:
+        return False
+    node.known_revision = max(node.known_revision, reply.configuration)
+    if reply.instance != owner.row.holder and owner.row.holder:
+        # The process that held it is not there any more.
+        owner.since_ms = min(
+            owner.since_ms, node.clock.now_ms() - node.limits.lease_ms
+        )
+        return False
+    if reply.epoch != owner.row.epoch:
+        return False
+    owner.answered_ms = node.clock.now_ms()
+    signals.notify(node.changed)
+    return True
+
+
+async def _watch(node: nodes.Node) -> None:
+    """Reads the owner row, and takes over if its lease has ended."""
+    found = await opening.read_owner(node.outside.table, STORE_MS)
+    if found is None:
+        await _sleep(WATCH_MS)
+        return
+    note_row(node, found)
+    if _is_free(node) and node.catalog is not None and not node.is_stopping:
+        await _take_over(node, found)
+        return
+    await _sleep(WATCH_MS)
+
+
+def note_row(node: nodes.Node, found: opening.Owner) -> None:
+    """Takes note of the owner row that was read."""
+    known = node.owner
+    if known is not None and known.version == found.version:
+        return
+    now_ms = node.clock.now_ms()
+    is_new = known is None or known.row.epoch != found.row.epoch
+    node.owner = nodes.Sighting(found.row, found.version, now_ms)
+    if known is not None and not is_new:
+        node.owner.answered_ms = known.answered_ms
+    if is_new or not found.row.holder:
+        logger.info(
+            'owner_seen',
+            extra={
+                'epoch': found.row.epoch,
+                'holder': found.row.holder,
+                'address': found.row.address,
+            },
+        )
+    signals.notify(node.changed)
+
+
+def _is_free(node: nodes.Node) -> bool:
+    owner = node.owner
+    if owner is None:
+        return False
+    spare = max(0, FULL_STRENGTH - node.strength)
+    patience_ms = spare * WAIT_PER_CORE_MS // clock_lib.MS_PER_S
+    if owner.version == tables.ABSENT or not owner.row.holder:
+        lease_ms = 0
+    elif owner.row.address == node.address:
+        # An earlier process at our own address, which has ended.
+        return True
+    else:
+        lease_ms = node.limits.lease_ms
+    age_ms = node.clock.now_ms() - owner.since_ms
+    return age_ms >= lease_ms + patience_ms
+
+
+async def _take_over(node: nodes.Node, found: opening.Owner) -> None:
+    sent_ms = node.clock.now_ms()
+    owner = await opening.take_over(
+        node.outside.table, found, node.id, node.address, STORE_MS
+    )
+    if owner is None:
+        await _sleep(WATCH_MS)
+        return
+    logger.info(
+        'ownership_gained',
+        extra={
+            'epoch': owner.row.epoch,
+            'before': found.row.holder,
+            'version': owner.version,
+        },
+    )
+    note_row(node, owner)
+    await open_ownership(node, owner, sent_ms)
+
+
+async def open_ownership(
+    node: nodes.Node, owner: opening.Owner, sent_ms: int
+) -> None:
+    """Reads the book and begins to serve as the owner."""
+    writer = writes.Writer(
+        node.outside.table, node.clock, owner.row, owner.version, sent_ms
+    )
+    part = tasks.Tasks(broken=node.tasks.broken)
+    tasks.spawn(
+        part,
+        writes.keep_writing(
+            writer, node.limits.gather_ms, node.limits.renew_ms, node.rng
+        ),
+        'write',
+    )
+    assert node.catalog is not None, 'an owner has read the settings'
+    until_ms = node.clock.now_ms() + READ_BOOK_MS
+    while True:
+        book = await opening.read_book(
+            node.outside.table,
+            owner.row.epoch,
+            node.clock.now_ms(),
+            node.catalog,
+        )
+        if not isinstance(book, tables.Unavailable):
+            break
+        logger.warning('book_unread', extra={'why': book.detail})
+        if writer.is_lost or node.clock.now_ms() > until_ms:
+            await _give_up(writer, part)
+            return
+        await _sleep(WATCH_MS)
+    book.catalog = node.catalog
+    own = ownerships.Ownership(
+        node.clock,
+        node.rng,
+        node.limits,
+        node.outside.runners,
+        {},
+        writer,
+        book,
+        part,
+    )
+    writer.on_written = lambda: placing.take_written(own)
+    _begin(node, own)
+
+
+async def _give_up(writer: writes.Writer, part: tasks.Tasks) -> None:
+    if not writer.is_lost:
+        await release(writer)
+    await tasks.cancel_all(part)
+
+
+def _begin(node: nodes.Node, own: ownerships.Ownership) -> None:
+    for job in own.book.jobs.values():
+        if jobs.is_timed(job.order):
+            own.timed.add(job.order.id)
+        placing.advance(own, job)
+    part = own.tasks
+    tasks.spawn(
+        part,
+        rosters.keep_roster(own, node.outside.listings, node.reach),
+        'roster',
+    )
+    tasks.spawn(part, placing.keep_placing(own), 'place')
+    tasks.spawn(
+        part,
+        advising.keep_advising(own, node.outside.advise),
+        'advise',
+    )
+    tasks.spawn(part, forgetting.keep_forgetting(own), 'forget')
+    node.own = own
+    logger.info(
+        'jobs_opened',
+        extra={
+            'epoch': own.book.epoch,
+            'jobs': len(own.book.jobs),
+            'after_ms': own.clock.now_ms() - own.writer.confirmed_ms,
+        },
+    )
+    signals.notify(node.changed)
+
+
+async def _wait_end(node: nodes.Node, own: ownerships.Ownership) -> None:
+    """Waits until the ownership is lost, and closes it."""
+    count = 0
+    while not own.writer.is_lost:
+        count = await signals.wait_beyond(own.writer.ended, count)
+    await close(node)
+
+
+async def close(node: nodes.Node) -> None:
+    """Stops serving as the owner at once."""
+    own, node.own = node.own, None
+    if own is None:
+        return
+    logger.info('jobs_closed', extra={'epoch': own.book.epoch})
+    signals.notify(node.changed)
+    await tasks.cancel_all(own.tasks)
+
+
+async def release(writer: writes.Writer) -> None:
+    """Writes that the jobs have no owner, so that another takes over."""
+    writer.row.holder = ''
+    writes.mark(writer, RELEASE_MARK, lambda: None, is_hurried=True)
+    await writes.wait_written(writer)
+    if not writer.is_lost:
+        writes.lose(writer)
+
+
+# A row that is never there; removing it has the owner row written at once.
+RELEASE_MARK = 'jobs/released'
+
+
+async def _sleep(wait_ms: int) -> None:
+    await asyncio.sleep(clock_lib.to_seconds(wait_ms))
--- /dev/null
+++ b/src/nutmegknot/_internal/jobs/peers.py
@@ -0,0 +1,247 @@
+"""Calls between instances about jobs."""
+
+import logging
+from typing import Any
+
+from nutmegknot._internal.backing import advisers
+from nutmegknot._internal.jobs import accepting
+from nutmegknot._internal.jobs import advising
+from nutmegknot._internal.jobs import nodes
+from nutmegknot._internal.jobs import ownerships
+from nutmegknot._internal.jobs import rows
+from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import outcomes
+from nutmegknot._internal.network import calls
+from nutmegknot._internal.network import channels
+from nutmegknot._internal.network import services
+from nutmegknot._internal.schema import jobs_grpc
+from nutmegknot._internal.schema import jobs_pb2
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import tasks
+
+logger = logging.getLogger(__name__)
+
+GREET_MS = 500
+# Advice is asked of another instance up to so many failures in a row.
+MOST_ADVICE_FAILURES = 2
+
+_Answer = jobs_pb2.JobReply.Answer
+_MESSAGE_BYTES = 1_048_576
+
+
+def bind(node: nodes.Node, running: services.Calls) -> services.BoundService:
+    """Returns the calls that an instance serves to the others."""
+    handles: dict[str, services.Handle] = {
+        'Submit': lambda call, _: _serve_submit(node, call),
+        'Look': lambda call, _: _serve_look(node, call),
+        'Cancel': lambda call, _: _serve_cancel(node, call),
+        'Count': lambda call, _: _serve_count(node, call),
+        'Greet': lambda call, _: _serve_greeting(node, call),
+        'Advise': lambda call, _: _serve_advice(node, call),
+    }
+    return services.bind(
+        jobs_pb2.DESCRIPTOR.services_by_name['Jobs'],
+        handles,
+        running,
+        services.Limits(_MESSAGE_BYTES),
+    )
+
+
+async def _serve_submit(
+    node: nodes.Node, call: jobs_pb2.SubmitJob
+) -> jobs_pb2.JobReply:
+    own = nodes.get_acting(node)
+    if own is None:
+        return jobs_pb2.JobReply()
+    outcome = await accepting.submit(own, rows.decode_order(call.job))
+    return encode_outcome(own, outcome)
+
+
+async def _serve_look(
+    node: nodes.Node, call: jobs_pb2.NamedJob
+) -> jobs_pb2.JobReply:
+    own = nodes.get_acting(node)
+    if own is None:
+        return jobs_pb2.JobReply()
+    found = accepting.look(own, call.id, call.customer)
+    if isinstance(found, jobs.JobState):
+        return jobs_pb2.JobReply(
+            epoch=own.book.epoch, answer=_Answer.DONE, state=found.value
+        )
+    return encode_outcome(own, found)
+
+
+async def _serve_cancel(
+    node: nodes.Node, call: jobs_pb2.NamedJob
+) -> jobs_pb2.JobReply:
+    own = nodes.get_acting(node)
+    if own is None:
+        return jobs_pb2.JobReply()
+    outcome = await accepting.cancel(own, call.id, call.customer)
+    return encode_outcome(own, outcome)
+
+
+async def _serve_count(
+    node: nodes.Node, call: jobs_pb2.CountQueue
+) -> jobs_pb2.CountReply:
+    own = nodes.get_acting(node)
+    if own is None:
+        return jobs_pb2.CountReply()
+    return jobs_pb2.CountReply(
+        epoch=own.book.epoch, waiting=accepting.count_waiting(own, call.queue)
+    )
+
+
+async def _serve_greeting(
+    node: nodes.Node, call: jobs_pb2.Greeting
+) -> jobs_pb2.GreetingReply:
+    node.known_revision = max(node.known_revision, call.configuration)
+    own = nodes.get_acting(node)
+    if own is not None:
+        _note_adviser(node, own, call.address)
+    return jobs_pb2.GreetingReply(
+        epoch=0 if own is None else own.book.epoch,
+        configuration=0 if node.catalog is None else node.catalog.revision,
+        instance=node.id,
+    )
+
+
+async def _serve_advice(
+    node: nodes.Node, call: jobs_pb2.AdviceCall
+) -> jobs_pb2.AdviceReply:
+    result = await node.outside.advise(
+        call.stage, list(call.workers), call.timeout_ms
+    )
+    if isinstance(result, advisers.Unadvised):
+        return jobs_pb2.AdviceReply(is_given=False)
+    return jobs_pb2.AdviceReply(
+        is_given=True,
+        tickets=[
+            jobs_pb2.TicketPart(worker=id, ticket=ticket)
+            for id, ticket in result.tickets.items()
+        ],
+        valid_ms=result.valid_ms,
+    )
+
+
+def encode_outcome(
+    own: ownerships.Ownership,
+    outcome: outcomes.Outcome,
+) -> jobs_pb2.JobReply:
+    """Returns the reply for an outcome of the owner."""
+    reply = jobs_pb2.JobReply(epoch=own.book.epoch)
+    match outcome:
+        case outcomes.Accepted() | outcomes.Cancelled():
+            reply.answer = _Answer.DONE
+        case outcomes.Refused(reason, detail, retry_after_ms):
+            reply.answer = _Answer.REFUSED
+            reply.state = reason.value
+            reply.detail = detail
+            reply.retry_after_ms = retry_after_ms
+        case outcomes.NotFound():
+            reply.answer = _Answer.MISSING
+        case _:
+            reply.answer = _Answer.UNKNOWN
+    return reply
+
+
+def _note_adviser(
+    node: nodes.Node, own: ownerships.Ownership, address: str
+) -> None:
+    """Has another instance ask for advice too, as each has its own turn."""
+    if not address or address in own.advisers:
+        return
+
+    async def advise(
+        stage: str, workers: list[str], timeout_ms: int
+    ) -> advisers.Advised | advisers.Unadvised:
+        return await ask_advice(node, address, stage, workers, timeout_ms)
+
+    own.advisers[address] = advise
+    tasks.spawn(
+        own.tasks, _keep_adviser(own, address, advise), f'advise {address}'
+    )
+
+
+async def _keep_adviser(
+    own: ownerships.Ownership, address: str, advise: advisers.Advise
+) -> None:
+    failures = 0
+
+    async def advise_counting(
+        stage: str, workers: list[str], timeout_ms: int
+    ) -> advisers.Advised | advisers.Unadvised:
+        nonlocal failures
+        result = await advise(stage, workers, timeout_ms)
+        is_failed = isinstance(result, advisers.Unadvised)
+        failures = failures + 1 if is_failed else 0
+        return result
+
+    await advising.keep_advising(
+        own,
+        advise_counting,
+        lambda: failures < MOST_ADVICE_FAILURES,
+    )
+    own.advisers.pop(address, None)
+    logger.info('adviser_dropped', extra={'address': address})
+
+
+def get_stub(node: nodes.Node, address: str) -> jobs_grpc.JobsStub:
+    """Returns the calls of the instance at an address."""
+    return jobs_grpc.JobsStub(channels.get(node.channels, address))
+
+
+def drop_channel(node: nodes.Node, address: str) -> None:
+    """Closes the connection to an address; the next call makes a new one."""
+    channel = node.channels.opened.pop(address, None)
+    if channel is not None:
+        channel.close()
+
+
+async def ask_advice(
+    node: nodes.Node,
+    address: str,
+    stage: str,
+    workers: list[str],
+    timeout_ms: int,
+) -> advisers.Advised | advisers.Unadvised:
+    """Has the instance at an address ask for advice."""
+    call = jobs_pb2.AdviceCall(
+        stage=stage, workers=workers, timeout_ms=timeout_ms
+    )
+    try:
+        reply: Any = await get_stub(node, address).Advise(
+            call, timeout=clock_lib.to_seconds(timeout_ms)
+        )
+    except calls.CALL_ERRORS as error:
+        drop_channel(node, address)
+        return advisers.Unadvised(f'{address}: {type(error).__name__}')
+    if not reply.is_given:
+        return advisers.Unadvised(f'{address}: no advice')
+    tickets = {part.worker: part.ticket for part in reply.tickets}
+    return advisers.Advised(tickets, reply.valid_ms)
+
+
+async def greet(
+    node: nodes.Node, address: str
+) -> jobs_pb2.GreetingReply | None:
+    """Greets the instance at an address; None if it does not answer."""
+    revision = 0 if node.catalog is None else node.catalog.revision
+    call = jobs_pb2.Greeting(
+        instance=node.id,
+        address=node.address,
+        domain=node.domain,
+        configuration=revision,
+    )
+    try:
+        reply: jobs_pb2.GreetingReply = await get_stub(node, address).Greet(
+            call, timeout=clock_lib.to_seconds(GREET_MS)
+        )
+    except calls.CALL_ERRORS as error:
+        logger.info(
+            'owner_silent',
+            extra={'address': address, 'why': type(error).__name__},
+        )
+        drop_channel(node, address)
+        return None
+    return reply
--- /dev/null
+++ b/src/nutmegknot/_internal/jobs/placing.py
@@ -0,0 +1,132 @@
+"""Makes stages due, and starts what the decisions choose."""
+
+import asyncio
+import logging
+
+from nutmegknot._internal.decisions import steps
+from nutmegknot._internal.decisions import turns
+from nutmegknot._internal.jobs import advising
+from nutmegknot._internal.jobs import ownerships
+from nutmegknot._internal.jobs import starts
+from nutmegknot._internal.models import jobs
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import signals
+
+logger = logging.getLogger(__name__)
+
+# Longest and shortest time between two decisions, in ms.
+IDLE_MS = 100
+LEAST_MS = 8
+
+
+async def keep_placing(own: ownerships.Ownership) -> None:
+    """Decides on starts whenever something has changed."""
+    count = -1
+    while True:
+        count = await signals.wait_at_most(own.changed, count, IDLE_MS)
+        make_due(own)
+        if ownerships.may_act(own):
+            _place(own)
+        await asyncio.sleep(clock_lib.to_seconds(LEAST_MS))
+
+
+def _place(own: ownerships.Ownership) -> None:
+    room = steps.plan(own.book, own.clock.now_ms(), own.clock.wall_ms())
+    runs: dict[int, int] = {}
+    for placement in room.placed:
+        stage = placement.stage
+        task = stage.tasks[placement.index]
+        if stage.step.all_at_once:
+            if id(stage) not in runs:
+                runs[id(stage)] = starts.choose_run(own.book, stage.tasks)
+            run = runs[id(stage)]
+        else:
+            run = starts.choose_run(own.book, [task])
+        starts.start_run(
+            own,
+            starts.Decided(
+                placement.host,
+                placement.job,
+                stage,
+                task,
+                run,
+                placement.ticket,
+                placement.host.worker.life,
+            ),
+        )
+    for key, stage in list(own.book.open_stages.items()):
+        if not any(t.phase is jobs.Phase.WAITING for t in stage.tasks):
+            del own.book.open_stages[key]
+    for question in room.questions:
+        advising.ask(own, question)
+
+
+def make_due(own: ownerships.Ownership) -> None:
+    """Opens the occurrences whose time has come."""
+    wall_ms = own.clock.wall_ms()
+    for job_id in list(own.timed):
+        job = own.book.jobs.get(job_id)
+        if job is None or jobs.is_final(job):
+            own.timed.discard(job_id)
+            continue
+        due_ms = turns.compute_due(job.order, count_due(job))
+        is_written = job.is_durable and job.marked <= own.writer.written
+        if is_written and wall_ms >= due_ms + own.limits.early_ms:
+            advance(own, job)
+
+
+def count_due(job: jobs.Job) -> int:
+    """Returns how many occurrences of a job have been opened."""
+    return len({occurrence for occurrence, _ in job.stages})
+
+
+def advance(own: ownerships.Ownership, job: jobs.Job) -> None:
+    """Opens the stages of a job that can run, from what is in the table."""
+    if jobs.is_final(job):
+        return
+    wall_ms = own.clock.wall_ms()
+    for occurrence in range(jobs.count_occurrences(job.order)):
+        due_ms = turns.compute_due(job.order, occurrence)
+        if jobs.is_timed(job.order) and wall_ms < due_ms + own.limits.early_ms:
+            break
+        for number, step in enumerate(job.order.steps):
+            stage = job.stages.get((occurrence, number))
+            if stage is None:
+                stage = jobs.make_stage(occurrence, number, step)
+                job.stages[occurrence, number] = stage
+            _open_stage(own, job, stage)
+
+
+def _open_stage(
+    own: ownerships.Ownership, job: jobs.Job, stage: jobs.Stage
+) -> None:
+    if stage.ready_ms is not None or stage.done == len(stage.tasks):
+        return
+    for number in stage.step.after:
+        before = job.stages.get((stage.occurrence, number))
+        if before is None or before.done < len(before.tasks):
+            return
+    now_ms = own.clock.now_ms()
+    stage.ready_ms = now_ms
+    for task in stage.tasks:
+        task.waiting_since_ms = now_ms
+    key = (job.order.id, stage.occurrence, stage.number)
+    own.book.open_stages[key] = stage
+    signals.notify(own.changed)
+
+
+def take_written(own: ownerships.Ownership) -> None:
+    """Shows and opens what became durable with the last write."""
+    for job_id in list(own.touched):
+        job = own.book.jobs.get(job_id)
+        if job is None:
+            own.touched.discard(job_id)
+            continue
+        if job.marked > own.writer.written:
+            continue
+        own.touched.discard(job_id)
+        job.is_durable = True
+        if jobs.is_final(job):
+            job.shown = job.state
+        else:
+            advance(own, job)
--- /dev/null
+++ b/src/nutmegknot/_internal/jobs/rows.py
@@ -0,0 +1,203 @@
+"""Rows of jobs in the table."""
+
+from google.protobuf import message as message_lib
+
+from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.schema import jobs_pb2
+
+OWNER_KEY = 'jobs/owner'
+JOB_PREFIX = 'jobs/job/'
+PROGRESS_PREFIX = 'jobs/progress/'
+
+_STATES = {
+    jobs_pb2.ProgressRow.COMPLETED: jobs.JobState.COMPLETED,
+    jobs_pb2.ProgressRow.FAILED: jobs.JobState.FAILED,
+    jobs_pb2.ProgressRow.CANCELLED: jobs.JobState.CANCELLED,
+}
+_NUMBERS = {state: number for number, state in _STATES.items()}
+
+
+def get_job_key(job_id: str) -> str:
+    """Returns the key of the row that keeps what a caller handed in."""
+    return f'{JOB_PREFIX}{job_id}'
+
+
+def get_progress_key(job_id: str) -> str:
+    """Returns the key of the row that keeps how far a job has come."""
+    return f'{PROGRESS_PREFIX}{job_id}'
+
+
+def encode_order(order: jobs.Order) -> jobs_pb2.JobRow:
+    """Returns the message of what a caller handed in."""
+    return jobs_pb2.JobRow(
+        id=order.id,
+        queue=order.queue,
+        customer=order.customer,
+        payload=order.payload,
+        steps=[_encode_step(step) for step in order.steps],
+        start_at_ms=order.start_at_ms,
+        interval_ms=order.interval_ms,
+        occurrences=order.occurrences,
+        accepted_ms=order.accepted_ms,
+        epoch=order.epoch,
+        pool=order.pool,
+        attempts=order.attempts,
+        priority=order.priority,
+    )
+
+
+def decode_order(row: jobs_pb2.JobRow) -> jobs.Order:
+    """Returns what a caller handed in from its message."""
+    return jobs.Order(
+        id=row.id,
+        queue=row.queue,
+        customer=row.customer,
+        payload=row.payload,
+        steps=tuple(_decode_step(step) for step in row.steps),
+        start_at_ms=row.start_at_ms,
+        interval_ms=row.interval_ms,
+        occurrences=row.occurrences,
+        accepted_ms=row.accepted_ms,
+        epoch=row.epoch,
+        pool=row.pool,
+        attempts=row.attempts,
+        priority=row.priority,
+    )
+
+
+def _encode_step(step: jobs.Step) -> jobs_pb2.StepPart:
+    part = jobs_pb2.StepPart(
+        count=step.count,
+        millicores=step.size.millicores,
+        memory_mib=step.size.memory_mib,
+        accelerators=step.size.accelerators,
+        estimate_ms=step.estimate_ms,
+        after=step.after,
+        saves_progress=step.saves_progress,
+        all_at_once=step.all_at_once,
+        one_rack=step.one_rack,
+        label=step.label,
+        data_rack=step.data_rack,
+        per_worker=step.per_worker,
+        speculative=step.speculative,
+        lasting=step.lasting,
+        image=step.image,
+        tail_target_ms=step.tail_target_ms,
+        fills=step.fills,
+    )
+    if step.may_miss is not None:
+        part.may_miss = step.may_miss
+    return part
+
+
+def _decode_step(part: jobs_pb2.StepPart) -> jobs.Step:
+    return jobs.Step(
+        count=part.count,
+        size=resources.Resources(
+            part.millicores, part.memory_mib, part.accelerators
+        ),
+        estimate_ms=part.estimate_ms,
+        after=tuple(part.after),
+        saves_progress=part.saves_progress,
+        all_at_once=part.all_at_once,
+        one_rack=part.one_rack,
+        label=part.label,
+        data_rack=part.data_rack,
+        per_worker=part.per_worker,
+        speculative=part.speculative,
+        lasting=part.lasting,
+        image=part.image,
+        tail_target_ms=part.tail_target_ms,
+        fills=part.fills,
+        may_miss=part.may_miss if part.HasField('may_miss') else None,
+    )
+
+
+def encode_job(job: jobs.Job) -> bytes:
+    """Returns the row of what a caller handed in.
+
+    The steps and the payload of a job that has ended are not needed any more.
+    """
+    row = encode_order(job.order)
+    if jobs.is_final(job):
+        row.payload = ''
+        del row.steps[:]
+    return row.SerializeToString()
+
+
+def encode_progress(job: jobs.Job) -> bytes:
+    """Returns the row of how far a job has come."""
+    row = jobs_pb2.ProgressRow(
+        state=_NUMBERS.get(job.state, jobs_pb2.ProgressRow.ACTIVE),
+        ended_ms=job.ended_ms,
+    )
+    if not jobs.is_final(job):
+        for stage in job.stages.values():
+            part = _encode_stage(stage)
+            if part is not None:
+                row.stages.append(part)
+    return row.SerializeToString()
+
+
+def _encode_stage(stage: jobs.Stage) -> jobs_pb2.StageProgress | None:
+    """Returns what is worth keeping of a stage, or None."""
+    part = jobs_pb2.StageProgress(
+        occurrence=stage.occurrence, step=stage.number
+    )
+    for task in stage.tasks:
+        if task.phase is jobs.Phase.DONE:
+            part.done.append(task.index)
+            continue
+        if task.failed_runs:
+            part.failures[task.index].runs.extend(sorted(task.failed_runs))
+        if task.checkpoint:
+            part.checkpoints[task.index] = task.checkpoint
+    if part.done or part.failures or part.checkpoints:
+        return part
+    return None
+
+
+def decode_job(value: bytes) -> jobs.Job | None:
+    """Returns the job of a row, or None if the row can't be read."""
+    row = jobs_pb2.JobRow()
+    try:
+        row.ParseFromString(value)
+    except message_lib.DecodeError:
+        return None
+    return jobs.Job(decode_order(row), is_durable=True)
+
+
+def apply_progress(job: jobs.Job, value: bytes) -> bool:
+    """Puts a row's progress into a job; tells whether it could be read."""
+    row = jobs_pb2.ProgressRow()
+    try:
+        row.ParseFromString(value)
+    except message_lib.DecodeError:
+        return False
+    state = _STATES.get(row.state)
+    if state is not None:
+        job.state = job.shown = state
+        job.ended_ms = row.ended_ms
+        return True
+    for part in row.stages:
+        if part.step < len(job.order.steps):
+            _apply_stage(job, part)
+    return True
+
+
+def _apply_stage(job: jobs.Job, part: jobs_pb2.StageProgress) -> None:
+    key = (part.occurrence, part.step)
+    stage = job.stages.get(key)
+    if stage is None:
+        step = job.order.steps[part.step]
+        stage = jobs.make_stage(part.occurrence, part.step, step)
+        job.stages[key] = stage
+    stage.begun = job.has_begun = True
+    for index in part.done:
+        stage.tasks[index].phase = jobs.Phase.DONE
+        stage.done += 1
+    for index, failures in part.failures.items():
+        stage.tasks[index].failed_runs.update(failures.runs)
+    for index, checkpoint in part.checkpoints.items():
+        stage.tasks[index].checkpoint = checkpoint
--- /dev/null
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -0,0 +1,243 @@
+"""Sessions with workers: one task that polls and one that sends orders."""
+
+import asyncio
+import dataclasses
+import logging
+
+from nutmegknot._internal.backing import runners
+from nutmegknot._internal.jobs import ends
+from nutmegknot._internal.jobs import fences
+from nutmegknot._internal.jobs import leases
+from nutmegknot._internal.jobs import ownerships
+from nutmegknot._internal.jobs import pacing
+from nutmegknot._internal.jobs import stops
+from nutmegknot._internal.jobs import writes
+from nutmegknot._internal.models import books
+from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import workers
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import signals
+from nutmegknot._internal.utils import tasks
+
+logger = logging.getLogger(__name__)
+
+# Wait before a worker that did not answer is called again, in ms.
+RETRY_MS = 150
+# Wait after an end for others that come with it, in ms.
+GATHER_MS = 15
+# Waits for an end while a run there serves users beside filling ones, in ms.
+WATCHFUL_POLL_MS = 500
+
+
+def open_session(own: ownerships.Ownership, worker: workers.Worker) -> None:
+    """Begins to claim and poll a worker."""
+    host = books.Host(worker, opened_ms=own.clock.now_ms())
+    own.book.hosts[worker.id] = host
+    orders = ownerships.Orders()
+    own.orders[worker.id] = orders
+    tasks.spawn(own.tasks, _keep_polling(own, host), f'poll {worker.id}')
+    tasks.spawn(
+        own.tasks, _keep_sending(own, host, orders), f'send {worker.id}'
+    )
+
+
+def _is_served(own: ownerships.Ownership, host: books.Host) -> bool:
+    return own.book.hosts.get(host.worker.id) is host
+
+
+async def _keep_sending(
+    own: ownerships.Ownership, host: books.Host, orders: ownerships.Orders
+) -> None:
+    """Sends the orders to one worker, one after the other."""
+    while _is_served(own, host):
+        send = await orders.queue.get()
+        await send()
+
+
+async def _keep_polling(own: ownerships.Ownership, host: books.Host) -> None:
+    """Renews the lease of one worker and takes in what it lists."""
+    while _is_served(own, host):
+        if not ownerships.may_act(own):
+            await _sleep(RETRY_MS)
+            continue
+        sent_ms = own.clock.now_ms()
+        result = await _hold(own, host, sent_ms)
+        match result:
+            case runners.Inventory():
+                await _take_inventory(own, host, result, sent_ms)
+            case runners.Refused(reason):
+                fences.note_refusal(own, host, reason)
+                if reason is runners.Refusal.OTHER_LIFE:
+                    _note_gone(own, host)
+                await _sleep(RETRY_MS)
+            case runners.Unanswered(detail) | runners.Unreached(detail):
+                _note_silence(own, host, detail, sent_ms)
+                await _sleep(RETRY_MS)
+        _check_lapse(own, host)
+
+
+async def _hold(
+    own: ownerships.Ownership, host: books.Host, now_ms: int
+) -> runners.HoldResult:
+    limits = own.limits
+    poll_ms = limits.poll_ms if host.is_claimed else 0
+    if host.serving and host.filling:
+        poll_ms = min(poll_ms, WATCHFUL_POLL_MS)
+    until_ms = None
+    # Without answers nothing is renewed, so that the lease lapses for certain.
+    is_fresh = now_ms - host.answered_ms < limits.hold_ms // 2
+    if host.is_claimed and is_fresh:
+        until_ms = leases.extend(host, limits.hold_ms, own)
+    return await own.runners.hold(
+        host.worker,
+        own.book.epoch,
+        host.seen,
+        until_ms,
+        poll_ms,
+        poll_ms + limits.call_ms,
+    )
+
+
+async def _take_inventory(
+    own: ownerships.Ownership,
+    host: books.Host,
+    inventory: runners.Inventory,
+    sent_ms: int,
+) -> None:
+    now_ms = own.clock.now_ms()
+    if host.asked_ms is not None:
+        logger.info(
+            'worker_regained',
+            extra={
+                'worker': host.worker.id,
+                'after_ms': now_ms - host.asked_ms,
+            },
+        )
+    if (
+        host.worker.life
+        and inventory.life
+        and (inventory.life != host.worker.life)
+    ):
+        begin_life(own, host, host.worker, 'other_life_listed', inventory.life)
+    host.answered_ms = now_ms
+    host.asked_ms = None
+    leases.note_clock(host, inventory.clock_ms, now_ms)
+    fresh = [end for end in inventory.ends if end.number > host.seen]
+    for end in sorted(fresh, key=lambda end: end.number):
+        ends.apply_end(own, host, end)
+    ends.apply_inventory(own, host, inventory, sent_ms)
+    pacing.adjust(own, host, inventory)
+    if not host.is_claimed:
+        host.is_claimed = True
+        logger.info(
+            'worker_claimed',
+            extra={
+                'worker': host.worker.id,
+                'token': own.book.epoch,
+                'life': host.worker.life,
+                'runs': len(inventory.runs),
+            },
+        )
+    signals.notify(own.changed)
+    if fresh:
+        life = host.worker.life
+        written = await writes.wait_written(own.writer)
+        if written is writes.Written.DURABLE and host.worker.life == life:
+            host.seen = max(host.seen, max(end.number for end in fresh))
+            await _sleep(GATHER_MS)
+
+
+def begin_life(
+    own: ownerships.Ownership,
+    host: books.Host,
+    worker: workers.Worker,
+    why: str,
+    life: int = 0,
+) -> None:
+    """Takes note that a worker began anew and knows nothing of before."""
+    logger.warning(
+        'worker_began_anew',
+        extra={
+            'worker': worker.id,
+            'life': life or worker.life,
+            'before': host.worker.life,
+            'why': why,
+        },
+    )
+    if life:
+        worker = _with_life(worker, life)
+    host.worker = worker
+    host.lease = books.Lease()
+    host.seen = 0
+    host.is_claimed = False
+    host.pace = 100
+    for name, task in list(host.runs.items()):
+        if task.phase is jobs.Phase.STARTING:
+            # The order may still reach the new life.
+            stops.stop_run(own, name, task, why)
+        elif task.settled_ms <= own.clock.now_ms():
+            ends.lose_run(own, name, why)
+        else:
+            # A stop of an unsettled start goes on in the new life.
+            stops.send_stop(own, host, name, task.run)
+
+
+def _note_gone(own: ownerships.Ownership, host: books.Host) -> None:
+    """Takes note that another worker has the address, so this one is over."""
+    host.is_claimed = False
+    if host.asked_ms is None:
+        host.asked_ms = own.clock.now_ms()
+        logger.warning('address_taken', extra={'worker': host.worker.id})
+    for name in list(host.runs):
+        ends.lose_run(own, name, 'address_taken')
+
+
+def _with_life(worker: workers.Worker, life: int) -> workers.Worker:
+    return dataclasses.replace(worker, life=life)
+
+
+def _note_silence(
+    own: ownerships.Ownership, host: books.Host, detail: str, sent_ms: int
+) -> None:
+    if host.asked_ms is None:
+        host.asked_ms = sent_ms
+        logger.warning(
+            'worker_silent',
+            extra={
+                'worker': host.worker.id,
+                'why': detail,
+                'age_ms': own.clock.now_ms() - host.answered_ms,
+            },
+        )
+
+
+def _check_lapse(own: ownerships.Ownership, host: books.Host) -> None:
+    """Takes the runs of a silent worker for lost once its lease has ended."""
+    if host.asked_ms is None:
+        return
+    now_ms = own.clock.now_ms()
+    if host.runs and now_ms < leases.compute_lapse(host, own):
+        return
+    for name in list(host.runs):
+        ends.lose_run(own, name, 'lease_lapsed')
+    if not host.is_listed:
+        close_session(own, host, 'not_listed')
+
+
+def close_session(
+    own: ownerships.Ownership, host: books.Host, why: str
+) -> None:
+    """Stops calling a worker that runs nothing any more."""
+    logger.info('worker_dropped', extra={'worker': host.worker.id, 'why': why})
+    own.book.hosts.pop(host.worker.id, None)
+    orders = own.orders.pop(host.worker.id, None)
+    if orders is not None:
+        orders.queue.put_nowait(_do_nothing)
+
+
+async def _do_nothing() -> None:
+    """Wakes the sender so that it ends."""
+
+
+async def _sleep(wait_ms: int) -> None:
+    await asyncio.sleep(clock_lib.to_seconds(wait_ms))
--- a/src/nutmegknot/_internal/models/workers.py
+++ b/src/nutmegknot/_internal/models/workers.py
@@ -33,6 +33,12 @@
       capacity: What it has.
       address: Host and port of its target.
       state: State of its target.
+      pool: Name of the service whose tasks it runs; '' where workers are not
+        divided by service.
+      kind: Kind of machine; workers of one kind are about equally fast.
+      labels: What a step may require of a worker.
+      life: Which life of the worker this is; a later life is larger and knows
+        nothing of an earlier one.
     """
 
     id: str
@@ -42,6 +48,10 @@
     capacity: resources.Resources
     address: str = ''
     state: TargetState = TargetState.LIVE
+    pool: str = ''
+    kind: str = ''
+    labels: frozenset[str] = frozenset()
+    life: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
