--- /dev/null
+++ b/src/nutmegknot/_internal/commands/attach.py
@@ -0,0 +1,37 @@
+"""Command attach: runs one instance on the users' platform."""
+
+import asyncio
+import sys
+
+from nutmegknot._internal.cli import errors
+from nutmegknot._internal.cli import exit_codes
+from nutmegknot._internal.commands import registry
+from nutmegknot._internal.commands import serve
+from nutmegknot._internal.platform import assembling
+from nutmegknot._internal.platform import boots
+from nutmegknot._internal.telemetry import logs
+
+
+async def run_instance(
+    command: registry.Attach,
+) -> errors.CommandError | None:
+    """Runs an instance until SIGTERM or SIGINT."""
+    boot = boots.read_boot()
+    if isinstance(boot, boots.BadBoot):
+        return errors.CommandError(
+            exit_codes.ExitCode.BAD_SETTINGS,
+            boot.detail,
+            f'set {boots.SETTINGS_VARIABLE} to the settings file',
+        )
+    logs.set_up(command.level, sys.stdout)
+    stopped = asyncio.Event()
+    wanted = assembling.Wanted()
+    serve.handle_signals(stopped, wanted.dump, wanted.reload)
+    ended = await assembling.run(boot, stopped, wanted)
+    if isinstance(ended, assembling.PortTaken):
+        return errors.CommandError(
+            exit_codes.ExitCode.PORT_TAKEN,
+            ended.detail,
+            'end the process that listens there, or change the settings',
+        )
+    return None
--- a/src/nutmegknot/_internal/commands/registry.py
+++ b/src/nutmegknot/_internal/commands/registry.py
@@ -33,6 +33,24 @@
     ]
 
 
+@cappa.command(
+    name='attach',
+    help="Run one instance on the users' platform.",
+    description='Example: NUTMEGKNOT_CONFIG=boot.json nutmegknot attach',
+)
+@dataclasses.dataclass(slots=True)
+class Attach:
+    """Run one instance on the users' platform.
+
+    Attributes:
+      level: Lowest level that is logged.
+    """
+
+    level: Annotated[
+        str, cappa.Arg(long='--level', help='Lowest level that is logged.')
+    ] = 'info'
+
+
 @cappa.command(
     name='local',
     help='Run a whole cell with stand-in workers in one process.',
@@ -66,6 +84,7 @@
 
     command: cappa.Subcommands[
         Serve
+        | Attach
         | Local
         | caller_arguments.Submit
         | caller_arguments.Wait
@@ -87,6 +106,7 @@
 
 _FUNCTIONS: dict[type, tuple[str, str]] = {
     Serve: ('serve', 'run_instance'),
+    Attach: ('attach', 'run_instance'),
     Local: ('local', 'run_cell'),
     caller_arguments.Submit: ('submit', 'submit_request'),
     caller_arguments.Wait: ('requests', 'wait_for_request'),
--- a/src/nutmegknot/_internal/platform/__init__.py
+++ b/src/nutmegknot/_internal/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters to the table service, object store, instance list and workers."""
+"""Adapter to the users' platform: it translates and decides nothing."""
