--- /dev/null
+++ b/tests/lib/job_cells.py
@@ -0,0 +1,509 @@
+"""A cell of jobs in memory, on virtual time: workers, advice, owners."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import random
+
+from lib import fakes
+from lib import virtual_time
+from nutmegknot._internal.backing import advisers
+from nutmegknot._internal.backing import listings
+from nutmegknot._internal.backing import runners
+from nutmegknot._internal.backing import tables
+from nutmegknot._internal.jobs import bounds
+from nutmegknot._internal.jobs import nodes
+from nutmegknot._internal.jobs import opening
+from nutmegknot._internal.jobs import owning
+from nutmegknot._internal.models import catalogs
+from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import workers
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import tasks
+
+STEP_MS = 5
+STOP_MS = 50
+
+
+@dataclasses.dataclass(slots=True)
+class FakeRun:
+    """A run on a fake worker; it ends by itself at end_ms."""
+
+    run: int
+    end_ms: int
+    checkpoint: str = ''
+    pace: int = 100
+    is_stopping: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class FakeTarget:
+    """A worker in memory that keeps the rules of leases and tokens.
+
+    Attributes:
+      worker: As it is listed.
+      slowness: Part by which its clock is slow.
+      token: Highest fencing token seen.
+      until_ms: End of the lease by its own clock.
+      runs: Runs by task.
+      barred: Highest run stopped or ended, by task.
+      ends: Ends not yet taken note of.
+      last_end: Number of the last end.
+      is_silent: Whether calls reach it and get no answer.
+      is_cut: Whether calls don't reach it.
+      lost_answers: How many of the next orders are carried out unanswered.
+      refusals: What the next starts are refused with, first one first.
+      tail_ms: Tail that serving tasks report.
+    """
+
+    worker: workers.Worker
+    slowness: float = 0.0
+    token: int = 0
+    until_ms: int = 0
+    runs: dict[jobs.TaskName, FakeRun] = dataclasses.field(default_factory=dict)
+    barred: dict[jobs.TaskName, int] = dataclasses.field(default_factory=dict)
+    ends: list[runners.EndRow] = dataclasses.field(default_factory=list)
+    last_end: int = 0
+    is_silent: bool = False
+    is_cut: bool = False
+    lost_answers: int = 0
+    refusals: list[runners.Refusal] = dataclasses.field(default_factory=list)
+    tail_ms: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Started:
+    """A start as a worker saw it."""
+
+    at_ms: int
+    worker: str
+    name: jobs.TaskName
+    run: int
+    checkpoint: str
+
+
+@dataclasses.dataclass(slots=True)
+class Cell:
+    """Everything outside of the owner.
+
+    Attributes:
+      clock: Virtual time.
+      table: The store.
+      targets: Workers by id.
+      unlisted: Workers that the list leaves out.
+      catalog: Operators' settings.
+      starts: All starts.
+      broken: Promises seen broken.
+      run_ms: Returns how long a task runs.
+      outcome: Returns how a run ends by itself.
+      suited: Workers that advice calls suited; None for all.
+      asked: Workers named in each call for advice.
+      is_list_down: Whether the list of workers can't be read.
+    """
+
+    clock: clock_lib.Clock
+    table: fakes.FakeTable
+    targets: dict[str, FakeTarget]
+    catalog: catalogs.Catalog
+    unlisted: set[str] = dataclasses.field(default_factory=set)
+    starts: list[Started] = dataclasses.field(default_factory=list)
+    broken: list[str] = dataclasses.field(default_factory=list)
+    run_ms: Callable[[jobs.TaskName], int] = lambda name: 500
+    outcome: Callable[[jobs.TaskName, int], jobs.EndKind] = lambda name, run: (
+        jobs.EndKind.DONE
+    )
+    suited: set[str] | None = None
+    asked: list[list[str]] = dataclasses.field(default_factory=list)
+    is_list_down: bool = False
+
+
+def make_worker(
+    id: str,
+    *,
+    millicores: int = 4_000,
+    memory_mib: int = 16_000,
+    accelerators: int = 0,
+    domain: str = 'a',
+    rack: str = 'r1',
+    pool: str = 'pool',
+    life: int = 1,
+) -> workers.Worker:
+    """Returns a listed worker."""
+    return workers.Worker(
+        id,
+        'region',
+        domain,
+        rack,
+        resources.Resources(millicores, memory_mib, accelerators),
+        address=id,
+        pool=pool,
+        kind='plain',
+        labels=frozenset(('plain', rack)),
+        life=life,
+    )
+
+
+def make_queue(name: str = 'queue', **changes: object) -> catalogs.Queue:
+    """Returns a queue of the pool 'pool'."""
+    queue = catalogs.Queue(
+        name, 'host', f'/{name}/', 'pool', attempts=3, stretch=2.0
+    )
+    return dataclasses.replace(queue, **changes)  # type: ignore[arg-type]
+
+
+def make_catalog(
+    *queues: catalogs.Queue, customers: tuple[catalogs.Customer, ...] = ()
+) -> catalogs.Catalog:
+    """Returns settings with some queues and customers."""
+    return catalogs.Catalog(
+        revision=1,
+        queues={queue.name: queue for queue in queues or (make_queue(),)},
+        customers={customer.name: customer for customer in customers},
+    )
+
+
+def make_step(
+    count: int = 1, millicores: int = 1_000, **changes: object
+) -> jobs.Step:
+    """Returns a step of like tasks."""
+    step = jobs.Step(
+        count, resources.Resources(millicores, 100), estimate_ms=500
+    )
+    return dataclasses.replace(step, **changes)  # type: ignore[arg-type]
+
+
+def make_order(
+    id: str, *steps: jobs.Step, queue: str = 'queue', customer: str = ''
+) -> jobs.Order:
+    """Returns what a caller hands in."""
+    return jobs.Order(id, queue, customer, f'payload of {id}', steps)
+
+
+def make_cell(
+    loop: asyncio.AbstractEventLoop,
+    *listed: workers.Worker,
+    catalog: catalogs.Catalog | None = None,
+) -> Cell:
+    """Returns a cell whose time is that of a virtual loop."""
+
+    def read_ms() -> int:
+        return int(loop.time() * clock_lib.MS_PER_S) + 1_000_000
+
+    return Cell(
+        clock_lib.Clock(read_ms, read_ms),
+        fakes.FakeTable(),
+        {worker.id: FakeTarget(worker) for worker in listed},
+        catalog or make_catalog(),
+    )
+
+
+def get_target_clock(cell: Cell, target: FakeTarget) -> int:
+    """Returns the worker's own clock in ms."""
+    return int(cell.clock.now_ms() * (1 - target.slowness))
+
+
+def advance(cell: Cell, target: FakeTarget) -> None:
+    """Carries out what has come due on a worker."""
+    now_ms = get_target_clock(cell, target)
+    if target.runs and now_ms > target.until_ms:
+        for name in list(target.runs):
+            end_run(target, name, jobs.EndKind.LAPSED)
+    for name, run in list(target.runs.items()):
+        if now_ms >= run.end_ms:
+            kind = jobs.EndKind.STOPPED
+            if not run.is_stopping:
+                kind = cell.outcome(name, run.run)
+            end_run(target, name, kind)
+
+
+def end_run(
+    target: FakeTarget, name: jobs.TaskName, kind: jobs.EndKind
+) -> None:
+    """Ends a run and lists its end."""
+    run = target.runs.pop(name)
+    target.last_end += 1
+    target.barred[name] = max(target.barred.get(name, 0), run.run)
+    target.ends.append(
+        runners.EndRow(target.last_end, name, run.run, kind, run.checkpoint)
+    )
+
+
+def restart(target: FakeTarget) -> None:
+    """Begins a new life of a worker, which knows nothing of before."""
+    target.worker = dataclasses.replace(
+        target.worker, life=target.worker.life + 1
+    )
+    target.token = target.until_ms = target.last_end = 0
+    target.runs.clear()
+    target.barred.clear()
+    target.ends.clear()
+
+
+def _check_start(cell: Cell, target: FakeTarget, order: runners.Start) -> None:
+    for other in cell.targets.values():
+        advance(cell, other)
+        if order.name in other.runs:
+            cell.broken.append(f'{order.name} runs twice')
+    earlier = [s.run for s in cell.starts if s.name == order.name]
+    if earlier and order.run <= max(earlier):
+        cell.broken.append(f'run {order.run} of {order.name} is not new')
+    cell.starts.append(
+        Started(
+            cell.clock.now_ms(),
+            target.worker.id,
+            order.name,
+            order.run,
+            order.checkpoint,
+        )
+    )
+
+
+def connect_runners(cell: Cell) -> runners.Runners:
+    """Returns access to the fake workers."""
+
+    async def reach(worker: workers.Worker) -> FakeTarget | None:
+        await asyncio.sleep(0.001)
+        target = cell.targets.get(worker.id)
+        if target is None or target.is_cut:
+            return None
+        advance(cell, target)
+        return target
+
+    async def answer(
+        target: FakeTarget, result: runners.StartResult, timeout_ms: int
+    ) -> runners.StartResult:
+        if target.is_silent or target.lost_answers > 0:
+            target.lost_answers = max(0, target.lost_answers - 1)
+            await asyncio.sleep(timeout_ms / 1000)
+            return runners.Unanswered('lost')
+        return result
+
+    async def hold(
+        worker: workers.Worker,
+        token: int,
+        seen: int,
+        until_ms: int | None,
+        wait_ms: int,
+        timeout_ms: int,
+    ) -> runners.HoldResult:
+        target = await reach(worker)
+        if target is None:
+            await asyncio.sleep(timeout_ms / 1000)
+            return runners.Unanswered('cut')
+        if token < target.token:
+            return runners.Refused(runners.Refusal.FENCED)
+        target.token = token
+        target.ends = [end for end in target.ends if end.number > seen]
+        if until_ms is not None:
+            target.until_ms = max(target.until_ms, until_ms)
+        waited_ms = 0
+        while waited_ms < wait_ms and not target.ends:
+            await asyncio.sleep(STEP_MS / 1000)
+            waited_ms += STEP_MS
+            advance(cell, target)
+        if target.is_silent or target.is_cut:
+            await asyncio.sleep(timeout_ms / 1000)
+            return runners.Unanswered('silent')
+        rows = [
+            runners.RunRow(
+                name, run.run, run.checkpoint, run.pace, target.tail_ms
+            )
+            for name, run in target.runs.items()
+        ]
+        return runners.Inventory(
+            get_target_clock(cell, target),
+            target.worker.life,
+            rows,
+            list(target.ends),
+        )
+
+    async def start(
+        worker: workers.Worker, order: runners.Start, timeout_ms: int
+    ) -> runners.StartResult:
+        target = await reach(worker)
+        if target is None:
+            await asyncio.sleep(timeout_ms / 1000)
+            return runners.Unanswered('cut')
+        refused = _refuse_start(cell, target, order)
+        if refused is not None:
+            return await answer(target, runners.Refused(refused), timeout_ms)
+        target.token = order.token
+        now_ms = get_target_clock(cell, target)
+        if order.name not in target.runs:
+            _check_start(cell, target, order)
+            target.runs[order.name] = FakeRun(
+                order.run,
+                now_ms + cell.run_ms(order.name),
+                order.checkpoint,
+            )
+        target.until_ms = max(target.until_ms, order.until_ms)
+        return await answer(target, runners.Taken(now_ms), timeout_ms)
+
+    async def stop(
+        worker: workers.Worker,
+        name: jobs.TaskName,
+        run: int,
+        token: int,
+        timeout_ms: int,
+    ) -> runners.StartResult:
+        target = await reach(worker)
+        if target is None:
+            await asyncio.sleep(timeout_ms / 1000)
+            return runners.Unanswered('cut')
+        if token < target.token:
+            return runners.Refused(runners.Refusal.FENCED)
+        target.token = token
+        now_ms = get_target_clock(cell, target)
+        present = target.runs.get(name)
+        target.barred[name] = max(target.barred.get(name, 0), run)
+        if present is not None and present.run <= run:
+            present.is_stopping = True
+            present.end_ms = min(present.end_ms, now_ms + STOP_MS)
+        return await answer(target, runners.Taken(now_ms), timeout_ms)
+
+    async def pace(
+        worker: workers.Worker,
+        name: jobs.TaskName,
+        run: int,
+        percent: int,
+        token: int,
+        timeout_ms: int,
+    ) -> runners.StartResult:
+        target = await reach(worker)
+        if target is None or name not in target.runs:
+            return runners.Refused(runners.Refusal.BAD_ORDER)
+        target.runs[name].pace = percent
+        return runners.Taken(get_target_clock(cell, target))
+
+    return runners.Runners(hold, start, stop, pace)
+
+
+def _refuse_start(
+    cell: Cell, target: FakeTarget, order: runners.Start
+) -> runners.Refusal | None:
+    if target.refusals:
+        return target.refusals.pop(0)
+    if order.token < target.token:
+        return runners.Refusal.FENCED
+    if order.until_ms < get_target_clock(cell, target):
+        return runners.Refusal.LATE
+    present = target.runs.get(order.name)
+    if present is not None and present.run == order.run:
+        return None
+    if order.run <= target.barred.get(order.name, 0) or present is not None:
+        return runners.Refusal.OLD
+    return None
+
+
+def connect_listings(cell: Cell) -> listings.Listings:
+    """Returns access to the cell's settings and list of workers."""
+
+    async def read(timeout_ms: int) -> listings.News | tables.Unavailable:
+        return listings.News(cell.catalog, cell.catalog.revision)
+
+    async def follow(
+        wait_ms: int, timeout_ms: int
+    ) -> listings.News | listings.HistoryGone | tables.Unavailable:
+        await asyncio.sleep(wait_ms / 1000)
+        return listings.News(cell.catalog, cell.catalog.revision)
+
+    async def list_workers(
+        timeout_ms: int,
+    ) -> listings.Listed | tables.Unavailable:
+        if cell.is_list_down:
+            return tables.Unavailable('down')
+        return listings.Listed(
+            {
+                id: target.worker
+                for id, target in cell.targets.items()
+                if id not in cell.unlisted
+            }
+        )
+
+    return listings.Listings(read, follow, list_workers)
+
+
+def connect_adviser(cell: Cell) -> advisers.Advise:
+    """Returns access to the cell's adviser."""
+
+    async def advise(
+        stage: str, ids: list[str], timeout_ms: int
+    ) -> advisers.Advised | advisers.Unadvised:
+        cell.asked.append(ids)
+        await asyncio.sleep(0.05)
+        suited = [i for i in ids if cell.suited is None or i in cell.suited]
+        return advisers.Advised({i: f'{stage}@{i}' for i in suited}, 2_000)
+
+    return advise
+
+
+def make_node(
+    cell: Cell, id: str, limits: bounds.Bounds | None = None
+) -> nodes.Node:
+    """Returns an instance of the cell that owns nothing yet."""
+    return nodes.Node(
+        id=id,
+        address=f'{id}:1',
+        domain='a',
+        strength=1_000,
+        clock=cell.clock,
+        rng=random.Random(id),
+        limits=limits or bounds.Bounds(),
+        outside=nodes.Outside(
+            fakes.connect_table(cell.table),
+            connect_listings(cell),
+            connect_runners(cell),
+            connect_adviser(cell),
+        ),
+        tasks=tasks.Tasks(),
+        catalog=cell.catalog,
+    )
+
+
+async def open_jobs(cell: Cell, id: str) -> nodes.Node:
+    """Returns an instance that has taken the ownership over."""
+    node = make_node(cell, id)
+    table = node.outside.table
+    found = await opening.read_owner(table, 100)
+    assert found is not None
+    sent_ms = cell.clock.now_ms()
+    owner = await opening.take_over(table, found, node.id, node.address, 100)
+    assert owner is not None
+    await owning.open_ownership(node, owner, sent_ms)
+    return node
+
+
+async def wait_until(
+    cell: Cell, holds: Callable[[], bool], most_ms: int = 30_000
+) -> bool:
+    """Waits in virtual time; tells whether the condition came to hold."""
+    until_ms = cell.clock.now_ms() + most_ms
+    while not holds():
+        if cell.clock.now_ms() >= until_ms:
+            return False
+        await asyncio.sleep(0.01)
+    return True
+
+
+def run(
+    script: Callable[[asyncio.AbstractEventLoop], Awaitable[None]],
+) -> None:
+    """Runs a script on a loop of its own in virtual time."""
+    loop = virtual_time.VirtualLoop()
+    try:
+        loop.run_until_complete(_run_script(script, loop))
+    finally:
+        loop.close()
+
+
+async def _run_script(
+    script: Callable[[asyncio.AbstractEventLoop], Awaitable[None]],
+    loop: asyncio.AbstractEventLoop,
+) -> None:
+    await script(loop)
+    others = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
--- /dev/null
+++ b/tests/unit/jobs/test_ownerships.py
@@ -0,0 +1,392 @@
+"""Jobs from acceptance to their end, with faults of workers and owners."""
+
+import asyncio
+import dataclasses
+
+from lib import job_cells
+from nutmegknot._internal.backing import runners
+from nutmegknot._internal.jobs import accepting
+from nutmegknot._internal.jobs import owning
+from nutmegknot._internal.models import catalogs
+from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import outcomes
+from nutmegknot._internal.models import resources
+
+
+def get_state(node, id, customer=''):
+    return accepting.look(node.own, id, customer)
+
+
+def list_runs(cell, id):
+    return [s for s in cell.starts if s.name.job == id]
+
+
+def test_steps_run_one_after_the_other():
+    async def script(loop):
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        node = await job_cells.open_jobs(cell, 'one')
+        order = job_cells.make_order(
+            'a',
+            job_cells.make_step(3),
+            job_cells.make_step(2, after=(0,)),
+        )
+        accepted = await accepting.submit(node.own, order)
+        assert accepted == outcomes.Accepted('a')
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
+        )
+        starts = list_runs(cell, 'a')
+        assert len(starts) == 5
+        first = [s.at_ms for s in starts if s.name.step == 0]
+        second = [s.at_ms for s in starts if s.name.step == 1]
+        assert min(second) >= max(first) + 500
+        assert cell.broken == []
+
+    job_cells.run(script)
+
+
+def test_a_new_owner_adopts_what_runs_and_repeats_nothing():
+    async def script(loop):
+        cell = job_cells.make_cell(
+            loop, job_cells.make_worker('w1'), job_cells.make_worker('w2')
+        )
+        cell.run_ms = lambda name: 1_500 + 300 * name.index
+        first = await job_cells.open_jobs(cell, 'one')
+        order = job_cells.make_order('a', job_cells.make_step(6))
+        await accepting.submit(first.own, order)
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 6)
+        await owning.close(first)
+        second = await job_cells.open_jobs(cell, 'two')
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(second, 'a') is jobs.JobState.COMPLETED
+        )
+        assert len(list_runs(cell, 'a')) == 6
+        assert cell.broken == []
+
+    job_cells.run(script)
+
+
+def test_a_new_owner_waits_for_the_lease_of_a_worker_it_cannot_reach():
+    async def script(loop):
+        cell = job_cells.make_cell(
+            loop, job_cells.make_worker('w1'), job_cells.make_worker('w2')
+        )
+        cell.run_ms = lambda name: 20_000
+        first = await job_cells.open_jobs(cell, 'one')
+        await accepting.submit(
+            first.own,
+            job_cells.make_order('a', job_cells.make_step(1, 3_000)),
+        )
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 1)
+        await asyncio.sleep(1.0)
+        cell.targets[cell.starts[0].worker].is_cut = True
+        await owning.close(first)
+        cell.run_ms = lambda name: 500
+        second = await job_cells.open_jobs(cell, 'two')
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(second, 'a') is jobs.JobState.COMPLETED
+        )
+        assert len(list_runs(cell, 'a')) == 2
+        assert cell.broken == []
+
+    job_cells.run(script)
+
+
+def test_run_numbers_rise_over_a_take_over():
+    async def script(loop):
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.outcome = lambda name, run: jobs.EndKind.LAPSED
+        first = await job_cells.open_jobs(cell, 'one')
+        await accepting.submit(
+            first.own, job_cells.make_order('a', job_cells.make_step())
+        )
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 4)
+        await owning.close(first)
+        cell.outcome = lambda name, run: jobs.EndKind.DONE
+        second = await job_cells.open_jobs(cell, 'two')
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(second, 'a') is jobs.JobState.COMPLETED
+        )
+        runs = [s.run for s in cell.starts]
+        assert runs[0] == 1
+        assert runs == sorted(set(runs))
+
+    job_cells.run(script)
+
+
+def test_a_start_whose_answer_is_lost_runs_once():
+    async def script(loop):
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 5_000
+        node = await job_cells.open_jobs(cell, 'one')
+        await asyncio.sleep(0.5)
+        cell.targets['w1'].lost_answers = 1
+        await accepting.submit(
+            node.own, job_cells.make_order('a', job_cells.make_step())
+        )
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
+        )
+        assert len(cell.starts) == 1
+        assert cell.broken == []
+
+    job_cells.run(script)
+
+
+def test_work_on_a_silent_worker_starts_elsewhere_only_after_its_lease():
+    async def script(loop):
+        cell = job_cells.make_cell(
+            loop, job_cells.make_worker('w1'), job_cells.make_worker('w2')
+        )
+        cell.targets['w1'].slowness = cell.targets['w2'].slowness = 0.02
+        cell.run_ms = lambda name: 30_000
+        node = await job_cells.open_jobs(cell, 'one')
+        await accepting.submit(
+            node.own, job_cells.make_order('a', job_cells.make_step())
+        )
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 1)
+        await asyncio.sleep(2.0)
+        cell.targets[cell.starts[0].worker].is_cut = True
+        cell.run_ms = lambda name: 500
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
+        )
+        assert len(cell.starts) == 2
+        assert cell.broken == []
+
+    job_cells.run(script)
+
+
+def test_a_worker_that_begins_anew_has_its_tasks_started_again():
+    async def script(loop):
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 3_000
+        node = await job_cells.open_jobs(cell, 'one')
+        await accepting.submit(
+            node.own, job_cells.make_order('a', job_cells.make_step(2))
+        )
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 2)
+        await asyncio.sleep(1.0)
+        job_cells.restart(cell.targets['w1'])
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
+        )
+        assert len(cell.starts) == 4
+        assert cell.broken == []
+
+    job_cells.run(script)
+
+
+def test_a_gang_with_a_refused_member_starts_anew_as_a_whole():
+    async def script(loop):
+        cell = job_cells.make_cell(
+            loop, job_cells.make_worker('w1'), job_cells.make_worker('w2')
+        )
+        node = await job_cells.open_jobs(cell, 'one')
+        await asyncio.sleep(0.5)
+        cell.targets['w2'].refusals = [runners.Refusal.NO_ROOM]
+        step = job_cells.make_step(2, 3_000, all_at_once=True)
+        await accepting.submit(node.own, job_cells.make_order('a', step))
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
+        )
+        last = max(s.run for s in cell.starts)
+        members = {s.name.index for s in cell.starts if s.run == last}
+        assert members == {0, 1}
+        assert cell.broken == []
+
+    job_cells.run(script)
+
+
+def test_failed_runs_end_a_job_after_its_attempts_also_over_a_take_over():
+    async def script(loop):
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.outcome = lambda name, run: jobs.EndKind.FAILED
+        first = await job_cells.open_jobs(cell, 'one')
+        await accepting.submit(
+            first.own, job_cells.make_order('a', job_cells.make_step())
+        )
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 2)
+        await asyncio.sleep(0.1)
+        await owning.close(first)
+        second = await job_cells.open_jobs(cell, 'two')
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(second, 'a') is jobs.JobState.FAILED
+        )
+        await asyncio.sleep(2.0)
+        assert len(cell.starts) == 3
+
+    job_cells.run(script)
+
+
+def test_a_cancelled_job_stops_and_starts_no_more():
+    async def script(loop):
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 10_000
+        node = await job_cells.open_jobs(cell, 'one')
+        await accepting.submit(
+            node.own, job_cells.make_order('a', job_cells.make_step(8))
+        )
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 4)
+        cancelled = await accepting.cancel(node.own, 'a', '')
+        assert isinstance(cancelled, outcomes.Cancelled)
+        await asyncio.sleep(3.0)
+        assert get_state(node, 'a') is jobs.JobState.CANCELLED
+        assert len(cell.starts) == 4
+        assert cell.targets['w1'].runs == {}
+        assert node.own.book.hosts['w1'].used == resources.NOTHING
+
+    job_cells.run(script)
+
+
+def test_a_repeat_finds_the_first_copy_also_at_a_new_owner():
+    async def script(loop):
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        order = job_cells.make_order('a', job_cells.make_step())
+        first = await job_cells.open_jobs(cell, 'one')
+        await accepting.submit(first.own, order)
+        await owning.close(first)
+        second = await job_cells.open_jobs(cell, 'two')
+        again = await accepting.submit(second.own, order)
+        assert again == outcomes.Accepted('a')
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(second, 'a') is jobs.JobState.COMPLETED
+        )
+        assert len(cell.starts) == 1
+
+    job_cells.run(script)
+
+
+def test_a_refusal_in_a_store_outage_is_true():
+    async def script(loop):
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        node = await job_cells.open_jobs(cell, 'one')
+        cell.table.is_down = True
+        refused = await accepting.submit(
+            node.own, job_cells.make_order('a', job_cells.make_step())
+        )
+        assert isinstance(refused, outcomes.Refused)
+        assert refused.retry_after_ms > 0
+        cell.table.is_down = False
+        await asyncio.sleep(3.0)
+        assert cell.starts == []
+        assert not any(key.endswith('/a') for key in cell.table.rows)
+
+    job_cells.run(script)
+
+
+def test_a_customer_stays_within_its_limit():
+    async def script(loop):
+        customer = catalogs.Customer(
+            'team', limit=resources.Resources(millicores=2_500)
+        )
+        catalog = job_cells.make_catalog(customers=(customer,))
+        cell = job_cells.make_cell(
+            loop, job_cells.make_worker('w1'), catalog=catalog
+        )
+        node = await job_cells.open_jobs(cell, 'one')
+        order = job_cells.make_order(
+            'a', job_cells.make_step(6), customer='team'
+        )
+        await accepting.submit(node.own, order)
+        most = 0
+
+        def is_completed():
+            nonlocal most
+            most = max(most, len(cell.targets['w1'].runs))
+            state = get_state(node, 'a', 'team')
+            return state is jobs.JobState.COMPLETED
+
+        assert await job_cells.wait_until(cell, is_completed)
+        assert most == 2
+
+    job_cells.run(script)
+
+
+def test_a_job_that_no_worker_can_take_is_refused_at_once():
+    async def script(loop):
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        node = await job_cells.open_jobs(cell, 'one')
+        await asyncio.sleep(0.5)
+        refused = await accepting.submit(
+            node.own, job_cells.make_order('a', job_cells.make_step(1, 5_000))
+        )
+        assert isinstance(refused, outcomes.Refused)
+        assert refused.reason is outcomes.RefusalReason.NEVER_RUNNABLE
+
+    job_cells.run(script)
+
+
+def test_nothing_starts_in_a_closed_domain():
+    async def script(loop):
+        catalog = dataclasses.replace(
+            job_cells.make_catalog(), closed_domains=frozenset('a')
+        )
+        cell = job_cells.make_cell(
+            loop,
+            job_cells.make_worker('w1'),
+            job_cells.make_worker('w2', domain='b'),
+            catalog=catalog,
+        )
+        node = await job_cells.open_jobs(cell, 'one')
+        await accepting.submit(
+            node.own, job_cells.make_order('a', job_cells.make_step(4))
+        )
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
+        )
+        assert {s.worker for s in cell.starts} == {'w2'}
+
+    job_cells.run(script)
+
+
+def test_only_suited_workers_run_a_stage_that_needs_tickets():
+    async def script(loop):
+        queue = job_cells.make_queue(needs_tickets=True)
+        cell = job_cells.make_cell(
+            loop,
+            *(job_cells.make_worker(f'w{n}') for n in range(4)),
+            catalog=job_cells.make_catalog(queue),
+        )
+        cell.suited = {'w2'}
+        node = await job_cells.open_jobs(cell, 'one')
+        await accepting.submit(
+            node.own, job_cells.make_order('a', job_cells.make_step(6))
+        )
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
+        )
+        assert {s.worker for s in cell.starts} == {'w2'}
+
+    job_cells.run(script)
+
+
+def test_filling_tasks_are_paced_beside_a_serving_one_over_its_target():
+    async def script(loop):
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 60_000
+        node = await job_cells.open_jobs(cell, 'one')
+        serving = job_cells.make_step(
+            1, lasting=True, tail_target_ms=100, may_miss=0
+        )
+        filling = job_cells.make_step(2, fills=True)
+        await accepting.submit(node.own, job_cells.make_order('a', serving))
+        await accepting.submit(node.own, job_cells.make_order('b', filling))
+        target = cell.targets['w1']
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 3)
+        target.tail_ms = 150.0
+
+        def is_paced():
+            return all(
+                run.pace == 0
+                for name, run in target.runs.items()
+                if name.job == 'b'
+            )
+
+        assert await job_cells.wait_until(cell, is_paced, most_ms=3_000)
+        target.tail_ms = 20.0
+        assert await job_cells.wait_until(
+            cell, lambda: all(r.pace == 100 for r in target.runs.values())
+        )
+
+    job_cells.run(script)
