--- a/tests/lib/job_cells.py
+++ b/tests/lib/job_cells.py
@@ -8,6 +8,7 @@
 
 from lib import fakes
 from lib import virtual_time
+
 from nutmegknot._internal.backing import advisers
 from nutmegknot._internal.backing import listings
 from nutmegknot._internal.backing import runners
@@ -119,30 +120,21 @@
     is_list_down: bool = False
 
 
-def make_worker(
-    id: str,
-    *,
-    millicores: int = 4_000,
-    memory_mib: int = 16_000,
-    accelerators: int = 0,
-    domain: str = 'a',
-    rack: str = 'r1',
-    pool: str = 'pool',
-    life: int = 1,
-) -> workers.Worker:
-    """Returns a listed worker."""
-    return workers.Worker(
+def make_worker(id: str, **changes: object) -> workers.Worker:
+    """Returns a listed worker of the pool 'pool'."""
+    worker = workers.Worker(
         id,
         'region',
-        domain,
-        rack,
-        resources.Resources(millicores, memory_mib, accelerators),
+        'a',
+        'r1',
+        resources.Resources(4_000, 16_000),
         address=id,
-        pool=pool,
+        pool='pool',
         kind='plain',
-        labels=frozenset(('plain', rack)),
-        life=life,
+        labels=frozenset(('plain', 'r1')),
+        life=1,
     )
+    return dataclasses.replace(worker, **changes)  # type: ignore[arg-type]
 
 
 def make_queue(name: str = 'queue', **changes: object) -> catalogs.Queue:
@@ -262,24 +254,31 @@
 
 def connect_runners(cell: Cell) -> runners.Runners:
     """Returns access to the fake workers."""
+    return runners.Runners(
+        _make_hold(cell), _make_start(cell), _make_stop(cell), _make_pace(cell)
+    )
 
-    async def reach(worker: workers.Worker) -> FakeTarget | None:
-        await asyncio.sleep(0.001)
-        target = cell.targets.get(worker.id)
-        if target is None or target.is_cut:
-            return None
-        advance(cell, target)
-        return target
 
-    async def answer(
-        target: FakeTarget, result: runners.StartResult, timeout_ms: int
-    ) -> runners.StartResult:
-        if target.is_silent or target.lost_answers > 0:
-            target.lost_answers = max(0, target.lost_answers - 1)
-            await asyncio.sleep(timeout_ms / 1000)
-            return runners.Unanswered('lost')
-        return result
+async def _reach(cell: Cell, worker: workers.Worker) -> FakeTarget | None:
+    await asyncio.sleep(0.001)
+    target = cell.targets.get(worker.id)
+    if target is None or target.is_cut:
+        return None
+    advance(cell, target)
+    return target
+
+
+async def _answer(
+    target: FakeTarget, result: runners.StartResult, timeout_ms: int
+) -> runners.StartResult:
+    if target.is_silent or target.lost_answers > 0:
+        target.lost_answers = max(0, target.lost_answers - 1)
+        await asyncio.sleep(timeout_ms / 1000)
+        return runners.Unanswered('lost')
+    return result
 
+
+def _make_hold(cell: Cell) -> runners.Hold:
     async def hold(
         worker: workers.Worker,
         token: int,
@@ -288,7 +287,7 @@
         wait_ms: int,
         timeout_ms: int,
     ) -> runners.HoldResult:
-        target = await reach(worker)
+        target = await _reach(cell, worker)
         if target is None:
             await asyncio.sleep(timeout_ms / 1000)
             return runners.Unanswered('cut')
@@ -319,16 +318,20 @@
             list(target.ends),
         )
 
+    return hold
+
+
+def _make_start(cell: Cell) -> runners.StartRun:
     async def start(
         worker: workers.Worker, order: runners.Start, timeout_ms: int
     ) -> runners.StartResult:
-        target = await reach(worker)
+        target = await _reach(cell, worker)
         if target is None:
             await asyncio.sleep(timeout_ms / 1000)
             return runners.Unanswered('cut')
         refused = _refuse_start(cell, target, order)
         if refused is not None:
-            return await answer(target, runners.Refused(refused), timeout_ms)
+            return await _answer(target, runners.Refused(refused), timeout_ms)
         target.token = order.token
         now_ms = get_target_clock(cell, target)
         if order.name not in target.runs:
@@ -339,8 +342,12 @@
                 order.checkpoint,
             )
         target.until_ms = max(target.until_ms, order.until_ms)
-        return await answer(target, runners.Taken(now_ms), timeout_ms)
+        return await _answer(target, runners.Taken(now_ms), timeout_ms)
+
+    return start
 
+
+def _make_stop(cell: Cell) -> runners.StopRun:
     async def stop(
         worker: workers.Worker,
         name: jobs.TaskName,
@@ -348,7 +355,7 @@
         token: int,
         timeout_ms: int,
     ) -> runners.StartResult:
-        target = await reach(worker)
+        target = await _reach(cell, worker)
         if target is None:
             await asyncio.sleep(timeout_ms / 1000)
             return runners.Unanswered('cut')
@@ -361,8 +368,12 @@
         if present is not None and present.run <= run:
             present.is_stopping = True
             present.end_ms = min(present.end_ms, now_ms + STOP_MS)
-        return await answer(target, runners.Taken(now_ms), timeout_ms)
+        return await _answer(target, runners.Taken(now_ms), timeout_ms)
+
+    return stop
+
 
+def _make_pace(cell: Cell) -> runners.PaceRun:
     async def pace(
         worker: workers.Worker,
         name: jobs.TaskName,
@@ -371,13 +382,13 @@
         token: int,
         timeout_ms: int,
     ) -> runners.StartResult:
-        target = await reach(worker)
+        target = await _reach(cell, worker)
         if target is None or name not in target.runs:
             return runners.Refused(runners.Refusal.BAD_ORDER)
         target.runs[name].pace = percent
         return runners.Taken(get_target_clock(cell, target))
 
-    return runners.Runners(hold, start, stop, pace)
+    return pace
 
 
 def _refuse_start(
--- a/tests/unit/jobs/test_ownerships.py
+++ b/tests/unit/jobs/test_ownerships.py
@@ -4,8 +4,11 @@
 import dataclasses
 
 from lib import job_cells
+
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.jobs import accepting
+from nutmegknot._internal.jobs import nodes
+from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import owning
 from nutmegknot._internal.models import catalogs
 from nutmegknot._internal.models import jobs
@@ -13,16 +16,23 @@
 from nutmegknot._internal.models import resources
 
 
-def get_state(node, id, customer=''):
-    return accepting.look(node.own, id, customer)
+def get_own(node: nodes.Node) -> ownerships.Ownership:
+    assert node.own is not None
+    return node.own
+
 
+def get_state(
+    node: nodes.Node, id: str, customer: str = ''
+) -> jobs.JobState | outcomes.NotFound:
+    return accepting.look(get_own(node), id, customer)
 
-def list_runs(cell, id):
+
+def list_runs(cell: job_cells.Cell, id: str) -> list[job_cells.Started]:
     return [s for s in cell.starts if s.name.job == id]
 
 
-def test_steps_run_one_after_the_other():
-    async def script(loop):
+def test_steps_run_one_after_the_other() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
         node = await job_cells.open_jobs(cell, 'one')
         order = job_cells.make_order(
@@ -30,7 +40,7 @@
             job_cells.make_step(3),
             job_cells.make_step(2, after=(0,)),
         )
-        accepted = await accepting.submit(node.own, order)
+        accepted = await accepting.submit(get_own(node), order)
         assert accepted == outcomes.Accepted('a')
         assert await job_cells.wait_until(
             cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
@@ -45,15 +55,15 @@
     job_cells.run(script)
 
 
-def test_a_new_owner_adopts_what_runs_and_repeats_nothing():
-    async def script(loop):
+def test_a_new_owner_adopts_what_runs_and_repeats_nothing() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(
             loop, job_cells.make_worker('w1'), job_cells.make_worker('w2')
         )
         cell.run_ms = lambda name: 1_500 + 300 * name.index
         first = await job_cells.open_jobs(cell, 'one')
         order = job_cells.make_order('a', job_cells.make_step(6))
-        await accepting.submit(first.own, order)
+        await accepting.submit(get_own(first), order)
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 6)
         await owning.close(first)
         second = await job_cells.open_jobs(cell, 'two')
@@ -66,15 +76,15 @@
     job_cells.run(script)
 
 
-def test_a_new_owner_waits_for_the_lease_of_a_worker_it_cannot_reach():
-    async def script(loop):
+def test_a_new_owner_waits_for_the_lease_of_a_worker_it_cannot_reach() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(
             loop, job_cells.make_worker('w1'), job_cells.make_worker('w2')
         )
         cell.run_ms = lambda name: 20_000
         first = await job_cells.open_jobs(cell, 'one')
         await accepting.submit(
-            first.own,
+            get_own(first),
             job_cells.make_order('a', job_cells.make_step(1, 3_000)),
         )
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 1)
@@ -92,13 +102,13 @@
     job_cells.run(script)
 
 
-def test_run_numbers_rise_over_a_take_over():
-    async def script(loop):
+def test_run_numbers_rise_over_a_take_over() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
         cell.outcome = lambda name, run: jobs.EndKind.LAPSED
         first = await job_cells.open_jobs(cell, 'one')
         await accepting.submit(
-            first.own, job_cells.make_order('a', job_cells.make_step())
+            get_own(first), job_cells.make_order('a', job_cells.make_step())
         )
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 4)
         await owning.close(first)
@@ -114,15 +124,15 @@
     job_cells.run(script)
 
 
-def test_a_start_whose_answer_is_lost_runs_once():
-    async def script(loop):
+def test_a_start_whose_answer_is_lost_runs_once() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
         cell.run_ms = lambda name: 5_000
         node = await job_cells.open_jobs(cell, 'one')
         await asyncio.sleep(0.5)
         cell.targets['w1'].lost_answers = 1
         await accepting.submit(
-            node.own, job_cells.make_order('a', job_cells.make_step())
+            get_own(node), job_cells.make_order('a', job_cells.make_step())
         )
         assert await job_cells.wait_until(
             cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
@@ -133,8 +143,10 @@
     job_cells.run(script)
 
 
-def test_work_on_a_silent_worker_starts_elsewhere_only_after_its_lease():
-    async def script(loop):
+def test_work_on_a_silent_worker_starts_elsewhere_only_after_its_lease() -> (
+    None
+):
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(
             loop, job_cells.make_worker('w1'), job_cells.make_worker('w2')
         )
@@ -142,7 +154,7 @@
         cell.run_ms = lambda name: 30_000
         node = await job_cells.open_jobs(cell, 'one')
         await accepting.submit(
-            node.own, job_cells.make_order('a', job_cells.make_step())
+            get_own(node), job_cells.make_order('a', job_cells.make_step())
         )
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 1)
         await asyncio.sleep(2.0)
@@ -157,13 +169,13 @@
     job_cells.run(script)
 
 
-def test_a_worker_that_begins_anew_has_its_tasks_started_again():
-    async def script(loop):
+def test_a_worker_that_begins_anew_has_its_tasks_started_again() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
         cell.run_ms = lambda name: 3_000
         node = await job_cells.open_jobs(cell, 'one')
         await accepting.submit(
-            node.own, job_cells.make_order('a', job_cells.make_step(2))
+            get_own(node), job_cells.make_order('a', job_cells.make_step(2))
         )
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 2)
         await asyncio.sleep(1.0)
@@ -177,8 +189,8 @@
     job_cells.run(script)
 
 
-def test_a_gang_with_a_refused_member_starts_anew_as_a_whole():
-    async def script(loop):
+def test_a_gang_with_a_refused_member_starts_anew_as_a_whole() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(
             loop, job_cells.make_worker('w1'), job_cells.make_worker('w2')
         )
@@ -186,7 +198,7 @@
         await asyncio.sleep(0.5)
         cell.targets['w2'].refusals = [runners.Refusal.NO_ROOM]
         step = job_cells.make_step(2, 3_000, all_at_once=True)
-        await accepting.submit(node.own, job_cells.make_order('a', step))
+        await accepting.submit(get_own(node), job_cells.make_order('a', step))
         assert await job_cells.wait_until(
             cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
         )
@@ -198,13 +210,15 @@
     job_cells.run(script)
 
 
-def test_failed_runs_end_a_job_after_its_attempts_also_over_a_take_over():
-    async def script(loop):
+def test_failed_runs_end_a_job_after_its_attempts_also_over_a_take_over() -> (
+    None
+):
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
         cell.outcome = lambda name, run: jobs.EndKind.FAILED
         first = await job_cells.open_jobs(cell, 'one')
         await accepting.submit(
-            first.own, job_cells.make_order('a', job_cells.make_step())
+            get_own(first), job_cells.make_order('a', job_cells.make_step())
         )
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 2)
         await asyncio.sleep(0.1)
@@ -219,35 +233,35 @@
     job_cells.run(script)
 
 
-def test_a_cancelled_job_stops_and_starts_no_more():
-    async def script(loop):
+def test_a_cancelled_job_stops_and_starts_no_more() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
         cell.run_ms = lambda name: 10_000
         node = await job_cells.open_jobs(cell, 'one')
         await accepting.submit(
-            node.own, job_cells.make_order('a', job_cells.make_step(8))
+            get_own(node), job_cells.make_order('a', job_cells.make_step(8))
         )
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 4)
-        cancelled = await accepting.cancel(node.own, 'a', '')
+        cancelled = await accepting.cancel(get_own(node), 'a', '')
         assert isinstance(cancelled, outcomes.Cancelled)
         await asyncio.sleep(3.0)
         assert get_state(node, 'a') is jobs.JobState.CANCELLED
         assert len(cell.starts) == 4
         assert cell.targets['w1'].runs == {}
-        assert node.own.book.hosts['w1'].used == resources.NOTHING
+        assert get_own(node).book.hosts['w1'].used == resources.NOTHING
 
     job_cells.run(script)
 
 
-def test_a_repeat_finds_the_first_copy_also_at_a_new_owner():
-    async def script(loop):
+def test_a_repeat_finds_the_first_copy_also_at_a_new_owner() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
         order = job_cells.make_order('a', job_cells.make_step())
         first = await job_cells.open_jobs(cell, 'one')
-        await accepting.submit(first.own, order)
+        await accepting.submit(get_own(first), order)
         await owning.close(first)
         second = await job_cells.open_jobs(cell, 'two')
-        again = await accepting.submit(second.own, order)
+        again = await accepting.submit(get_own(second), order)
         assert again == outcomes.Accepted('a')
         assert await job_cells.wait_until(
             cell, lambda: get_state(second, 'a') is jobs.JobState.COMPLETED
@@ -257,13 +271,13 @@
     job_cells.run(script)
 
 
-def test_a_refusal_in_a_store_outage_is_true():
-    async def script(loop):
+def test_a_refusal_in_a_store_outage_is_true() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
         node = await job_cells.open_jobs(cell, 'one')
         cell.table.is_down = True
         refused = await accepting.submit(
-            node.own, job_cells.make_order('a', job_cells.make_step())
+            get_own(node), job_cells.make_order('a', job_cells.make_step())
         )
         assert isinstance(refused, outcomes.Refused)
         assert refused.retry_after_ms > 0
@@ -275,8 +289,8 @@
     job_cells.run(script)
 
 
-def test_a_customer_stays_within_its_limit():
-    async def script(loop):
+def test_a_customer_stays_within_its_limit() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         customer = catalogs.Customer(
             'team', limit=resources.Resources(millicores=2_500)
         )
@@ -288,10 +302,10 @@
         order = job_cells.make_order(
             'a', job_cells.make_step(6), customer='team'
         )
-        await accepting.submit(node.own, order)
+        await accepting.submit(get_own(node), order)
         most = 0
 
-        def is_completed():
+        def is_completed() -> bool:
             nonlocal most
             most = max(most, len(cell.targets['w1'].runs))
             state = get_state(node, 'a', 'team')
@@ -303,13 +317,14 @@
     job_cells.run(script)
 
 
-def test_a_job_that_no_worker_can_take_is_refused_at_once():
-    async def script(loop):
+def test_a_job_that_no_worker_can_take_is_refused_at_once() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
         node = await job_cells.open_jobs(cell, 'one')
         await asyncio.sleep(0.5)
         refused = await accepting.submit(
-            node.own, job_cells.make_order('a', job_cells.make_step(1, 5_000))
+            get_own(node),
+            job_cells.make_order('a', job_cells.make_step(1, 5_000)),
         )
         assert isinstance(refused, outcomes.Refused)
         assert refused.reason is outcomes.RefusalReason.NEVER_RUNNABLE
@@ -317,8 +332,8 @@
     job_cells.run(script)
 
 
-def test_nothing_starts_in_a_closed_domain():
-    async def script(loop):
+def test_nothing_starts_in_a_closed_domain() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         catalog = dataclasses.replace(
             job_cells.make_catalog(), closed_domains=frozenset('a')
         )
@@ -330,7 +345,7 @@
         )
         node = await job_cells.open_jobs(cell, 'one')
         await accepting.submit(
-            node.own, job_cells.make_order('a', job_cells.make_step(4))
+            get_own(node), job_cells.make_order('a', job_cells.make_step(4))
         )
         assert await job_cells.wait_until(
             cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
@@ -340,8 +355,8 @@
     job_cells.run(script)
 
 
-def test_only_suited_workers_run_a_stage_that_needs_tickets():
-    async def script(loop):
+def test_only_suited_workers_run_a_stage_that_needs_tickets() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         queue = job_cells.make_queue(needs_tickets=True)
         cell = job_cells.make_cell(
             loop,
@@ -351,7 +366,7 @@
         cell.suited = {'w2'}
         node = await job_cells.open_jobs(cell, 'one')
         await accepting.submit(
-            node.own, job_cells.make_order('a', job_cells.make_step(6))
+            get_own(node), job_cells.make_order('a', job_cells.make_step(6))
         )
         assert await job_cells.wait_until(
             cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
@@ -361,8 +376,8 @@
     job_cells.run(script)
 
 
-def test_filling_tasks_are_paced_beside_a_serving_one_over_its_target():
-    async def script(loop):
+def test_filling_tasks_are_paced_beside_a_serving_one_over_its_target() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
         cell.run_ms = lambda name: 60_000
         node = await job_cells.open_jobs(cell, 'one')
@@ -370,13 +385,17 @@
             1, lasting=True, tail_target_ms=100, may_miss=0
         )
         filling = job_cells.make_step(2, fills=True)
-        await accepting.submit(node.own, job_cells.make_order('a', serving))
-        await accepting.submit(node.own, job_cells.make_order('b', filling))
+        await accepting.submit(
+            get_own(node), job_cells.make_order('a', serving)
+        )
+        await accepting.submit(
+            get_own(node), job_cells.make_order('b', filling)
+        )
         target = cell.targets['w1']
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 3)
         target.tail_ms = 150.0
 
-        def is_paced():
+        def is_paced() -> bool:
             return all(
                 run.pace == 0
                 for name, run in target.runs.items()
