--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -46,6 +46,7 @@
       book: What it knows.
       tasks: Its tasks; cancelled when it ends.
       changed: Notified when something may be placed.
+      claimed: Notified when a worker has been claimed.
       orders: Orders by worker.
       asked: Notified when a stage wants advice.
       touched: Jobs whose newest write is not in the table yet.
@@ -62,6 +63,7 @@
     book: books.Book
     tasks: tasks.Tasks
     changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
+    claimed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     orders: dict[str, Orders] = dataclasses.field(default_factory=dict)
     asked: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     touched: set[str] = dataclasses.field(default_factory=set)
--- a/src/nutmegknot/_internal/jobs/owning.py
+++ b/src/nutmegknot/_internal/jobs/owning.py
@@ -66,6 +66,11 @@
     if reply.epoch != owner.row.epoch:
         return False
     owner.answered_ms = node.clock.now_ms()
+    if reply.version > owner.version:
+        owner.version = reply.version
+    if reply.version == owner.version:
+        # The row has had this version since before the answer came.
+        owner.since_ms = owner.answered_ms
     signals.notify(node.changed)
     return True
 
--- a/src/nutmegknot/_internal/jobs/peers.py
+++ b/src/nutmegknot/_internal/jobs/peers.py
@@ -103,6 +103,7 @@
         epoch=0 if own is None else own.book.epoch,
         configuration=0 if node.catalog is None else node.catalog.revision,
         instance=node.id,
+        version=0 if own is None else own.writer.version,
     )
 
 
--- a/src/nutmegknot/_internal/jobs/rosters.py
+++ b/src/nutmegknot/_internal/jobs/rosters.py
@@ -39,6 +39,7 @@
     """Reads the list of workers on a steady tick."""
     while True:
         result = await source.list_workers(LIST_TIMEOUT_MS)
+        claims = own.claimed.count
         now_ms = own.clock.now_ms()
         if isinstance(result, tables.Unavailable):
             note_failure(reach, now_ms, result.detail)
@@ -48,8 +49,13 @@
             reach.is_lost = False
             logger.info('list_regained', extra={'workers': len(result.workers)})
         take_list(own, result, _is_complete(own, reach, now_ms))
-        _judge_settled(own, reach, now_ms)
-        await _sleep(own.limits.list_ms)
+        due_ms = now_ms + own.limits.list_ms
+        while now_ms < due_ms:
+            _judge_settled(own, reach, now_ms)
+            claims = await signals.wait_at_most(
+                own.claimed, claims, due_ms - now_ms
+            )
+            now_ms = own.clock.now_ms()
 
 
 def note_failure(reach: Reach, now_ms: int, detail: str) -> None:
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -129,6 +129,7 @@
     pacing.adjust(own, host, inventory)
     if not host.is_claimed:
         host.is_claimed = True
+        signals.notify(own.claimed)
         logger.info(
             'worker_claimed',
             extra={
--- a/tests/unit/jobs/test_ownerships.py
+++ b/tests/unit/jobs/test_ownerships.py
@@ -409,3 +409,23 @@
         )
 
     job_cells.run(script)
+
+
+def test_a_new_owner_starts_what_waits_once_all_workers_have_answered() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 2_000
+        first = await job_cells.open_jobs(cell, 'one')
+        await accepting.submit(
+            get_own(first), job_cells.make_order('a', job_cells.make_step(8))
+        )
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 4)
+        await owning.close(first)
+        await asyncio.sleep(3.0)
+        second = await job_cells.open_jobs(cell, 'two')
+        began_ms = cell.clock.now_ms()
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 8)
+        assert cell.clock.now_ms() - began_ms < second.limits.list_ms
+        assert cell.broken == []
+
+    job_cells.run(script)
