Hand calls to the store to another instance where the own way fails

Greetings tell who reaches the store, and a call that was turned away goes through such an instance; a write whose answer was lost is settled by its own chain, as before.

--- a/src/nutmegknot/_internal/jobs/nodes.py
+++ b/src/nutmegknot/_internal/jobs/nodes.py
@@ -9,6 +9,7 @@
 from nutmegknot._internal.backing import tables
 from nutmegknot._internal.jobs import bounds
 from nutmegknot._internal.jobs import ownerships
+from nutmegknot._internal.jobs import relays
 from nutmegknot._internal.jobs import rosters
 from nutmegknot._internal.models import catalogs
 from nutmegknot._internal.network import channels as channels_lib
@@ -73,6 +74,7 @@
       owner: The owner row; None before the first reading.
       own: The ownership, if this instance holds it.
       reach: Whether the list of workers can be read.
+      relay: The ways to the store; None where there is only one.
       channels: Connections to other instances.
       is_stopping: Whether a planned stop has begun.
       changed: Notified when the owner or the settings change.
@@ -94,6 +96,7 @@
     owner: Sighting | None = None
     own: ownerships.Ownership | None = None
     reach: rosters.Reach = dataclasses.field(default_factory=rosters.Reach)
+    relay: relays.Relay | None = None
     channels: channels_lib.Channels = dataclasses.field(
         default_factory=channels_lib.Channels
     )
--- a/src/nutmegknot/_internal/jobs/peers.py
+++ b/src/nutmegknot/_internal/jobs/peers.py
@@ -1,13 +1,16 @@
 """Calls between instances about jobs."""
 
+import json
 import logging
 from typing import Any
 
 from nutmegknot._internal.backing import advisers
+from nutmegknot._internal.backing import fetches
 from nutmegknot._internal.jobs import accepting
 from nutmegknot._internal.jobs import advising
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import ownerships
+from nutmegknot._internal.jobs import relays
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
@@ -38,6 +41,7 @@
         'Count': lambda call, _: _serve_count(node, call),
         'Greet': lambda call, _: _serve_greeting(node, call),
         'Advise': lambda call, _: _serve_advice(node, call),
+        'Relay': lambda call, _: _serve_relay(node, call),
     }
     return services.bind(
         jobs_pb2.DESCRIPTOR.services_by_name['Jobs'],
@@ -96,6 +100,8 @@
     node: nodes.Node, call: jobs_pb2.Greeting
 ) -> jobs_pb2.GreetingReply:
     node.known_revision = max(node.known_revision, call.configuration)
+    if node.relay is not None:
+        relays.note_peer(node.relay, call.address, call.reaches_store)
     own = nodes.get_acting(node)
     if own is not None:
         _note_adviser(node, own, call.address)
@@ -104,6 +110,7 @@
         configuration=0 if node.catalog is None else node.catalog.revision,
         instance=node.id,
         version=0 if own is None else own.writer.version,
+        reaches_store=_reaches_store(node),
     )
 
 
@@ -125,6 +132,57 @@
     )
 
 
+async def _serve_relay(
+    node: nodes.Node, call: jobs_pb2.RelayCall
+) -> jobs_pb2.RelayReply:
+    if node.relay is None:
+        return jobs_pb2.RelayReply(detail='no relay')
+    reply = await node.relay.direct(
+        fetches.Call(
+            call.method,
+            call.path,
+            dict(call.params),
+            json.loads(call.body) if call.body else None,
+        ),
+        call.timeout_ms,
+    )
+    if isinstance(reply, fetches.NoAnswer):
+        return jobs_pb2.RelayReply(was_sent=reply.was_sent, detail=reply.detail)
+    return jobs_pb2.RelayReply(
+        is_answered=True,
+        status=reply.status,
+        fields=json.dumps(reply.fields, separators=(',', ':')).encode(),
+    )
+
+
+async def relay_call(
+    node: nodes.Node, address: str, call: fetches.Call, timeout_ms: int
+) -> fetches.Reply | fetches.NoAnswer:
+    """Has the instance at an address make a call to the store."""
+    body = b''
+    if call.body is not None:
+        body = json.dumps(call.body, separators=(',', ':')).encode()
+    asked = jobs_pb2.RelayCall(
+        method=call.method,
+        path=call.path,
+        params=call.params,
+        body=body,
+        timeout_ms=timeout_ms,
+    )
+    try:
+        reply: jobs_pb2.RelayReply = await get_stub(node, address).Relay(
+            asked, timeout=clock_lib.to_seconds(timeout_ms)
+        )
+    except ConnectionRefusedError:
+        return fetches.NoAnswer(False, f'{address}: refused')
+    except calls.CALL_ERRORS as error:
+        drop_channel(node, address)
+        return fetches.NoAnswer(True, f'{address}: {type(error).__name__}')
+    if not reply.is_answered:
+        return fetches.NoAnswer(reply.was_sent, reply.detail)
+    return fetches.Reply(reply.status, json.loads(reply.fields))
+
+
 def encode_outcome(
     own: ownerships.Ownership,
     outcome: outcomes.Outcome,
@@ -233,6 +291,7 @@
         address=node.address,
         domain=node.domain,
         configuration=revision,
+        reaches_store=_reaches_store(node),
     )
     try:
         reply: jobs_pb2.GreetingReply = await get_stub(node, address).Greet(
@@ -245,4 +304,10 @@
         )
         drop_channel(node, address)
         return None
+    if node.relay is not None:
+        relays.note_peer(node.relay, address, reply.reaches_store)
     return reply
+
+
+def _reaches_store(node: nodes.Node) -> bool:
+    return node.relay is None or node.relay.lost_ms is None
--- a/src/nutmegknot/_internal/jobs/running.py
+++ b/src/nutmegknot/_internal/jobs/running.py
@@ -9,6 +9,7 @@
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import owning
 from nutmegknot._internal.jobs import peers
+from nutmegknot._internal.jobs import relays
 from nutmegknot._internal.network import listening
 from nutmegknot._internal.network import services
 from nutmegknot._internal.utils import tasks
@@ -44,6 +45,12 @@
     )
     if isinstance(server, listening.Unopened):
         return server
+    relay = node.relay
+    if relay is not None:
+        relay.ask = lambda address, call, timeout_ms: peers.relay_call(
+            node, address, call, timeout_ms
+        )
+        tasks.spawn(node.tasks, relays.keep_probing(relay), 'probe')
     tasks.spawn(node.tasks, catalogs.keep_catalog(node), 'settings')
     tasks.spawn(node.tasks, owning.keep_owner(node), 'owner')
     logger.info(
--- a/src/nutmegknot/_internal/platform/assembling.py
+++ b/src/nutmegknot/_internal/platform/assembling.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from nutmegknot._internal.jobs import nodes
+from nutmegknot._internal.jobs import relays
 from nutmegknot._internal.jobs import running
 from nutmegknot._internal.network import listening
 from nutmegknot._internal.platform import boots
@@ -53,21 +54,27 @@
 def make_node(boot: boots.Boot, client: client_lib.Client) -> nodes.Node:
     """Returns an instance that has reached nothing yet."""
     id = f'{boot.instance}-{uuid.uuid4().hex[:8]}'
+    clock = clock_lib.make_system_clock()
+    relay = relays.Relay(
+        clock, client_lib.make_fetch(client, boot.store), store.PROBE
+    )
+    fetch = relays.make_fetch(relay)
     return nodes.Node(
         id=id,
         address=boot.peer,
         domain=boot.domain,
         strength=boot.millicores,
-        clock=clock_lib.make_system_clock(),
+        clock=clock,
         rng=random.Random(id),
         limits=boot.limits,
         outside=nodes.Outside(
-            store.connect(client, boot.store),
-            notices.connect(client, boot.store, boot.regions),
+            store.connect(fetch),
+            notices.connect(fetch, boot.regions),
             fleet.connect(client),
             fleet.connect_adviser(client, boot.adviser),
         ),
         tasks=tasks.Tasks(),
+        relay=relay,
     )
 
 
--- a/src/nutmegknot/_internal/platform/client.py
+++ b/src/nutmegknot/_internal/platform/client.py
@@ -3,41 +3,15 @@
 import asyncio
 import dataclasses
 import json
-from typing import Any
 
 import aiohttp
 
+from nutmegknot._internal.backing import fetches
 from nutmegknot._internal.utils import clock as clock_lib
 
 KEEP_ALIVE_S = 20.0
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Reply:
-    """An answer.
-
-    Attributes:
-      status: HTTP status.
-      fields: The body's fields; empty if it has none.
-    """
-
-    status: int
-    fields: dict[str, Any]
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class NoAnswer:
-    """No answer came.
-
-    Attributes:
-      was_sent: Whether the call may have reached the other side.
-      detail: One line.
-    """
-
-    was_sent: bool
-    detail: str
-
-
 @dataclasses.dataclass(slots=True)
 class Client:
     """Open connections.
@@ -69,51 +43,57 @@
     await client.session.close()
 
 
-async def call(  # noqa: PLR0913 - the parts of an HTTP call
+async def call(
     client: Client,
-    method: str,
     address: str,
-    path: str,
+    wanted: fetches.Call,
     timeout_ms: int,
-    *,
-    body: dict[str, Any] | None = None,
-    params: dict[str, str] | None = None,
     headers: dict[str, str] | None = None,
-) -> Reply | NoAnswer:
+) -> fetches.Reply | fetches.NoAnswer:
     """Makes a call; the time limit covers the connection and the answer."""
     sent = dict(headers or {})
     data = None
-    if body is not None:
-        data = json.dumps(body, separators=(',', ':')).encode()
+    if wanted.body is not None:
+        data = json.dumps(wanted.body, separators=(',', ':')).encode()
         sent['Content-Type'] = 'application/json'
-    url = f'http://{address}{path}'
     try:
         async with asyncio.timeout(clock_lib.to_seconds(timeout_ms)):
             async with client.session.request(
-                method,
-                url,
+                wanted.method,
+                f'http://{address}{wanted.path}',
                 data=data,
-                params=params,
+                params=wanted.params or None,
                 headers=sent,
                 allow_redirects=False,
                 timeout=_NO_TIMEOUT,
             ) as reply:
                 return _decode(reply.status, await reply.read())
     except aiohttp.ClientConnectorError as error:
-        return NoAnswer(False, f'{address}: {type(error).__name__}')
+        return fetches.NoAnswer(False, f'{address}: {type(error).__name__}')
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
-        return NoAnswer(True, f'{address}: {type(error).__name__}')
+        return fetches.NoAnswer(True, f'{address}: {type(error).__name__}')
+
+
+def make_fetch(client: Client, address: str) -> fetches.Fetch:
+    """Returns calls to one address."""
+
+    async def fetch(
+        wanted: fetches.Call, timeout_ms: int
+    ) -> fetches.Reply | fetches.NoAnswer:
+        return await call(client, address, wanted, timeout_ms)
+
+    return fetch
 
 
 # The time limit of a call is set around it.
 _NO_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=None)
 
 
-def _decode(status: int, raw: bytes) -> Reply | NoAnswer:
+def _decode(status: int, raw: bytes) -> fetches.Reply:
     if not raw:
-        return Reply(status, {})
+        return fetches.Reply(status, {})
     try:
         fields = json.loads(raw)
     except ValueError:
-        return Reply(status, {})
-    return Reply(status, fields if isinstance(fields, dict) else {})
+        return fetches.Reply(status, {})
+    return fetches.Reply(status, fields if isinstance(fields, dict) else {})
--- a/src/nutmegknot/_internal/platform/fleet.py
+++ b/src/nutmegknot/_internal/platform/fleet.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from nutmegknot._internal.backing import advisers
+from nutmegknot._internal.backing import fetches
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import workers
@@ -37,15 +38,13 @@
 
     async def send(
         worker: workers.Worker, path: str, body: dict[str, Any], timeout_ms: int
-    ) -> client_lib.Reply | client_lib.NoAnswer:
+    ) -> fetches.Reply | fetches.NoAnswer:
         return await client_lib.call(
             client,
-            'POST',
             worker.address,
-            path,
+            fetches.Call('POST', path, body=body),
             timeout_ms,
-            body=body,
-            headers={'Expect-Instance': worker.id},
+            {'Expect-Instance': worker.id},
         )
 
     async def hold(
@@ -62,7 +61,7 @@
         if wait_ms:
             body['waitMs'] = wait_ms
         reply = await send(worker, '/api/hold', body, timeout_ms)
-        if isinstance(reply, client_lib.Reply) and reply.status == _OK:
+        if isinstance(reply, fetches.Reply) and reply.status == _OK:
             return _decode_inventory(reply.fields)
         result = _decode_result(reply)
         if isinstance(result, runners.Taken):
@@ -122,9 +121,9 @@
 
 
 def _decode_result(
-    reply: client_lib.Reply | client_lib.NoAnswer,
+    reply: fetches.Reply | fetches.NoAnswer,
 ) -> runners.StartResult:
-    if isinstance(reply, client_lib.NoAnswer):
+    if isinstance(reply, fetches.NoAnswer):
         if reply.was_sent:
             return runners.Unanswered(reply.detail)
         return runners.Unreached(reply.detail)
@@ -184,13 +183,13 @@
     ) -> advisers.Advised | advisers.Unadvised:
         reply = await client_lib.call(
             client,
-            'POST',
             address,
-            '/api/advise',
+            fetches.Call(
+                'POST', '/api/advise', body={'step': stage, 'workers': ids}
+            ),
             timeout_ms,
-            body={'step': stage, 'workers': ids},
         )
-        if isinstance(reply, client_lib.NoAnswer):
+        if isinstance(reply, fetches.NoAnswer):
             return advisers.Unadvised(reply.detail)
         if reply.status != _OK:
             return advisers.Unadvised(f'status {reply.status}')
--- a/src/nutmegknot/_internal/platform/notices.py
+++ b/src/nutmegknot/_internal/platform/notices.py
@@ -6,12 +6,12 @@
 import re
 from typing import Any
 
+from nutmegknot._internal.backing import fetches
 from nutmegknot._internal.backing import listings
 from nutmegknot._internal.backing import tables
 from nutmegknot._internal.models import catalogs
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import client as client_lib
 from nutmegknot._internal.platform import store
 
 logger = logging.getLogger(__name__)
@@ -43,9 +43,7 @@
     raw: bytes = b''
 
 
-def connect(
-    client: client_lib.Client, address: str, regions: dict[str, str]
-) -> listings.Listings:
+def connect(fetch: fetches.Fetch, regions: dict[str, str]) -> listings.Listings:
     """Returns access to what the platform tells."""
     mirror = Mirror()
 
@@ -53,11 +51,11 @@
         timeout_ms: int,
     ) -> listings.News | tables.Unavailable:
         params = {'table': OPERATOR_TABLE, 'part': ''}
-        reply = await client_lib.call(
-            client, 'GET', address, '/api/rows-get', timeout_ms, params=params
+        reply = await fetch(
+            fetches.Call('GET', '/api/rows-get', params), timeout_ms
         )
         failure = _get_failure(reply)
-        if failure is not None or isinstance(reply, client_lib.NoAnswer):
+        if failure is not None or isinstance(reply, fetches.NoAnswer):
             return failure or tables.Unavailable('no answer')
         position = reply.fields.get('rowVersion')
         if not isinstance(position, int):
@@ -78,13 +76,13 @@
             'after': str(mirror.position),
             'waitMs': str(wait_ms),
         }
-        reply = await client_lib.call(
-            client, 'GET', address, '/api/rows-feed', timeout_ms, params=params
+        reply = await fetch(
+            fetches.Call('GET', '/api/rows-feed', params), timeout_ms
         )
-        if isinstance(reply, client_lib.Reply) and reply.status == _GONE:
+        if isinstance(reply, fetches.Reply) and reply.status == _GONE:
             return listings.HistoryGone()
         failure = _get_failure(reply)
-        if failure is not None or isinstance(reply, client_lib.NoAnswer):
+        if failure is not None or isinstance(reply, fetches.NoAnswer):
             return failure or tables.Unavailable('no answer')
         return _take_changes(mirror, reply.fields)
 
@@ -92,7 +90,7 @@
         timeout_ms: int,
     ) -> listings.Listed | tables.Unavailable:
         rows = await store.read_rows(
-            client, address, WORKER_TABLE, '', '', '', timeout_ms
+            fetch, WORKER_TABLE, '', '', '', timeout_ms
         )
         if isinstance(rows, tables.Unavailable):
             return rows
@@ -107,9 +105,9 @@
 
 
 def _get_failure(
-    reply: client_lib.Reply | client_lib.NoAnswer,
+    reply: fetches.Reply | fetches.NoAnswer,
 ) -> tables.Unavailable | None:
-    if isinstance(reply, client_lib.NoAnswer):
+    if isinstance(reply, fetches.NoAnswer):
         return tables.Unavailable(reply.detail)
     if reply.status != _OK:
         return tables.Unavailable(f'status {reply.status}')
--- a/src/nutmegknot/_internal/platform/store.py
+++ b/src/nutmegknot/_internal/platform/store.py
@@ -4,8 +4,8 @@
 import logging
 from typing import Any
 
+from nutmegknot._internal.backing import fetches
 from nutmegknot._internal.backing import tables
-from nutmegknot._internal.platform import client as client_lib
 
 logger = logging.getLogger(__name__)
 
@@ -15,22 +15,26 @@
 PAGE_ROWS = 500
 _OK = 200
 _CONDITION_FAILED = 412
+# A cheap call that shows whether the store answers.
+PROBE = fetches.Call(
+    'GET', '/api/rows-get', {'table': TABLE, 'part': PART, 'limit': '1'}
+)
 # Answers of the store that say that nothing was done.
 _NOTHING_DONE = frozenset((400, 403, 404, 413, 429, 503, 507))
 
 
-def connect(client: client_lib.Client, address: str) -> tables.Table:
+def connect(fetch: fetches.Fetch) -> tables.Table:
     """Returns access to the store's rows of this system."""
 
     async def transact(
         transaction: tables.Transaction, timeout_ms: int
     ) -> tables.Result:
         if transaction.writes:
-            return await _write(client, address, transaction, timeout_ms)
+            return await _write(fetch, transaction, timeout_ms)
         found = {}
         for key in transaction.reads:
             read = await read_rows(
-                client, address, TABLE, PART, key, f'{key}\0', timeout_ms
+                fetch, TABLE, PART, key, f'{key}\0', timeout_ms
             )
             if isinstance(read, tables.Unavailable):
                 return read
@@ -39,28 +43,21 @@
 
     async def scan(prefix: str, timeout_ms: int) -> tables.ScanResult:
         end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
-        return await read_rows(
-            client, address, TABLE, PART, prefix, end, timeout_ms
-        )
+        return await read_rows(fetch, TABLE, PART, prefix, end, timeout_ms)
 
     return tables.Table(transact, scan)
 
 
 async def _write(
-    client: client_lib.Client,
-    address: str,
+    fetch: fetches.Fetch,
     transaction: tables.Transaction,
     timeout_ms: int,
 ) -> tables.Result:
-    reply = await client_lib.call(
-        client,
-        'POST',
-        address,
-        '/api/rows-tx',
+    reply = await fetch(
+        fetches.Call('POST', '/api/rows-tx', body=_show(transaction)),
         timeout_ms,
-        body=_show(transaction),
     )
-    if isinstance(reply, client_lib.NoAnswer):
+    if isinstance(reply, fetches.NoAnswer):
         if reply.was_sent:
             return tables.Uncertain(reply.detail)
         return tables.Unavailable(reply.detail)
@@ -96,7 +93,7 @@
 
 
 def _find_failed(
-    transaction: tables.Transaction, reply: client_lib.Reply
+    transaction: tables.Transaction, reply: fetches.Reply
 ) -> tables.Result:
     present = {row.key: row for row in decode_rows(reply.fields)}
     for condition in transaction.conditions:
@@ -108,8 +105,7 @@
 
 
 async def read_rows(
-    client: client_lib.Client,
-    address: str,
+    fetch: fetches.Fetch,
     table: str,
     part: str,
     first: str,
@@ -126,15 +122,10 @@
         if end:
             # The wire's name for the end of the range.
             params['target'] = end
-        reply = await client_lib.call(
-            client,
-            'GET',
-            address,
-            '/api/rows-get',
-            timeout_ms,
-            params=params,
+        reply = await fetch(
+            fetches.Call('GET', '/api/rows-get', params), timeout_ms
         )
-        if isinstance(reply, client_lib.NoAnswer):
+        if isinstance(reply, fetches.NoAnswer):
             return tables.Unavailable(reply.detail)
         if reply.status != _OK:
             return tables.Unavailable(f'status {reply.status}')
--- a/src/nutmegknot/_internal/schema/jobs_grpc.py
+++ b/src/nutmegknot/_internal/schema/jobs_grpc.py
@@ -38,6 +38,10 @@
     async def Advise(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.jobs_pb2.AdviceCall, nutmegknot._internal.schema.jobs_pb2.AdviceReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Relay(self, stream: 'grpclib.server.Stream[nutmegknot._internal.schema.jobs_pb2.RelayCall, nutmegknot._internal.schema.jobs_pb2.RelayReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/nutmegknot.v1.Jobs/Submit': grpclib.const.Handler(
@@ -76,6 +80,12 @@
                 nutmegknot._internal.schema.jobs_pb2.AdviceCall,
                 nutmegknot._internal.schema.jobs_pb2.AdviceReply,
             ),
+            '/nutmegknot.v1.Jobs/Relay': grpclib.const.Handler(
+                self.Relay,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                nutmegknot._internal.schema.jobs_pb2.RelayCall,
+                nutmegknot._internal.schema.jobs_pb2.RelayReply,
+            ),
         }
 
 
@@ -118,3 +128,9 @@
             nutmegknot._internal.schema.jobs_pb2.AdviceCall,
             nutmegknot._internal.schema.jobs_pb2.AdviceReply,
         )
+        self.Relay = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/nutmegknot.v1.Jobs/Relay',
+            nutmegknot._internal.schema.jobs_pb2.RelayCall,
+            nutmegknot._internal.schema.jobs_pb2.RelayReply,
+        )
