Start nothing on a worker while a run there has no place in the book

Its size isn't known any more, so the worker takes nothing until the run is gone. The test fails without the change.

--- a/src/nutmegknot/_internal/backing/runners.py
+++ b/src/nutmegknot/_internal/backing/runners.py
@@ -142,7 +142,7 @@
       life: The life that answered.
       runs: Runs under way.
       ends: Ends with numbers above the one that was named as seen.
-      foreign: Texts of runs whose task can't be read.
+      foreign: Number of runs whose task can't be read.
     """
 
     clock_ms: int
--- a/src/nutmegknot/_internal/decisions/rooms.py
+++ b/src/nutmegknot/_internal/decisions/rooms.py
@@ -101,7 +101,7 @@
     return (
         host.is_claimed
         and host.is_listed
-        and host.foreign == 0
+        and not host.unwanted
         and host.worker.state is workers.TargetState.LIVE
         and host.worker.domain not in book.catalog.closed_domains
         and now_ms >= host.doubted_until_ms
--- a/src/nutmegknot/_internal/jobs/ends.py
+++ b/src/nutmegknot/_internal/jobs/ends.py
@@ -239,11 +239,17 @@
       inventory: What it listed.
       sent_ms: When the call went out, by our clock.
     """
-    host.foreign = inventory.foreign
+    before, host.unwanted = host.unwanted, {}
+    if inventory.foreign:
+        host.unwanted[''] = inventory.foreign
     shown = set()
     for row in inventory.runs:
         shown.add(row.name)
-        _apply_row(own, host, row)
+        if not _apply_row(own, host, row):
+            text = jobs.format_task(row.name)
+            host.unwanted[text] = row.run
+            if before.get(text) != row.run:
+                stops.stop_unknown(own, host, row.name, row.run)
     ended = {(end.name, end.run) for end in inventory.ends}
     for name, task in list(host.runs.items()):
         is_open = task.phase is jobs.Phase.STARTING
@@ -256,27 +262,26 @@
 
 def _apply_row(
     own: ownerships.Ownership, host: books.Host, row: runners.RunRow
-) -> None:
+) -> bool:
+    """Takes note of a run on a worker; tells whether it has a place there."""
     book = own.book
     stage = books.find_stage(book, row.name)
     job = book.jobs.get(row.name.job)
     if stage is None or job is None:
-        stops.stop_unknown(own, host, row.name, row.run)
-        return
+        return False
     task = stage.tasks[row.name.index]
-    now_ms = own.clock.now_ms()
     is_present = task.worker == host.worker.id and task.run == row.run
     if not is_present:
         is_free = task.phase is jobs.Phase.WAITING and row.run > task.run
         if not is_free or jobs.is_final(job):
-            stops.stop_unknown(own, host, row.name, row.run)
-            return
+            return False
         _adopt(own, host, job, stage, task, row)
     if task.phase is jobs.Phase.STARTING:
         task.phase = jobs.Phase.RUNNING
-        task.settled_ms = now_ms
+        task.settled_ms = own.clock.now_ms()
     stage.begun = job.has_begun = True
     task.pace = row.pace
+    return True
 
 
 def _adopt(
--- a/src/nutmegknot/_internal/models/books.py
+++ b/src/nutmegknot/_internal/models/books.py
@@ -55,7 +55,8 @@
       ends: How runs there ended lately.
       rests: Rests in a row without a good end between them.
       doubted_until_ms: Nothing starts there before, by our clock.
-      foreign: Runs there that are not ours to know.
+      unwanted: Runs there that have no place in the book, by task, and those
+        whose task can't be read; they hold resources of unknown size.
       pace: Percent of their work that filling tasks there may do.
       pressed_ms: Since when a task there has been over its tail target.
       opened_ms: When it became known, by our clock.
@@ -77,7 +78,7 @@
     ends: list[EndNote] = dataclasses.field(default_factory=list)
     rests: int = 0
     doubted_until_ms: int = 0
-    foreign: int = 0
+    unwanted: dict[str, int] = dataclasses.field(default_factory=dict)
     pace: int = 100
     pressed_ms: int | None = None
     opened_ms: int = 0
--- a/tests/lib/job_cells.py
+++ b/tests/lib/job_cells.py
@@ -100,6 +100,7 @@
       run_ms: Returns how long a task runs.
       outcome: Returns how a run ends by itself.
       held: Returns what a task takes of its worker.
+      sizes: What tasks that have started take.
       suited: Workers that advice calls suited; None for all.
       asked: Workers named in each call for advice.
       is_list_down: Whether the list of workers can't be read.
@@ -119,6 +120,9 @@
     held: Callable[[jobs.TaskName], resources.Resources] = lambda name: (
         resources.NOTHING
     )
+    sizes: dict[jobs.TaskName, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
     suited: set[str] | None = None
     asked: list[list[str]] = dataclasses.field(default_factory=list)
     is_list_down: bool = False
@@ -245,9 +249,9 @@
     earlier = [s.run for s in cell.starts if s.name == order.name]
     if earlier and order.run <= max(earlier):
         cell.broken.append(f'run {order.run} of {order.name} is not new')
-    used = cell.held(order.name)
+    used = cell.sizes[order.name] = cell.held(order.name)
     for name in target.runs:
-        used = resources.add(used, cell.held(name))
+        used = resources.add(used, cell.sizes[name])
     if not resources.fits(used, target.worker.capacity):
         cell.broken.append(f'{target.worker.id} is over its capacity')
     cell.starts.append(
--- a/tests/unit/jobs/test_ownerships.py
+++ b/tests/unit/jobs/test_ownerships.py
@@ -429,3 +429,32 @@
         assert cell.broken == []
 
     job_cells.run(script)
+
+
+def test_a_run_that_is_not_wanted_counts_until_it_is_gone() -> None:
+    """An earlier owner's cancel did not reach the worker.
+
+    Found in scale-1 of the site ezokita-sched: the new owner started tasks on a
+    worker on which it was still stopping a run of a cancelled job.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 3_000
+        first = await job_cells.open_jobs(cell, 'one')
+        step = job_cells.make_step(1, 3_000)
+        await accepting.submit(get_own(first), job_cells.make_order('a', step))
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 1)
+        await asyncio.sleep(0.5)
+        cell.targets['w1'].is_cut = True
+        await accepting.cancel(get_own(first), 'a', '')
+        await owning.close(first)
+        cell.targets['w1'].is_cut = False
+        second = await job_cells.open_jobs(cell, 'two')
+        await accepting.submit(get_own(second), job_cells.make_order('b', step))
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(second, 'b') is jobs.JobState.COMPLETED
+        )
+        assert cell.broken == []
+
+    job_cells.run(script)
