--- a/src/nutmegknot/_internal/backing/http_fleets.py
+++ b/src/nutmegknot/_internal/backing/http_fleets.py
@@ -1,4 +1,4 @@
-"""Adapter to workers over HTTP; docs/PLATFORM.md has their calls."""
+"""Adapter to workers over HTTP; docs/STANDINS.md has their calls."""
 
 import asyncio
 import base64
--- a/src/nutmegknot/_internal/backing/http_objects.py
+++ b/src/nutmegknot/_internal/backing/http_objects.py
@@ -1,4 +1,4 @@
-"""Adapter to an object store over HTTP; docs/PLATFORM.md has its calls."""
+"""Adapter to an object store over HTTP; docs/STANDINS.md has its calls."""
 
 import aiohttp
 
--- a/src/nutmegknot/_internal/backing/http_tables.py
+++ b/src/nutmegknot/_internal/backing/http_tables.py
@@ -1,4 +1,4 @@
-"""Adapter to a table service over HTTP; docs/PLATFORM.md has its calls."""
+"""Adapter to a table service over HTTP; docs/STANDINS.md has its calls."""
 
 import base64
 from typing import Any
