Bound the log lines, and show counters and histograms of jobs

Cause: on-call engineers have logs and metrics only, and a reader that stops would have stopped the process. Lines wait in memory within a bound on their number in a second and on their bytes, are written together without blocking, and what is cut is counted by event. Counters and histograms are plain data; the library that shows them is loaded when they are first asked for.

--- a/src/nutmegknot/_internal/commands/attach.py
+++ b/src/nutmegknot/_internal/commands/attach.py
@@ -9,7 +9,9 @@
 from nutmegknot._internal.commands import signalling
 from nutmegknot._internal.platform import assembling
 from nutmegknot._internal.platform import boots
-from nutmegknot._internal.telemetry import logs
+from nutmegknot._internal.telemetry import sinks
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import tasks
 
 
 async def run_instance(
@@ -23,11 +25,16 @@
             boot.detail,
             f'set {boots.SETTINGS_VARIABLE} to the settings file',
         )
-    logs.set_up(command.level, sys.stdout)
+    sink = sinks.Sink(sys.stdout.fileno(), clock_lib.make_system_clock())
+    sinks.set_up(command.level, sink)
+    writing = asyncio.create_task(sinks.keep_writing(sink))
     stopped = asyncio.Event()
     wanted = assembling.Wanted()
     signalling.handle_signals(stopped, wanted.dump, wanted.reload)
-    ended = await assembling.run(boot, stopped, wanted)
+    try:
+        ended = await assembling.run(boot, stopped, wanted)
+    finally:
+        await tasks.cancel(writing)
     if isinstance(ended, assembling.PortTaken):
         return errors.CommandError(
             exit_codes.ExitCode.PORT_TAKEN,
--- a/src/nutmegknot/_internal/instance/entry.py
+++ b/src/nutmegknot/_internal/instance/entry.py
@@ -15,7 +15,7 @@
 from nutmegknot._internal.schema import common_pb2
 from nutmegknot._internal.schema import peer_grpc
 from nutmegknot._internal.schema import peer_pb2
-from nutmegknot._internal.telemetry import metrics
+from nutmegknot._internal.telemetry import counters
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import hashing
 
@@ -90,7 +90,7 @@
     """Accepts a caller's request, or refuses it truthfully."""
     outcome = await _submit(inst, call, wait_ms)
     if outcome.HasField('refused'):
-        metrics.count(inst.metrics.refusals, outcome.refused.reason)
+        counters.count(inst.metrics.refusals, outcome.refused.reason)
     return outcome
 
 
--- a/src/nutmegknot/_internal/instance/measuring.py
+++ b/src/nutmegknot/_internal/instance/measuring.py
@@ -11,6 +11,7 @@
 from nutmegknot._internal.instance import instances
 from nutmegknot._internal.models import reports
 from nutmegknot._internal.models import resources
+from nutmegknot._internal.telemetry import counters
 from nutmegknot._internal.telemetry import metrics
 from nutmegknot._internal.telemetry import store_calls
 
@@ -34,12 +35,12 @@
         'control_cpu': ('Processor time used.', 's', _read_processor_time),
     }
     for name, (text, unit, read) in gauges.items():
-        gauge = metrics.Gauge(name, text, unit, functools.partial(read, inst))
+        gauge = counters.Gauge(name, text, unit, functools.partial(read, inst))
         metrics.add_gauge(inst.metrics, gauge)
 
 
 def count_stores(
-    platform: instances.Platform, counter: metrics.Counter
+    platform: instances.Platform, counter: counters.Counter
 ) -> instances.Platform:
     """Returns the platform's services with calls to the stores counted."""
     return dataclasses.replace(
@@ -62,44 +63,44 @@
             continue
         req = job.given.req
         labels = (req.priority.name.lower(), req.team)
-        metrics.count(inst.metrics.starts, *labels)
+        counters.count(inst.metrics.starts, *labels)
         waited_ms = max(0, now_ms - job.given.accepted_ms)
-        metrics.record_wait(inst.metrics.waits, waited_ms, *labels)
+        counters.record(inst.metrics.waits, waited_ms, *labels)
 
 
-def _read_waiting(inst: instances.Instance) -> Iterable[metrics.Reading]:
+def _read_waiting(inst: instances.Instance) -> Iterable[counters.Reading]:
     for name, fleet in inst.fleets.items():
         waiting = len(fleet.scheduler.waiting)
-        yield metrics.Reading({'partition': name}, waiting)
+        yield counters.Reading({'partition': name}, waiting)
 
 
-def _read_running(inst: instances.Instance) -> Iterable[metrics.Reading]:
+def _read_running(inst: instances.Instance) -> Iterable[counters.Reading]:
     for name, fleet in inst.fleets.items():
         running = sum(bool(job.runs) for job in fleet.jobs.values())
-        yield metrics.Reading({'partition': name}, running)
+        yield counters.Reading({'partition': name}, running)
 
 
-def _read_entries(inst: instances.Instance) -> Iterable[metrics.Reading]:
+def _read_entries(inst: instances.Instance) -> Iterable[counters.Reading]:
     for name, ledger in inst.ledgers.items():
-        yield metrics.Reading({'partition': name}, len(ledger.entries))
+        yield counters.Reading({'partition': name}, len(ledger.entries))
 
 
-def _read_calls(inst: instances.Instance) -> Iterable[metrics.Reading]:
-    yield metrics.Reading({}, inst.calls.running)
+def _read_calls(inst: instances.Instance) -> Iterable[counters.Reading]:
+    yield counters.Reading({}, inst.calls.running)
 
 
 def _read_processor_time(
     inst: instances.Instance,
-) -> Iterable[metrics.Reading]:
-    yield metrics.Reading({}, time.process_time())
+) -> Iterable[counters.Reading]:
+    yield counters.Reading({}, time.process_time())
 
 
-def _read_memory(inst: instances.Instance) -> Iterable[metrics.Reading]:
+def _read_memory(inst: instances.Instance) -> Iterable[counters.Reading]:
     usage = resource.getrusage(resource.RUSAGE_SELF)
-    yield metrics.Reading({}, usage.ru_maxrss)
+    yield counters.Reading({}, usage.ru_maxrss)
 
 
-def _read_packing(inst: instances.Instance) -> Iterable[metrics.Reading]:
+def _read_packing(inst: instances.Instance) -> Iterable[counters.Reading]:
     for name, fleet in inst.fleets.items():
         capacity = _compute_capacity(fleet)
         held = _compute_held(fleet)
@@ -107,14 +108,14 @@
             whole = getattr(capacity, part)
             if whole:
                 value = getattr(held, part) / whole
-                yield metrics.Reading(
+                yield counters.Reading(
                     {'partition': name, 'resource': part}, value
                 )
 
 
 def _read_share_distances(
     inst: instances.Instance,
-) -> Iterable[metrics.Reading]:
+) -> Iterable[counters.Reading]:
     """Compares each active team's part of what is held with its due share."""
     for name, fleet in inst.fleets.items():
         usage = scheduling.compute_usage(fleet.scheduler)
@@ -127,7 +128,7 @@
         for team in active if all_held else ():
             due = teams[team].share / all_shares
             distance = held[team] / all_held - due
-            yield metrics.Reading({'partition': name, 'team': team}, distance)
+            yield counters.Reading({'partition': name, 'team': team}, distance)
 
 
 def _get_part(fleet: fleets.Fleet, amount: resources.Resources | None) -> float:
--- a/src/nutmegknot/_internal/instance/serving.py
+++ b/src/nutmegknot/_internal/instance/serving.py
@@ -28,7 +28,7 @@
 from nutmegknot._internal.membership import rows
 from nutmegknot._internal.membership import views
 from nutmegknot._internal.models import reports
-from nutmegknot._internal.telemetry import metrics
+from nutmegknot._internal.telemetry import counters
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
@@ -92,7 +92,7 @@
 
 async def open_partition(inst: instances.Instance, name: str) -> None:
     """Starts to serve an owned partition under an epoch not served before."""
-    metrics.count(inst.metrics.takeovers, name.partition('-')[0])
+    counters.count(inst.metrics.takeovers, name.partition('-')[0])
     inst.opened[name] = views.get_epoch(inst.membership.view, name)
     if name.startswith('ledger-'):
         await ledger_opening.open_ledger(inst, name, get_fence(inst, name))
--- a/src/nutmegknot/_internal/jobs/accepting.py
+++ b/src/nutmegknot/_internal/jobs/accepting.py
@@ -11,6 +11,7 @@
 from nutmegknot._internal.jobs import writes
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
+from nutmegknot._internal.telemetry import counters
 
 logger = logging.getLogger(__name__)
 
@@ -23,6 +24,7 @@
 
 async def submit(own: ownerships.Ownership, order: jobs.Order) -> SubmitOutcome:
     """Accepts a job once it is in the table; a repeat finds the first one."""
+    came_ms = own.clock.now_ms()
     known = own.book.jobs.get(order.id)
     if known is None:
         refused = _judge(own, order)
@@ -37,6 +39,7 @@
     )
     match written:
         case writes.Written.DURABLE:
+            counters.record(own.figures.accept_ms, own.clock.now_ms() - came_ms)
             logger.info(
                 'job_accepted',
                 extra={
--- a/src/nutmegknot/_internal/jobs/advising.py
+++ b/src/nutmegknot/_internal/jobs/advising.py
@@ -11,6 +11,7 @@
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import questions as questions_lib
+from nutmegknot._internal.telemetry import counters
 from nutmegknot._internal.utils import signals
 
 logger = logging.getLogger(__name__)
@@ -78,6 +79,8 @@
     sent_ms = own.clock.now_ms()
     result = await advise(name, list(lives), CALL_MS)
     advice = wanted.stage.advice
+    counters.record(own.figures.advice_ms, own.clock.now_ms() - sent_ms)
+    counters.count(own.figures.advice, type(result).__name__.lower())
     if isinstance(result, advisers.Unadvised):
         logger.warning(
             'advice_missing', extra={'stage': name, 'why': result.detail}
--- a/src/nutmegknot/_internal/jobs/ends.py
+++ b/src/nutmegknot/_internal/jobs/ends.py
@@ -9,6 +9,7 @@
 from nutmegknot._internal.jobs import stops
 from nutmegknot._internal.models import books
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.telemetry import counters
 from nutmegknot._internal.utils import signals
 
 logger = logging.getLogger(__name__)
@@ -29,6 +30,7 @@
             extra={'worker': host.worker.id, 'number': end.number},
         )
         return
+    counters.count(own.figures.runs, end.kind.value)
     job = book.jobs[end.name.job]
     task = stage.tasks[end.name.index]
     logger.info(
@@ -165,14 +167,20 @@
     """Ends a job in the book; it is shown once that is in the table."""
     job.state = state
     job.ended_ms = own.clock.wall_ms()
+    after_ms = job.ended_ms - job.order.accepted_ms
+    objective_ms = turns.compute_objective(own.book, job)
+    counters.count(own.figures.ended, job.order.queue, state.value)
+    if state is jobs.JobState.COMPLETED and not jobs.is_timed(job.order):
+        percent = 100 * after_ms // max(1, objective_ms)
+        counters.record(own.figures.job_percent, percent, job.order.queue)
     logger.info(
         'job_ended',
         extra={
             'job': job.order.id,
             'state': state.value,
             'why': why,
-            'after_ms': job.ended_ms - job.order.accepted_ms,
-            'objective_ms': turns.compute_objective(own.book, job),
+            'after_ms': after_ms,
+            'objective_ms': objective_ms,
         },
     )
     for stage in job.stages.values():
--- a/src/nutmegknot/_internal/jobs/nodes.py
+++ b/src/nutmegknot/_internal/jobs/nodes.py
@@ -8,6 +8,7 @@
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.backing import tables
 from nutmegknot._internal.jobs import bounds
+from nutmegknot._internal.jobs import figures as figures_lib
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import relays
 from nutmegknot._internal.jobs import rosters
@@ -67,6 +68,7 @@
       limits: Bounds on time.
       outside: What it reaches.
       tasks: Its tasks.
+      figures: What is counted.
       catalog: Operators' settings in force; None before the first reading.
       position: Position of those settings.
       news_ms: When they were last confirmed, by our clock.
@@ -89,6 +91,9 @@
     limits: bounds.Bounds
     outside: Outside
     tasks: tasks.Tasks
+    figures: figures_lib.Figures = dataclasses.field(
+        default_factory=figures_lib.make_figures
+    )
     catalog: catalogs.Catalog | None = None
     position: int = -1
     news_ms: int = 0
--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -9,6 +9,7 @@
 from nutmegknot._internal.backing import advisers
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.jobs import bounds
+from nutmegknot._internal.jobs import figures
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import writes
 from nutmegknot._internal.models import books
@@ -45,6 +46,7 @@
       writer: Its chain of writes.
       book: What it knows.
       tasks: Its tasks; cancelled when it ends.
+      figures: What is counted.
       changed: Notified when something may be placed.
       claimed: Notified when a worker has been claimed.
       orders: Orders by worker.
@@ -62,6 +64,7 @@
     writer: writes.Writer
     book: books.Book
     tasks: tasks.Tasks
+    figures: figures.Figures
     changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     claimed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     orders: dict[str, Orders] = dataclasses.field(default_factory=dict)
--- a/src/nutmegknot/_internal/jobs/owning.py
+++ b/src/nutmegknot/_internal/jobs/owning.py
@@ -19,6 +19,7 @@
 from nutmegknot._internal.jobs import rosters
 from nutmegknot._internal.jobs import writes
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.telemetry import counters
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
@@ -152,7 +153,12 @@
 ) -> None:
     """Reads the book and begins to serve as the owner."""
     writer = writes.Writer(
-        node.outside.table, node.clock, owner.row, owner.version, sent_ms
+        node.outside.table,
+        node.clock,
+        owner.row,
+        owner.version,
+        sent_ms,
+        node.figures,
     )
     part = tasks.Tasks(broken=node.tasks.broken)
     tasks.spawn(
@@ -188,6 +194,7 @@
         writer,
         book,
         part,
+        node.figures,
     )
     writer.on_written = lambda: placing.take_written(own)
     _begin(node, own)
@@ -218,6 +225,7 @@
     )
     tasks.spawn(part, forgetting.keep_forgetting(own), 'forget')
     node.own = own
+    counters.count(node.figures.takeovers, 'gained')
     logger.info(
         'jobs_opened',
         extra={
@@ -242,6 +250,7 @@
     own, node.own = node.own, None
     if own is None:
         return
+    counters.count(node.figures.takeovers, 'ended')
     logger.info('jobs_closed', extra={'epoch': own.book.epoch})
     signals.notify(node.changed)
     await tasks.cancel_all(own.tasks)
--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -12,6 +12,7 @@
 from nutmegknot._internal.jobs import stops
 from nutmegknot._internal.models import books
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.telemetry import counters
 from nutmegknot._internal.utils import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -58,6 +59,11 @@
     task.run = decided.run
     task.began_ms = own.clock.now_ms()
     name = books.name_task(decided.job, decided.stage, task.index)
+    counters.record(
+        own.figures.wait_ms,
+        task.began_ms - task.waiting_since_ms,
+        decided.job.order.queue,
+    )
     books.occupy(own.book, decided.host, decided.job, name, task)
     logger.info(
         'run_placed',
@@ -82,16 +88,20 @@
     give_up_ms = own.clock.now_ms() + own.limits.start_ms
     is_open = False
     while _is_wanted(own, decided) and own.clock.now_ms() < give_up_ms:
+        sent_ms = own.clock.now_ms()
         result = await own.runners.start(
             host.worker,
             _make_start(own, decided, name, until_ms),
             own.limits.call_ms,
         )
+        counters.record(own.figures.start_ms, own.clock.now_ms() - sent_ms)
         match result:
             case runners.Taken():
+                counters.count(own.figures.starts, 'taken')
                 _confirm(own, decided)
                 return
             case runners.Refused(reason):
+                counters.count(own.figures.starts, reason.value)
                 fences.note_refusal(own, host, reason)
                 _refuse(own, decided, name, reason, is_open)
                 return
@@ -100,6 +110,7 @@
                 _refuse(own, decided, name, runners.Refusal.UNHEALTHY, False)
                 return
             case runners.Unanswered() | runners.Unreached():
+                counters.count(own.figures.starts, 'unanswered')
                 is_open = True
         await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
     if task.run == decided.run and task.phase is jobs.Phase.STARTING:
--- a/src/nutmegknot/_internal/jobs/stops.py
+++ b/src/nutmegknot/_internal/jobs/stops.py
@@ -8,6 +8,7 @@
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.models import books
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.telemetry import counters
 from nutmegknot._internal.utils import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -22,6 +23,7 @@
     """Has a run stopped; its resources stay counted until it is gone."""
     if task.phase is jobs.Phase.STOPPING:
         return
+    counters.count(own.figures.stops, why)
     host = own.book.hosts.get(task.worker)
     logger.info(
         'run_stopping',
--- a/src/nutmegknot/_internal/jobs/writes.py
+++ b/src/nutmegknot/_internal/jobs/writes.py
@@ -16,8 +16,10 @@
 from google.protobuf import message as message_lib
 
 from nutmegknot._internal.backing import tables
+from nutmegknot._internal.jobs import figures
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.schema import jobs_pb2
+from nutmegknot._internal.telemetry import counters
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import retries
 from nutmegknot._internal.utils import signals
@@ -102,6 +104,7 @@
       clock: Source of time.
       row: The owner row as it was last written.
       version: Its version.
+      figures: What is counted.
       marks: Rows to write, by key, oldest mark first.
       marked: Number of the last mark.
       waiters: Those that wait, lowest number first.
@@ -121,6 +124,7 @@
     row: jobs_pb2.JobsOwnerRow
     version: int
     confirmed_ms: int
+    figures: figures.Figures
     marks: dict[str, Mark] = dataclasses.field(default_factory=dict)
     marked: int = 0
     waiters: list[Waiter] = dataclasses.field(default_factory=list)
@@ -265,6 +269,8 @@
 def _note_answer(writer: Writer, result: tables.Result, sent_ms: int) -> None:
     now_ms = writer.clock.now_ms()
     spent_ms = now_ms - sent_ms
+    counters.count(writer.figures.writes, type(result).__name__.lower())
+    counters.record(writer.figures.write_ms, spent_ms)
     if isinstance(result, tables.Committed | tables.ConditionFailed):
         writer.answer_ms += (spent_ms - writer.answer_ms) * SMOOTHING
         if writer.failing_since_ms is not None:
--- a/src/nutmegknot/_internal/platform/assembling.py
+++ b/src/nutmegknot/_internal/platform/assembling.py
@@ -11,7 +11,9 @@
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import relays
 from nutmegknot._internal.jobs import running
+from nutmegknot._internal.jobs import showing
 from nutmegknot._internal.network import listening
+from nutmegknot._internal.network import web as web_lib
 from nutmegknot._internal.platform import boots
 from nutmegknot._internal.platform import client as client_lib
 from nutmegknot._internal.platform import fleet
@@ -29,6 +31,7 @@
 LINGER_MS = 2_500
 # Interval of reading the settings file without a request, in ms.
 REREAD_MS = 2_000
+METRICS_PATH = '/metrics'
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -98,6 +101,12 @@
         await client_lib.close(client)
         return PortTaken(f'{boot.front}: {error.strerror}')
     tasks.spawn(node.tasks, _keep_settings(node, boot, wanted.reload), 'reload')
+    metrics = await web_lib.serve(
+        boot.metrics,
+        {METRICS_PATH: showing.make_metrics_page(node)},
+    )
+    if isinstance(metrics, web_lib.Unopened):
+        logger.warning('metrics_unserved', extra={'why': metrics.detail})
     broken = asyncio.create_task(tasks.wait_broken(node.tasks))
     stopping = asyncio.create_task(stopped.wait())
     await asyncio.wait((broken, stopping), return_when=asyncio.FIRST_COMPLETED)
--- a/src/nutmegknot/_internal/platform/boots.py
+++ b/src/nutmegknot/_internal/platform/boots.py
@@ -10,6 +10,8 @@
 from nutmegknot._internal.utils import clock as clock_lib
 
 SETTINGS_VARIABLE = 'NUTMEGKNOT_CONFIG'
+# As in the deploy file, which names it for all days.
+METRICS_PORT = 9464
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -76,7 +78,7 @@
         front=listen.get('front', ''),
         ready=listen.get('ready', ''),
         peer=f'{ip}:{first_port}',
-        metrics=f'{ip}:{first_port + 1}',
+        metrics=f'{ip}:{METRICS_PORT}',
         store=fields['platform']['address'],
         adviser=fields.get('advice') or '',
         millicores=int(share['cpuShare'] * share['cores'] * 1000),
--- a/src/nutmegknot/_internal/platform/fronts.py
+++ b/src/nutmegknot/_internal/platform/fronts.py
@@ -16,6 +16,7 @@
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.network import channels
+from nutmegknot._internal.telemetry import counters
 from nutmegknot._internal.utils import clock as clock_lib
 
 logger = logging.getLogger(__name__)
@@ -36,6 +37,7 @@
     outcomes.RefusalReason.UNAVAILABLE: 503,
     outcomes.RefusalReason.STOPPING: 503,
 }
+_KINDS = {'POST': 'submit', 'GET': 'look', 'DELETE': 'cancel'}
 _BAD_BODY = (KeyError, TypeError, ValueError, AttributeError)
 
 
@@ -83,17 +85,40 @@
                 'revision': node.catalog.revision if node.catalog else 0,
             },
         )
+        counters.count(node.figures.refusals, admitted.reason.value)
         return _refuse(admitted)
+    kind = _find_kind(request, admitted)
+    if kind is None:
+        return web.Response(status=400)
+    came_ms = node.clock.now_ms()
+    response = await _answer(node, request, admitted, kind)
+    counters.count(node.figures.calls, kind, str(response.status))
+    counters.record(node.figures.call_ms, node.clock.now_ms() - came_ms, kind)
+    return response
+
+
+def _find_kind(
+    request: web.BaseRequest, admitted: admitting.Admitted
+) -> str | None:
+    if request.method == 'GET' and not admitted.rest:
+        return 'count'
+    return _KINDS.get(request.method) if admitted.rest else None
+
+
+async def _answer(
+    node: nodes.Node,
+    request: web.BaseRequest,
+    admitted: admitting.Admitted,
+    kind: str,
+) -> web.Response:
     wait_ms = _get_wait(request)
-    if request.method == 'POST' and admitted.rest:
+    if kind == 'submit':
         return await _submit(node, request, admitted, wait_ms)
-    if request.method == 'GET' and admitted.rest:
+    if kind == 'look':
         return await _look(node, admitted, wait_ms)
-    if request.method == 'GET':
-        return await _count(node, admitted, wait_ms)
-    if request.method == 'DELETE' and admitted.rest:
+    if kind == 'cancel':
         return await _cancel(node, admitted, wait_ms)
-    return web.Response(status=400)
+    return await _count(node, admitted, wait_ms)
 
 
 def _get_wait(request: web.BaseRequest) -> int:
@@ -143,6 +168,7 @@
         case outcomes.Accepted():
             return _show({})
         case outcomes.Refused():
+            counters.count(node.figures.refusals, outcome.reason.value)
             return _refuse(outcome)
         case outcomes.Unknown():
             return _show_unknown(outcome)
--- a/src/nutmegknot/_internal/telemetry/logs.py
+++ b/src/nutmegknot/_internal/telemetry/logs.py
@@ -3,7 +3,6 @@
 import logging
 import sys
 from typing import Any
-from typing import TextIO
 
 from pythonjsonlogger import json as json_lib
 
@@ -16,9 +15,9 @@
 }
 
 
-def set_up(level: str, stream: TextIO | None = None) -> None:
-    """Sends all logs of level and above to a stream, by default the error."""
-    handler = logging.StreamHandler(stream or sys.stderr)
+def set_up(level: str) -> None:
+    """Sends all logs of level and above to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(make_formatter())
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/src/nutmegknot/_internal/telemetry/metrics.py
+++ b/src/nutmegknot/_internal/telemetry/metrics.py
@@ -4,8 +4,6 @@
 metrics are asked for.
 """
 
-import bisect
-from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import itertools
@@ -15,88 +13,12 @@
 from opentelemetry.sdk import resources as sdk_resources
 from opentelemetry.sdk.metrics import export
 
-# Upper bounds of the waiting-time buckets in ms.
-WAIT_BOUNDS_MS = (
-    50,
-    100,
-    250,
-    500,
-    1_000,
-    2_500,
-    6_400,
-    15_000,
-    60_000,
-    300_000,
-    3_600_000,
-)
+from nutmegknot._internal.telemetry import counters
+
 _PREFIX = 'nutmegknot'
 _INFINITE = '+Inf'
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Counter:
-    """Totals by the values of the labels.
-
-    Attributes:
-      name: Name of the metric.
-      help: One line on what is counted.
-      labels: Names of the labels.
-      totals: Totals by the labels' values, in the order of their names.
-    """
-
-    name: str
-    help: str
-    labels: tuple[str, ...]
-    totals: dict[tuple[str, ...], int] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Waits:
-    """Waiting times in buckets.
-
-    The SDK's histogram costs 25 microseconds a value, so values are counted
-    here and the SDK reads the counts.
-
-    Attributes:
-      buckets: Values in each bucket, the last one without a bound, by class
-        and team.
-      sums: Sum of the waiting times in ms.
-    """
-
-    buckets: dict[tuple[str, str], list[int]]
-    sums: Counter
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Reading:
-    """One value of a gauge.
-
-    Attributes:
-      labels: Values of the labels by name.
-      value: The value.
-    """
-
-    labels: dict[str, str]
-    value: float
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Gauge:
-    """A value that is read when metrics are asked for.
-
-    Attributes:
-      name: Name of the metric.
-      help: One line on what it shows.
-      unit: Its unit.
-      read: Returns the present values.
-    """
-
-    name: str
-    help: str
-    unit: str
-    read: Callable[[], Iterable[Reading]]
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Metrics:
     """Metrics of one instance.
@@ -111,11 +33,11 @@
       reader: Reads all instruments.
     """
 
-    starts: Counter
-    refusals: Counter
-    store_calls: Counter
-    takeovers: Counter
-    waits: Waits
+    starts: counters.Counter
+    refusals: counters.Counter
+    store_calls: counters.Counter
+    takeovers: counters.Counter
+    waits: counters.Histogram
     meter: api.Meter
     reader: export.InMemoryMetricReader
 
@@ -123,23 +45,23 @@
 def make_metrics() -> Metrics:
     """Returns the metrics of an instance that has counted nothing."""
     reader = export.InMemoryMetricReader()
-    provider = sdk.MeterProvider(
-        metric_readers=[reader],
-        resource=sdk_resources.Resource({}),
-        shutdown_on_exit=False,
-    )
-    meter = provider.get_meter(_PREFIX)
+    meter = _make_meter(reader)
     made = Metrics(
-        starts=Counter('starts', 'Requests started.', ('class', 'team')),
-        refusals=Counter('refusals', 'Requests refused.', ('reason',)),
-        store_calls=Counter(
+        starts=counters.Counter(
+            'starts', 'Requests started.', ('class', 'team')
+        ),
+        refusals=counters.Counter('refusals', 'Requests refused.', ('reason',)),
+        store_calls=counters.Counter(
             'store_calls', 'Calls to the stores.', ('operation', 'result')
         ),
-        takeovers=Counter(
+        takeovers=counters.Counter(
             'takeovers', 'Partitions that it began to serve.', ('kind',)
         ),
-        waits=Waits(
-            {}, Counter('wait_ms_sum', 'Waiting time.', ('class', 'team'))
+        waits=counters.make_histogram(
+            'wait_ms',
+            'Requests that waited at most le ms.',
+            ('class', 'team'),
+            counters.WAIT_BOUNDS_MS,
         ),
         meter=meter,
         reader=reader,
@@ -149,38 +71,25 @@
         made.refusals,
         made.store_calls,
         made.takeovers,
-        made.waits.sums,
     ):
         _observe_counter(meter, counter)
-    _observe_waits(meter, made.waits)
+    _observe_histogram(meter, made.waits)
     return made
 
 
-def count(counter: Counter, *labels: str, amount: int = 1) -> None:
-    """Adds an amount to the total of the labels' values."""
-    counter.totals[labels] = counter.totals.get(labels, 0) + amount
-
-
-def record_wait(waits: Waits, wait_ms: int, priority: str, team: str) -> None:
-    """Counts one waiting time in ms."""
-    count(waits.sums, priority, team, amount=wait_ms)
-    buckets = waits.buckets.get((priority, team))
-    if buckets is None:
-        buckets = [0] * (len(WAIT_BOUNDS_MS) + 1)
-        waits.buckets[priority, team] = buckets
-    buckets[bisect.bisect_left(WAIT_BOUNDS_MS, wait_ms)] += 1
-
-
-def add_gauge(made: Metrics, gauge: Gauge) -> None:
+def add_gauge(made: Metrics, gauge: counters.Gauge) -> None:
     """Has a gauge read whenever metrics are asked for."""
+    _observe_gauge(made.meter, gauge)
+
 
+def _observe_gauge(meter: api.Meter, gauge: counters.Gauge) -> None:
     def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
         return [
             api.Observation(reading.value, reading.labels)
             for reading in gauge.read()
         ]
 
-    made.meter.create_observable_gauge(
+    meter.create_observable_gauge(
         f'{_PREFIX}.{gauge.name}',
         callbacks=[observe],
         unit=gauge.unit,
@@ -188,7 +97,7 @@
     )
 
 
-def _observe_counter(meter: api.Meter, counter: Counter) -> None:
+def _observe_counter(meter: api.Meter, counter: counters.Counter) -> None:
     def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
         return [
             api.Observation(
@@ -205,20 +114,47 @@
     )
 
 
-def _observe_waits(meter: api.Meter, waits: Waits) -> None:
+def _observe_histogram(meter: api.Meter, histogram: counters.Histogram) -> None:
     """Has the buckets read as numbers of values up to each bound."""
-    bounds = [*(str(bound) for bound in WAIT_BOUNDS_MS), _INFINITE]
+    _observe_counter(meter, histogram.sums)
+    bounds = [*(str(bound) for bound in histogram.bounds), _INFINITE]
 
     def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
-        for (priority, team), buckets in waits.buckets.items():
+        for values, buckets in histogram.buckets.items():
+            labels = dict(zip(histogram.labels, values, strict=True))
             totals = itertools.accumulate(buckets)
             for bound, total in zip(bounds, totals, strict=True):
-                labels = {'class': priority, 'team': team, 'le': bound}
-                yield api.Observation(total, labels)
+                yield api.Observation(total, {**labels, 'le': bound})
 
     meter.create_observable_counter(
-        f'{_PREFIX}.wait_ms_bucket',
+        f'{_PREFIX}.{histogram.name}_bucket',
         callbacks=[observe],
         unit='1',
-        description='Requests that waited at most le ms.',
+        description=histogram.help,
+    )
+
+
+def make_reader(
+    counted: Iterable[counters.Counter],
+    measured: Iterable[counters.Histogram],
+    gauges: Iterable[counters.Gauge],
+) -> export.InMemoryMetricReader:
+    """Returns a reader of what was counted and measured elsewhere."""
+    reader = export.InMemoryMetricReader()
+    meter = _make_meter(reader)
+    for counter in counted:
+        _observe_counter(meter, counter)
+    for histogram in measured:
+        _observe_histogram(meter, histogram)
+    for gauge in gauges:
+        _observe_gauge(meter, gauge)
+    return reader
+
+
+def _make_meter(reader: export.InMemoryMetricReader) -> api.Meter:
+    provider = sdk.MeterProvider(
+        metric_readers=[reader],
+        resource=sdk_resources.Resource({}),
+        shutdown_on_exit=False,
     )
+    return provider.get_meter(_PREFIX)
--- a/src/nutmegknot/_internal/telemetry/store_calls.py
+++ b/src/nutmegknot/_internal/telemetry/store_calls.py
@@ -7,10 +7,10 @@
 
 from nutmegknot._internal.backing import objects
 from nutmegknot._internal.backing import tables
-from nutmegknot._internal.telemetry import metrics
+from nutmegknot._internal.telemetry import counters
 
 
-def count_table(table: tables.Table, counter: metrics.Counter) -> tables.Table:
+def count_table(table: tables.Table, counter: counters.Counter) -> tables.Table:
     """Returns access to a table service that counts calls by result."""
     return dataclasses.replace(
         table,
@@ -20,7 +20,7 @@
 
 
 def count_objects(
-    store: objects.Objects, counter: metrics.Counter
+    store: objects.Objects, counter: counters.Counter
 ) -> objects.Objects:
     """Returns access to an object store that counts calls by result."""
     return dataclasses.replace(
@@ -33,12 +33,12 @@
 
 def _count(
     function: Callable[..., Awaitable[Any]],
-    counter: metrics.Counter,
+    counter: counters.Counter,
     operation: str,
 ) -> Callable[..., Awaitable[Any]]:
     async def call(*args: object) -> object:
         result = await function(*args)
-        metrics.count(counter, operation, _get_tag(result))
+        counters.count(counter, operation, _get_tag(result))
         return result
 
     return call
--- a/tests/unit/telemetry/test_metrics.py
+++ b/tests/unit/telemetry/test_metrics.py
@@ -3,6 +3,7 @@
 from lib import fakes
 
 from nutmegknot._internal.backing import tables
+from nutmegknot._internal.telemetry import counters
 from nutmegknot._internal.telemetry import exposition
 from nutmegknot._internal.telemetry import metrics
 from nutmegknot._internal.telemetry import store_calls
@@ -14,9 +15,9 @@
 
 def test_counters_are_shown_with_labels() -> None:
     made = metrics.make_metrics()
-    metrics.count(made.refusals, 'overloaded')
-    metrics.count(made.refusals, 'overloaded')
-    metrics.count(made.starts, 'urgent', 'a "b"')
+    counters.count(made.refusals, 'overloaded')
+    counters.count(made.refusals, 'overloaded')
+    counters.count(made.starts, 'urgent', 'a "b"')
     lines = read_lines(made)
     assert '# TYPE nutmegknot_refusals_total counter' in lines
     assert 'nutmegknot_refusals_total{reason="overloaded"} 2' in lines
@@ -27,7 +28,7 @@
 def test_waits_are_counted_in_buckets() -> None:
     made = metrics.make_metrics()
     for wait_ms in (10, 70, 6_000):
-        metrics.record_wait(made.waits, wait_ms, 'normal', 't')
+        counters.record(made.waits, wait_ms, 'normal', 't')
     lines = read_lines(made)
     prefix = 'nutmegknot_wait_ms_bucket_total{class="normal",le='
     counts = {'50': 1, '100': 2, '2500': 2, '6400': 3, '+Inf': 3}
@@ -40,11 +41,11 @@
 
 def test_gauges_are_read_when_asked_for() -> None:
     made = metrics.make_metrics()
-    values = [metrics.Reading({'partition': 'p'}, 0.25)]
-    gauge = metrics.Gauge('packing', 'Held.', '1', lambda: values)
+    values = [counters.Reading({'partition': 'p'}, 0.25)]
+    gauge = counters.Gauge('packing', 'Held.', '1', lambda: values)
     metrics.add_gauge(made, gauge)
     assert 'nutmegknot_packing{partition="p"} 0.25' in read_lines(made)
-    values[0] = metrics.Reading({'partition': 'p'}, 0.5)
+    values[0] = counters.Reading({'partition': 'p'}, 0.5)
     assert 'nutmegknot_packing{partition="p"} 0.5' in read_lines(made)
 
 
