--- a/src/nutmegknot/_internal/commands/attach.py
+++ b/src/nutmegknot/_internal/commands/attach.py
@@ -1,11 +1,11 @@
 """Command attach: runs one instance on the users' platform."""
 
 import asyncio
+import dataclasses
 import sys
 
 from nutmegknot._internal.cli import errors
 from nutmegknot._internal.cli import exit_codes
-from nutmegknot._internal.commands import registry
 from nutmegknot._internal.commands import signalling
 from nutmegknot._internal.platform import assembling
 from nutmegknot._internal.platform import boots
@@ -14,9 +14,18 @@
 from nutmegknot._internal.utils import tasks
 
 
-async def run_instance(
-    command: registry.Attach,
-) -> errors.CommandError | None:
+@dataclasses.dataclass(slots=True, frozen=True)
+class Options:
+    """Options of the command, also where the command line is not loaded.
+
+    Attributes:
+      level: Lowest level that is logged.
+    """
+
+    level: str = 'info'
+
+
+async def run_instance(command: Options) -> errors.CommandError | None:
     """Runs an instance until SIGTERM or SIGINT."""
     boot = boots.read_boot()
     if isinstance(boot, boots.BadBoot):
--- a/src/nutmegknot/_internal/jobs/nodes.py
+++ b/src/nutmegknot/_internal/jobs/nodes.py
@@ -79,6 +79,8 @@
       relay: The ways to the store; None where there is only one.
       channels: Connections to other instances.
       is_stopping: Whether a planned stop has begun.
+      started_ms: When the process started, by our clock.
+      nudged: Notified when the owner row has to be read at once.
       changed: Notified when the owner or the settings change.
     """
 
@@ -106,6 +108,8 @@
         default_factory=channels_lib.Channels
     )
     is_stopping: bool = False
+    started_ms: int = 0
+    nudged: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
 
 
--- a/src/nutmegknot/_internal/jobs/owning.py
+++ b/src/nutmegknot/_internal/jobs/owning.py
@@ -35,6 +35,10 @@
 FULL_STRENGTH = 2_200
 WAIT_PER_CORE_MS = 150
 READ_BOOK_MS = 6_000
+# After a planned hand-over an instance waits the longer the older it is: 1 ms
+# for so many ms of age, up to so many ms.
+AGE_PER_WAIT = 100
+MOST_AGE_WAIT_MS = 150
 
 
 async def keep_owner(node: nodes.Node) -> None:
@@ -43,8 +47,9 @@
         if node.own is not None:
             await _wait_end(node, node.own)
             continue
+        count = node.nudged.count
         if await _is_answered(node):
-            await _sleep(GREET_MS)
+            await signals.wait_at_most(node.nudged, count, GREET_MS)
             continue
         await _watch(node)
 
@@ -118,6 +123,9 @@
     spare = max(0, FULL_STRENGTH - node.strength)
     patience_ms = spare * WAIT_PER_CORE_MS // clock_lib.MS_PER_S
     if owner.version == tables.ABSENT or not owner.row.holder:
+        # In a rolling restart the youngest process is stopped last.
+        age_ms = node.clock.now_ms() - node.started_ms
+        patience_ms += min(MOST_AGE_WAIT_MS, age_ms // AGE_PER_WAIT)
         lease_ms = 0
     elif owner.row.address == node.address:
         # An earlier process at our own address, which has ended.
--- a/src/nutmegknot/_internal/jobs/peers.py
+++ b/src/nutmegknot/_internal/jobs/peers.py
@@ -20,6 +20,7 @@
 from nutmegknot._internal.schema import jobs_grpc
 from nutmegknot._internal.schema import jobs_pb2
 from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
 
 logger = logging.getLogger(__name__)
@@ -102,6 +103,10 @@
     node.known_revision = max(node.known_revision, call.configuration)
     if node.relay is not None:
         relays.note_peer(node.relay, call.address, call.reaches_store)
+    owner = node.owner
+    if owner is not None and call.released_epoch == owner.row.epoch:
+        owner.row.holder = ''
+        signals.notify(node.nudged)
     own = nodes.get_acting(node)
     if own is not None:
         _note_adviser(node, own, call.address)
@@ -282,7 +287,7 @@
 
 
 async def greet(
-    node: nodes.Node, address: str
+    node: nodes.Node, address: str, *, released_epoch: int = 0
 ) -> jobs_pb2.GreetingReply | None:
     """Greets the instance at an address; None if it does not answer."""
     revision = 0 if node.catalog is None else node.catalog.revision
@@ -292,6 +297,7 @@
         domain=node.domain,
         configuration=revision,
         reaches_store=_reaches_store(node),
+        released_epoch=released_epoch,
     )
     try:
         reply: jobs_pb2.GreetingReply = await get_stub(node, address).Greet(
--- a/src/nutmegknot/_internal/jobs/running.py
+++ b/src/nutmegknot/_internal/jobs/running.py
@@ -1,5 +1,6 @@
 """Start and planned stop of an instance that takes part in owning the jobs."""
 
+import asyncio
 import dataclasses
 import logging
 
@@ -45,6 +46,7 @@
     )
     if isinstance(server, listening.Unopened):
         return server
+    node.started_ms = node.clock.now_ms()
     relay = node.relay
     if relay is not None:
         relay.ask = lambda address, call, timeout_ms: peers.relay_call(
@@ -71,8 +73,15 @@
     if own is None:
         return
     logger.info('handing_over', extra={'epoch': own.book.epoch})
+    others = list(own.advisers)
     await owning.release(own.writer)
     await owning.close(node)
+    await asyncio.gather(
+        *(
+            peers.greet(node, address, released_epoch=own.book.epoch)
+            for address in others
+        )
+    )
 
 
 def is_ready(node: nodes.Node) -> bool:
