--- a/src/nutmegknot/_internal/jobs/peers.py
+++ b/src/nutmegknot/_internal/jobs/peers.py
@@ -104,7 +104,8 @@
     if node.relay is not None:
         relays.note_peer(node.relay, call.address, call.reaches_store)
     owner = node.owner
-    if owner is not None and call.released_epoch == owner.row.epoch:
+    is_released = call.released_epoch > 0
+    if is_released and owner and call.released_epoch == owner.row.epoch:
         owner.row.holder = ''
         signals.notify(node.nudged)
     own = nodes.get_acting(node)
