See an owner's end at once: it holds greetings, and a refused connection tells

The owner holds each greeting until it has news, so that its end, a hand-over and newer settings show at once; after 0.2 s of refused connections it is replaced. Should it live on, its next write fails and claimed workers refuse it; what may run on workers that don't answer counts for its authority longer. The lease is 1.5 s.

--- a/src/nutmegknot/_internal/jobs/bounds.py
+++ b/src/nutmegknot/_internal/jobs/bounds.py
@@ -32,9 +32,9 @@
       remote_factor: How much longer tasks take away from their rack.
     """
 
-    lease_ms: int = 1_700
-    authority_ms: int = 1_450
-    renew_ms: int = 400
+    lease_ms: int = 1_500
+    authority_ms: int = 1_250
+    renew_ms: int = 350
     gather_ms: int = 25
     hold_ms: int = 4_500
     most_hold_ms: int = 10_000
--- a/src/nutmegknot/_internal/jobs/nodes.py
+++ b/src/nutmegknot/_internal/jobs/nodes.py
@@ -80,7 +80,8 @@
       channels: Connections to other instances.
       is_stopping: Whether a planned stop has begun.
       started_ms: When the process started, by our clock.
-      nudged: Notified when the owner row has to be read at once.
+      refused_ms: Since when nothing listens at the owner's address, by our
+        clock; None if something does, or if that is not known.
       changed: Notified when the owner or the settings change.
     """
 
@@ -109,7 +110,7 @@
     )
     is_stopping: bool = False
     started_ms: int = 0
-    nudged: signals.Signal = dataclasses.field(default_factory=signals.Signal)
+    refused_ms: int | None = None
     changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
 
 
--- a/src/nutmegknot/_internal/jobs/owning.py
+++ b/src/nutmegknot/_internal/jobs/owning.py
@@ -26,10 +26,13 @@
 
 logger = logging.getLogger(__name__)
 
-# Interval of greeting the owner, and of reading its row while it is silent.
-GREET_MS = 400
+# Interval of reading the owner row while the owner is silent, in ms.
 WATCH_MS = 120
 STORE_MS = 700
+# Time to read newer settings before the owner is greeted again, in ms.
+NEWS_MS = 100
+# How long nothing must have listened at the owner's address, in ms.
+REFUSED_MS = 200
 # How much longer an instance waits for each core that it has less than
 # FULL_STRENGTH, so that the strongest takes over first.
 FULL_STRENGTH = 2_200
@@ -47,9 +50,7 @@
         if node.own is not None:
             await _wait_end(node, node.own)
             continue
-        count = node.nudged.count
         if await _is_answered(node):
-            await signals.wait_at_most(node.nudged, count, GREET_MS)
             continue
         await _watch(node)
 
@@ -60,8 +61,10 @@
     if owner is None or not owner.row.holder:
         return False
     reply = await peers.greet(node, owner.row.address)
-    if reply is None:
+    if isinstance(reply, peers.Silence):
+        _note_silence(node, reply)
         return False
+    node.refused_ms = None
     node.known_revision = max(node.known_revision, reply.configuration)
     if reply.instance != owner.row.holder and owner.row.holder:
         # The process that held it is not there any more.
@@ -78,9 +81,20 @@
         # The row has had this version since before the answer came.
         owner.since_ms = owner.answered_ms
     signals.notify(node.changed)
+    known = 0 if node.catalog is None else node.catalog.revision
+    if reply.configuration > known:
+        # The owner answers at once until the news has been read.
+        await _sleep(NEWS_MS)
     return True
 
 
+def _note_silence(node: nodes.Node, silence: peers.Silence) -> None:
+    if not silence.is_refused:
+        node.refused_ms = None
+    elif node.refused_ms is None:
+        node.refused_ms = node.clock.now_ms()
+
+
 async def _watch(node: nodes.Node) -> None:
     """Reads the owner row, and takes over if its lease has ended."""
     found = await opening.read_owner(node.outside.table, STORE_MS)
@@ -130,12 +144,22 @@
     elif owner.row.address == node.address:
         # An earlier process at our own address, which has ended.
         return True
+    elif _is_refused(node):
+        # Its process has ended. Should it live on behind a broken network, its
+        # next write fails, and workers that were claimed refuse its orders.
+        return True
     else:
         lease_ms = node.limits.lease_ms
     age_ms = node.clock.now_ms() - owner.since_ms
     return age_ms >= lease_ms + patience_ms
 
 
+def _is_refused(node: nodes.Node) -> bool:
+    if node.refused_ms is None:
+        return False
+    return node.clock.now_ms() - node.refused_ms >= REFUSED_MS
+
+
 async def _take_over(node: nodes.Node, found: opening.Owner) -> None:
     sent_ms = node.clock.now_ms()
     owner = await opening.take_over(
--- a/src/nutmegknot/_internal/jobs/peers.py
+++ b/src/nutmegknot/_internal/jobs/peers.py
@@ -1,5 +1,6 @@
 """Calls between instances about jobs."""
 
+import dataclasses
 import json
 import logging
 from typing import Any
@@ -25,6 +26,10 @@
 
 logger = logging.getLogger(__name__)
 
+# How long an owner without news holds a greeting, and how much longer its
+# answer is waited for, in ms.
+GREET_WAIT_MS = 400
+MOST_GREET_WAIT_MS = 2_000
 GREET_MS = 500
 # Advice is asked of another instance up to so many failures in a row.
 MOST_ADVICE_FAILURES = 2
@@ -33,6 +38,17 @@
 _MESSAGE_BYTES = 1_048_576
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Silence:
+    """An instance did not answer.
+
+    Attributes:
+      is_refused: Whether nothing listens at its address.
+    """
+
+    is_refused: bool
+
+
 def bind(node: nodes.Node, running: services.Calls) -> services.BoundService:
     """Returns the calls that an instance serves to the others."""
     handles: dict[str, services.Handle] = {
@@ -103,14 +119,11 @@
     node.known_revision = max(node.known_revision, call.configuration)
     if node.relay is not None:
         relays.note_peer(node.relay, call.address, call.reaches_store)
-    owner = node.owner
-    is_released = call.released_epoch > 0
-    if is_released and owner and call.released_epoch == owner.row.epoch:
-        owner.row.holder = ''
-        signals.notify(node.nudged)
     own = nodes.get_acting(node)
     if own is not None:
         _note_adviser(node, own, call.address)
+        await _wait_news(node, call)
+        own = nodes.get_acting(node)
     return jobs_pb2.GreetingReply(
         epoch=0 if own is None else own.book.epoch,
         configuration=0 if node.catalog is None else node.catalog.revision,
@@ -120,6 +133,17 @@
     )
 
 
+async def _wait_news(node: nodes.Node, call: jobs_pb2.Greeting) -> None:
+    """Waits until there is something to tell, or the caller's time is over."""
+    until_ms = node.clock.now_ms() + min(call.wait_ms, MOST_GREET_WAIT_MS)
+    count = node.changed.count
+    while nodes.get_acting(node) is not None and node.catalog is not None:
+        left_ms = until_ms - node.clock.now_ms()
+        if left_ms <= 0 or node.catalog.revision > call.configuration:
+            return
+        count = await signals.wait_at_most(node.changed, count, left_ms)
+
+
 async def _serve_advice(
     node: nodes.Node, call: jobs_pb2.AdviceCall
 ) -> jobs_pb2.AdviceReply:
@@ -288,9 +312,9 @@
 
 
 async def greet(
-    node: nodes.Node, address: str, *, released_epoch: int = 0
-) -> jobs_pb2.GreetingReply | None:
-    """Greets the instance at an address; None if it does not answer."""
+    node: nodes.Node, address: str
+) -> jobs_pb2.GreetingReply | Silence:
+    """Greets the instance at an address, which answers when it has news."""
     revision = 0 if node.catalog is None else node.catalog.revision
     call = jobs_pb2.Greeting(
         instance=node.id,
@@ -298,11 +322,12 @@
         domain=node.domain,
         configuration=revision,
         reaches_store=_reaches_store(node),
-        released_epoch=released_epoch,
+        wait_ms=GREET_WAIT_MS,
     )
+    timeout_ms = GREET_WAIT_MS + GREET_MS
     try:
         reply: jobs_pb2.GreetingReply = await get_stub(node, address).Greet(
-            call, timeout=clock_lib.to_seconds(GREET_MS)
+            call, timeout=clock_lib.to_seconds(timeout_ms)
         )
     except calls.CALL_ERRORS as error:
         logger.info(
@@ -310,7 +335,7 @@
             extra={'address': address, 'why': type(error).__name__},
         )
         drop_channel(node, address)
-        return None
+        return Silence(isinstance(error, ConnectionRefusedError))
     if node.relay is not None:
         relays.note_peer(node.relay, address, reply.reaches_store)
     return reply
--- a/src/nutmegknot/_internal/jobs/rosters.py
+++ b/src/nutmegknot/_internal/jobs/rosters.py
@@ -16,8 +16,6 @@
 
 LIST_TIMEOUT_MS = 800
 RETRY_MS = 200
-# Kept beyond the longest lease that an earlier owner can have given, in ms.
-SETTLE_MARGIN_MS = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -140,7 +138,8 @@
         signals.notify(own.changed)
         return
     lapse_ms = int(own.limits.hold_ms / (1 - own.limits.drift))
-    book.settled_ms = book.opened_ms + lapse_ms + SETTLE_MARGIN_MS
+    # An owner that was replaced early may have gone on for its authority.
+    book.settled_ms = book.opened_ms + lapse_ms + own.limits.authority_ms
 
 
 async def _sleep(wait_ms: int) -> None:
--- a/src/nutmegknot/_internal/jobs/running.py
+++ b/src/nutmegknot/_internal/jobs/running.py
@@ -1,6 +1,5 @@
 """Start and planned stop of an instance that takes part in owning the jobs."""
 
-import asyncio
 import dataclasses
 import logging
 
@@ -73,15 +72,8 @@
     if own is None:
         return
     logger.info('handing_over', extra={'epoch': own.book.epoch})
-    others = list(own.advisers)
     await owning.release(own.writer)
     await owning.close(node)
-    await asyncio.gather(
-        *(
-            peers.greet(node, address, released_epoch=own.book.epoch)
-            for address in others
-        )
-    )
 
 
 def is_ready(node: nodes.Node) -> bool:
