Keep the workers on which runs may be in the table, and call them all after a take-over

The guard against lapsed entries only knew of readings that this process had seen fail. A row names the workers now, nothing starts on one before it is in the row, and a new owner calls those too that the list leaves out. The test fails without the change.

--- a/src/nutmegknot/_internal/decisions/hopes.py
+++ b/src/nutmegknot/_internal/decisions/hopes.py
@@ -24,6 +24,9 @@
     hosts = [
         host for host in book.hosts.values() if host.worker.pool == queue.pool
     ]
+    if not all(host.is_listed for host in hosts):
+        # What a worker has is known from the platform's list only.
+        hosts = []
     for number, step in enumerate(order.steps):
         if any(before >= number for before in step.after):
             detail = f'step {number} comes after itself or a later step'
--- a/src/nutmegknot/_internal/decisions/rooms.py
+++ b/src/nutmegknot/_internal/decisions/rooms.py
@@ -101,6 +101,7 @@
     return (
         host.is_claimed
         and host.is_listed
+        and host.is_recorded
         and not host.unwanted
         and host.worker.state is workers.TargetState.LIVE
         and host.worker.domain not in book.catalog.closed_domains
--- a/src/nutmegknot/_internal/jobs/leases.py
+++ b/src/nutmegknot/_internal/jobs/leases.py
@@ -29,6 +29,15 @@
     return until_ms
 
 
+def compute_settled(own: ownerships.Ownership) -> int:
+    """Returns when no run of an earlier owner can be left, by our clock.
+
+    An owner that was replaced early may have gone on for its authority.
+    """
+    lapse_ms = int(own.limits.hold_ms / (1 - own.limits.drift))
+    return own.book.opened_ms + lapse_ms + own.limits.authority_ms
+
+
 def compute_lapse(host: books.Host, own: ownerships.Ownership) -> int:
     """Returns when the worker's lease has surely ended, by our clock."""
     left_ms = max(0, host.lease.until_ms - host.lease.clock_ms)
--- a/src/nutmegknot/_internal/jobs/opening.py
+++ b/src/nutmegknot/_internal/jobs/opening.py
@@ -90,6 +90,12 @@
     if isinstance(progress, tables.Unavailable):
         return progress
     book = books.Book(epoch, now_ms, catalog)
+    roster = await table.transact(
+        tables.Transaction(reads=(rows.ROSTER_KEY,)), READ_TIMEOUT_MS
+    )
+    if not isinstance(roster, tables.Committed):
+        return tables.Unavailable('the workers of the earlier owner')
+    _read_roster(book, roster.rows.get(rows.ROSTER_KEY))
     by_key = {row.key: row.value for row in progress}
     for row in orders:
         job = rows.decode_job(row.value)
@@ -104,6 +110,16 @@
     return book
 
 
+def _read_roster(book: books.Book, row: tables.Row | None) -> None:
+    if row is None:
+        return
+    found = rows.decode_roster(row.value)
+    if found is None:
+        logger.error('roster_unreadable', extra={'version': row.version})
+        return
+    book.earlier = found
+
+
 def _enter(book: books.Book, job: jobs.Job, now_ms: int) -> None:
     job.known_ms = now_ms
     job.chain_ms = jobs.compute_chain(job.order.steps)
--- a/src/nutmegknot/_internal/jobs/owning.py
+++ b/src/nutmegknot/_internal/jobs/owning.py
@@ -17,6 +17,7 @@
 from nutmegknot._internal.jobs import peers
 from nutmegknot._internal.jobs import placing
 from nutmegknot._internal.jobs import rosters
+from nutmegknot._internal.jobs import sessions
 from nutmegknot._internal.jobs import writes
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.telemetry import counters
@@ -228,7 +229,12 @@
         part,
         node.figures,
     )
-    writer.on_written = lambda: placing.take_written(own)
+
+    def take_written() -> None:
+        placing.take_written(own)
+        sessions.take_written(own)
+
+    writer.on_written = take_written
     _begin(node, own)
 
 
@@ -244,6 +250,8 @@
             own.timed.add(job.order.id)
         placing.advance(own, job)
     part = own.tasks
+    for worker in own.book.earlier:
+        sessions.open_session(own, worker, is_listed=False)
     tasks.spawn(
         part,
         rosters.keep_roster(own, node.outside.listings, node.reach),
--- a/src/nutmegknot/_internal/jobs/rosters.py
+++ b/src/nutmegknot/_internal/jobs/rosters.py
@@ -6,6 +6,7 @@
 
 from nutmegknot._internal.backing import listings
 from nutmegknot._internal.backing import tables
+from nutmegknot._internal.jobs import leases
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import sessions
 from nutmegknot._internal.models import workers
@@ -49,7 +50,7 @@
         take_list(own, result, _is_complete(own, reach, now_ms))
         due_ms = now_ms + own.limits.list_ms
         while now_ms < due_ms:
-            _judge_settled(own, reach, now_ms)
+            _judge_settled(own, now_ms)
             claims = await signals.wait_at_most(
                 own.claimed, claims, due_ms - now_ms
             )
@@ -116,16 +117,13 @@
         )
 
 
-def _judge_settled(
-    own: ownerships.Ownership, reach: Reach, now_ms: int
-) -> None:
+def _judge_settled(own: ownerships.Ownership, now_ms: int) -> None:
     """Finds out when no unseen run of an earlier owner can be under way."""
     book = own.book
     if book.settled_ms is not None and now_ms >= book.settled_ms:
         return
-    if all(host.is_claimed for host in book.hosts.values()) and _is_complete(
-        own, reach, now_ms
-    ):
+    hosts = book.hosts.values()
+    if all(host.is_claimed or host.is_gone for host in hosts):
         book.settled_ms = now_ms
         logger.info(
             'runs_settled',
@@ -137,9 +135,7 @@
         )
         signals.notify(own.changed)
         return
-    lapse_ms = int(own.limits.hold_ms / (1 - own.limits.drift))
-    # An owner that was replaced early may have gone on for its authority.
-    book.settled_ms = book.opened_ms + lapse_ms + own.limits.authority_ms
+    book.settled_ms = leases.compute_settled(own)
 
 
 async def _sleep(wait_ms: int) -> None:
--- a/src/nutmegknot/_internal/jobs/rows.py
+++ b/src/nutmegknot/_internal/jobs/rows.py
@@ -1,14 +1,18 @@
 """Rows of jobs in the table."""
 
+from collections.abc import Iterable
+
 from google.protobuf import message as message_lib
 
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import workers
 from nutmegknot._internal.schema import jobs_pb2
 
 OWNER_KEY = 'jobs/owner'
 JOB_PREFIX = 'jobs/job/'
 PROGRESS_PREFIX = 'jobs/progress/'
+ROSTER_KEY = 'jobs/roster'
 
 _STATES = {
     jobs_pb2.ProgressRow.COMPLETED: jobs.JobState.COMPLETED,
@@ -158,6 +162,47 @@
     return None
 
 
+def encode_roster(listed: Iterable[workers.Worker]) -> bytes:
+    """Returns the row of the workers on which runs may be."""
+    row = jobs_pb2.RosterRow(
+        workers=[
+            jobs_pb2.RosterWorker(
+                id=worker.id,
+                address=worker.address,
+                life=worker.life,
+                pool=worker.pool,
+                region=worker.region,
+                domain=worker.domain,
+            )
+            for worker in listed
+        ]
+    )
+    return row.SerializeToString()
+
+
+def decode_roster(value: bytes) -> list[workers.Worker] | None:
+    """Returns the workers of a row, or None if it can't be read."""
+    row = jobs_pb2.RosterRow()
+    try:
+        row.ParseFromString(value)
+    except message_lib.DecodeError:
+        return None
+    return [
+        workers.Worker(
+            id=part.id,
+            region=part.region,
+            domain=part.domain,
+            rack='',
+            capacity=resources.NOTHING,
+            address=part.address,
+            state=workers.TargetState.GONE,
+            pool=part.pool,
+            life=part.life,
+        )
+        for part in row.workers
+    ]
+
+
 def decode_job(value: bytes) -> jobs.Job | None:
     """Returns the job of a row, or None if the row can't be read."""
     row = jobs_pb2.JobRow()
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -10,6 +10,7 @@
 from nutmegknot._internal.jobs import leases
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import pacing
+from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import stops
 from nutmegknot._internal.jobs import writes
 from nutmegknot._internal.models import books
@@ -29,10 +30,13 @@
 WATCHFUL_POLL_MS = 500
 
 
-def open_session(own: ownerships.Ownership, worker: workers.Worker) -> None:
+def open_session(
+    own: ownerships.Ownership, worker: workers.Worker, *, is_listed: bool = True
+) -> None:
     """Begins to claim and poll a worker."""
-    host = books.Host(worker, opened_ms=own.clock.now_ms())
+    host = books.Host(worker, is_listed=is_listed, opened_ms=own.clock.now_ms())
     own.book.hosts[worker.id] = host
+    host.recorded = _record(own)
     orders = ownerships.Orders()
     own.orders[worker.id] = orders
     tasks.spawn(own.tasks, _keep_polling(own, host), f'poll {worker.id}')
@@ -41,6 +45,24 @@
     )
 
 
+def _record(own: ownerships.Ownership) -> int:
+    """Has the workers written on which runs may be."""
+    hosts = own.book.hosts
+    return writes.mark(
+        own.writer,
+        rows.ROSTER_KEY,
+        lambda: rows.encode_roster([host.worker for host in hosts.values()]),
+    )
+
+
+def take_written(own: ownerships.Ownership) -> None:
+    """Lets tasks start on workers that are named in the table now."""
+    for host in own.book.hosts.values():
+        if not host.is_recorded and host.recorded <= own.writer.written:
+            host.is_recorded = True
+            signals.notify(own.changed)
+
+
 def _is_served(own: ownerships.Ownership, host: books.Host) -> bool:
     return own.book.hosts.get(host.worker.id) is host
 
@@ -129,6 +151,7 @@
     pacing.adjust(own, host, inventory)
     if not host.is_claimed:
         host.is_claimed = True
+        host.is_gone = False
         signals.notify(own.claimed)
         logger.info(
             'worker_claimed',
@@ -186,6 +209,8 @@
 def _note_gone(own: ownerships.Ownership, host: books.Host) -> None:
     """Takes note that another worker has the address, so this one is over."""
     host.is_claimed = False
+    host.is_gone = True
+    signals.notify(own.claimed)
     if host.asked_ms is None:
         host.asked_ms = own.clock.now_ms()
         logger.warning('address_taken', extra={'worker': host.worker.id})
@@ -221,7 +246,10 @@
         return
     for name in list(host.runs):
         ends.lose_run(own, name, 'lease_lapsed')
-    if not host.is_listed:
+    # Until then it may run what an earlier owner started.
+    is_known = host.answered_ms > 0 or host.is_gone
+    is_over = is_known or now_ms >= leases.compute_settled(own)
+    if not host.is_listed and is_over:
         close_session(own, host, 'not_listed')
 
 
@@ -231,6 +259,7 @@
     """Stops calling a worker that runs nothing any more."""
     logger.info('worker_dropped', extra={'worker': host.worker.id, 'why': why})
     own.book.hosts.pop(host.worker.id, None)
+    _record(own)
     orders = own.orders.pop(host.worker.id, None)
     if orders is not None:
         orders.queue.put_nowait(_do_nothing)
--- a/src/nutmegknot/_internal/models/books.py
+++ b/src/nutmegknot/_internal/models/books.py
@@ -49,6 +49,10 @@
       used: What they hold.
       is_claimed: Whether it has answered under our token in its present life.
       is_listed: Whether the platform still lists it.
+      is_gone: Whether another worker has its address, so that it has ended.
+      recorded: Number of the write that names it in the table; nothing starts
+        on it before that is made.
+      is_recorded: Whether it has been made.
       answered_ms: When it last answered, by our clock; 0 if never.
       asked_ms: When the first call since then without an answer went out;
         None while calls are answered.
@@ -73,6 +77,9 @@
     used: resources.Resources = resources.NOTHING
     is_claimed: bool = False
     is_listed: bool = True
+    is_gone: bool = False
+    recorded: int = 0
+    is_recorded: bool = False
     answered_ms: int = 0
     asked_ms: int | None = None
     ends: list[EndNote] = dataclasses.field(default_factory=list)
@@ -98,6 +105,7 @@
       catalog: Operators' settings in force.
       jobs: Jobs by id.
       hosts: Workers by id.
+      earlier: Workers on which an earlier owner may have started runs.
       usage: What each customer has running.
       open_stages: Stages that wait for starts, by job id, occurrence, number.
       speeds: Mean run time against estimate, by pool and kind of worker.
@@ -109,6 +117,7 @@
     settled_ms: int | None = None
     jobs: dict[str, jobs_lib.Job] = dataclasses.field(default_factory=dict)
     hosts: dict[str, Host] = dataclasses.field(default_factory=dict)
+    earlier: list[workers.Worker] = dataclasses.field(default_factory=list)
     usage: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/unit/jobs/test_ownerships.py
+++ b/tests/unit/jobs/test_ownerships.py
@@ -431,6 +431,39 @@
     job_cells.run(script)
 
 
+def test_an_end_on_a_worker_that_left_the_list_is_found() -> None:
+    """The end could not be written, and the worker's entry lapsed.
+
+    Found with trouble-3 --seed 82805241745 of the site ezokita-sched: the new
+    owner took what the list named for all workers, and started a task that was
+    done again.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(
+            loop, job_cells.make_worker('w1'), job_cells.make_worker('w2')
+        )
+        cell.run_ms = lambda name: 1_000
+        first = await job_cells.open_jobs(cell, 'one')
+        await accepting.submit(
+            get_own(first), job_cells.make_order('a', job_cells.make_step())
+        )
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 1)
+        await asyncio.sleep(0.5)
+        cell.table.is_down = True
+        await asyncio.sleep(1.0)
+        await owning.close(first)
+        cell.unlisted.add(cell.starts[0].worker)
+        cell.table.is_down = False
+        second = await job_cells.open_jobs(cell, 'two')
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(second, 'a') is jobs.JobState.COMPLETED
+        )
+        assert len(cell.starts) == 1
+
+    job_cells.run(script)
+
+
 def test_a_run_that_is_not_wanted_counts_until_it_is_gone() -> None:
     """An earlier owner's cancel did not reach the worker.
 
