Go on with accepted work while the store is lost for all, and keep polling meanwhile

Cause: an outage of the store for all stopped the owner after 1.25 s, and a session with a worker waited for its ends to be written, so that it renewed no lease in an outage longer than 4.5 s. The owner goes on while every instance that it has heard of in 30 s says that it does not reach the store either; an instance counts the lease anew whenever it can't read the owner row. Ends that wait to be written are listed again, taken in once, and hold up no polling.

--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -10,6 +10,7 @@
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.jobs import bounds
 from nutmegknot._internal.jobs import figures
+from nutmegknot._internal.jobs import relays
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import writes
 from nutmegknot._internal.models import books
@@ -47,8 +48,10 @@
       book: What it knows.
       tasks: Its tasks; cancelled when it ends.
       figures: What is counted.
+      relay: The ways to the store; None where there is only one.
       changed: Notified when something may be placed.
       claimed: Notified when a worker has been claimed.
+      written: Notified after each write that took effect.
       orders: Orders by worker.
       asked: Notified when a stage wants advice.
       touched: Jobs whose newest write is not in the table yet.
@@ -65,8 +68,10 @@
     book: books.Book
     tasks: tasks.Tasks
     figures: figures.Figures
+    relay: relays.Relay | None = None
     changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     claimed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
+    written: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     orders: dict[str, Orders] = dataclasses.field(default_factory=dict)
     asked: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     touched: set[str] = dataclasses.field(default_factory=set)
@@ -77,8 +82,16 @@
 
 
 def may_act(own: Ownership) -> bool:
-    """Tells whether the ownership surely still holds."""
-    return writes.may_act(own.writer, own.limits.authority_ms)
+    """Tells whether the ownership still holds.
+
+    While the store is lost for all that could take over, nobody can: an
+    instance counts the lease anew when it reaches the store again, and by then
+    the owner has written.
+    """
+    if writes.may_act(own.writer, own.limits.authority_ms):
+        return True
+    is_bridged = own.relay is not None and relays.is_lost_for_all(own.relay)
+    return is_bridged and not own.writer.is_lost
 
 
 def mark_progress(
--- a/src/nutmegknot/_internal/jobs/owning.py
+++ b/src/nutmegknot/_internal/jobs/owning.py
@@ -16,6 +16,7 @@
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import peers
 from nutmegknot._internal.jobs import placing
+from nutmegknot._internal.jobs import relays
 from nutmegknot._internal.jobs import rosters
 from nutmegknot._internal.jobs import sessions
 from nutmegknot._internal.jobs import writes
@@ -67,6 +68,8 @@
         return False
     node.refused_ms = None
     node.known_revision = max(node.known_revision, reply.configuration)
+    if not reply.reaches_store and node.relay is not None:
+        await relays.check(node.relay)
     if reply.instance != owner.row.holder and owner.row.holder:
         # The process that held it is not there any more.
         owner.since_ms = min(
@@ -100,6 +103,10 @@
     """Reads the owner row, and takes over if its lease has ended."""
     found = await opening.read_owner(node.outside.table, STORE_MS)
     if found is None:
+        if node.owner is not None:
+            # While the store is away the row may not change, so that says
+            # nothing of its owner.
+            node.owner.since_ms = node.clock.now_ms()
         await _sleep(WATCH_MS)
         return
     note_row(node, found)
@@ -228,6 +235,7 @@
         book,
         part,
         node.figures,
+        node.relay,
     )
 
     def take_written() -> None:
--- a/src/nutmegknot/_internal/jobs/relays.py
+++ b/src/nutmegknot/_internal/jobs/relays.py
@@ -23,6 +23,10 @@
 RELY_MS = 1_500
 # How long another instance is left alone after it failed, in ms.
 REST_MS = 600
+# How long the word of another instance counts in an outage for all, and how
+# long it is remembered, in ms.
+WORD_MS = 1_100
+FORGET_MS = 30_000
 # Answers with which the store turns a call away; nothing was done.
 _TURNED_AWAY = frozenset((429, 503))
 
@@ -160,5 +164,32 @@
     while True:
         await asyncio.sleep(clock_lib.to_seconds(PROBE_MS))
         if relay.lost_ms is not None:
-            reply = await relay.direct(relay.probe, PROBE_TIMEOUT_MS)
-            _note_reply(relay, reply)
+            await check(relay)
+
+
+async def check(relay: Relay) -> None:
+    """Finds out whether the own way works."""
+    reply = await relay.direct(relay.probe, PROBE_TIMEOUT_MS)
+    _note_reply(relay, reply)
+
+
+def is_lost_for_all(relay: Relay) -> bool:
+    """Tells whether no known instance reaches the store.
+
+    Each of those heard in the last FORGET_MS must have said so just now; one
+    that is silent may reach it.
+    """
+    now_ms = relay.clock.now_ms()
+    known = [
+        peer
+        for peer in relay.peers.values()
+        if now_ms - peer.heard_ms < FORGET_MS
+    ]
+    return (
+        relay.lost_ms is not None
+        and bool(known)
+        and all(
+            not peer.reaches and now_ms - peer.heard_ms < WORD_MS
+            for peer in known
+        )
+    )
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -26,6 +26,8 @@
 RETRY_MS = 150
 # Wait after an end for others that come with it, in ms.
 GATHER_MS = 15
+# Longest wait for ends to be written before the worker is polled again, in ms.
+UNWRITTEN_MS = 300
 # Waits for an end while a run there serves users beside filling ones, in ms.
 WATCHFUL_POLL_MS = 500
 
@@ -57,6 +59,7 @@
 
 def take_written(own: ownerships.Ownership) -> None:
     """Lets tasks start on workers that are named in the table now."""
+    signals.notify(own.written)
     for host in own.book.hosts.values():
         if not host.is_recorded and host.recorded <= own.writer.written:
             host.is_recorded = True
@@ -144,7 +147,7 @@
     host.answered_ms = now_ms
     host.asked_ms = None
     leases.note_clock(host, inventory.clock_ms, now_ms)
-    fresh = [end for end in inventory.ends if end.number > host.seen]
+    fresh = [end for end in inventory.ends if end.number > host.taken]
     for end in sorted(fresh, key=lambda end: end.number):
         ends.apply_end(own, host, end)
     ends.apply_inventory(own, host, inventory, sent_ms)
@@ -164,11 +167,28 @@
         )
     signals.notify(own.changed)
     if fresh:
-        life = host.worker.life
-        written = await writes.wait_written(own.writer)
-        if written is writes.Written.DURABLE and host.worker.life == life:
-            host.seen = max(host.seen, max(end.number for end in fresh))
-            await _sleep(GATHER_MS)
+        host.taken = max(end.number for end in fresh)
+        host.unwritten.append((host.taken, own.writer.marked))
+    if host.unwritten:
+        await _wait_forgettable(own, host)
+
+
+async def _wait_forgettable(
+    own: ownerships.Ownership, host: books.Host
+) -> None:
+    """Waits a while until the worker may forget ends that it listed.
+
+    It lists them again until then, and its lease has to be renewed meanwhile.
+    """
+    until_ms = own.clock.now_ms() + UNWRITTEN_MS
+    while host.unwritten and own.clock.now_ms() < until_ms:
+        count = own.written.count
+        while host.unwritten and host.unwritten[0][1] <= own.writer.written:
+            host.seen = host.unwritten.pop(0)[0]
+        if host.unwritten:
+            left_ms = until_ms - own.clock.now_ms()
+            await signals.wait_at_most(own.written, count, max(1, left_ms))
+    await _sleep(GATHER_MS)
 
 
 def begin_life(
@@ -192,7 +212,8 @@
         worker = _with_life(worker, life)
     host.worker = worker
     host.lease = books.Lease()
-    host.seen = 0
+    host.seen = host.taken = 0
+    host.unwritten.clear()
     host.is_claimed = False
     host.pace = 100
     for name, task in list(host.runs.items()):
--- a/src/nutmegknot/_internal/models/books.py
+++ b/src/nutmegknot/_internal/models/books.py
@@ -45,6 +45,9 @@
       worker: As the platform lists it.
       lease: Its clock and lease.
       seen: Number of its last end that is in the table.
+      taken: Number of its last end that has been taken in.
+      unwritten: Numbers of ends taken in, with the mark that must be written
+        before each may be forgotten; lowest first.
       runs: Tasks that hold resources there, by name.
       used: What they hold.
       is_claimed: Whether it has answered under our token in its present life.
@@ -71,6 +74,8 @@
     worker: workers.Worker
     lease: Lease = dataclasses.field(default_factory=Lease)
     seen: int = 0
+    taken: int = 0
+    unwritten: list[tuple[int, int]] = dataclasses.field(default_factory=list)
     runs: dict[jobs_lib.TaskName, jobs_lib.Task] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/unit/jobs/test_ownerships.py
+++ b/tests/unit/jobs/test_ownerships.py
@@ -5,11 +5,13 @@
 
 from lib import job_cells
 
+from nutmegknot._internal.backing import fetches
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.jobs import accepting
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import owning
+from nutmegknot._internal.jobs import relays
 from nutmegknot._internal.models import catalogs
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
@@ -491,3 +493,40 @@
         assert cell.broken == []
 
     job_cells.run(script)
+
+
+def test_accepted_work_goes_on_while_the_store_is_lost_for_all() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 1_000
+        node = await job_cells.open_jobs(cell, 'one')
+
+        async def fail(
+            call: fetches.Call, timeout_ms: int
+        ) -> fetches.Reply | fetches.NoAnswer:
+            return fetches.Reply(503, {})
+
+        relay = relays.Relay(cell.clock, fail, fetches.Call('GET', '/'))
+        own = get_own(node)
+        own.relay = relay
+        await accepting.submit(
+            own, job_cells.make_order('a', job_cells.make_step(16))
+        )
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 4)
+        cell.table.is_down = True
+        await relays.check(relay)
+        for _ in range(10):
+            relays.note_peer(relay, 'other', False)
+            await asyncio.sleep(0.4)
+        assert len(cell.starts) == 16
+        relays.note_peer(relay, 'other', True)
+        await accepting.submit(
+            own, job_cells.make_order('b', job_cells.make_step())
+        )
+        cell.table.is_down = False
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(node, 'a') is jobs.JobState.COMPLETED
+        )
+        assert cell.broken == []
+
+    job_cells.run(script)
--- a/tests/unit/jobs/test_relays.py
+++ b/tests/unit/jobs/test_relays.py
@@ -94,3 +94,24 @@
     ways.time.at_ms += relays.RELY_MS
     assert fetch(relay, WRITE) == TURNED_AWAY
     assert ways.asked == ['own', 'own']
+
+
+def test_the_store_is_lost_for_all_only_by_everybodys_word() -> None:
+    ways = Ways(TURNED_AWAY, {'b': TURNED_AWAY, 'c': TURNED_AWAY})
+    relay = make_relay(ways)
+    assert not relays.is_lost_for_all(relay)
+    fetch(relay, WRITE)
+    assert not relays.is_lost_for_all(relay)
+    relays.note_peer(relay, 'b', False)
+    assert not relays.is_lost_for_all(relay)
+    relays.note_peer(relay, 'c', False)
+    assert relays.is_lost_for_all(relay)
+    ways.time.at_ms += relays.WORD_MS
+    relays.note_peer(relay, 'b', False)
+    assert not relays.is_lost_for_all(relay)
+
+
+def test_an_instance_that_knows_no_other_claims_no_outage_for_all() -> None:
+    relay = make_relay(Ways(TURNED_AWAY, {}))
+    fetch(relay, WRITE)
+    assert not relays.is_lost_for_all(relay)
