Let repeats of a job that is being accepted share its acceptance

The one way to drop a marked row is the withdrawal of a refused acceptance, and a repeat could withdraw a job's progress with it. Only the acceptance itself withdraws now, and only the job's own row.

A step also waits for marks of its job that are still to be written, where another write makes the job move.

--- a/src/nutmegknot/_internal/jobs/accepting.py
+++ b/src/nutmegknot/_internal/jobs/accepting.py
@@ -1,5 +1,6 @@
 """What the owner does for callers: accept, look up, cancel and count jobs."""
 
+import asyncio
 import dataclasses
 import logging
 
@@ -18,25 +19,34 @@
 # When a caller may come back after the store has refused to write, in ms.
 STORE_RETRY_MS = 1_000
 
-SubmitOutcome = outcomes.Accepted | outcomes.Refused | outcomes.Unknown
+SubmitOutcome = outcomes.Submitted
 CancelOutcome = outcomes.Cancelled | outcomes.NotFound | outcomes.Unknown
 
 
 async def submit(own: ownerships.Ownership, order: jobs.Order) -> SubmitOutcome:
     """Accepts a job once it is in the table; a repeat finds the first one."""
-    came_ms = own.clock.now_ms()
     known = own.book.jobs.get(order.id)
-    if known is None:
+    if known is not None and known.is_durable:
+        return outcomes.Accepted(order.id)
+    under_way = own.accepting.get(order.id)
+    if under_way is None:
         refused = _judge(own, order)
         if refused is not None:
             return refused
-        known = _enter(own, order)
-    elif known.is_durable:
-        return outcomes.Accepted(order.id)
+        under_way = asyncio.ensure_future(_accept(own, order))
+        own.accepting[order.id] = under_way
+        under_way.add_done_callback(lambda _: own.accepting.pop(order.id, None))
+    return await asyncio.shield(under_way)
+
+
+async def _accept(
+    own: ownerships.Ownership, order: jobs.Order
+) -> SubmitOutcome:
+    """Enters a job and has it written."""
+    came_ms = own.clock.now_ms()
+    job = _enter(own, order)
     key = rows.get_job_key(order.id)
-    written = await writes.wait_written(
-        own.writer, (key, rows.get_progress_key(order.id))
-    )
+    written = await writes.wait_written(own.writer, (key,))
     match written:
         case writes.Written.DURABLE:
             counters.record(own.figures.accept_ms, own.clock.now_ms() - came_ms)
@@ -48,7 +58,7 @@
                     'customer': order.customer,
                     'steps': len(order.steps),
                     'tasks': sum(step.count for step in order.steps),
-                    'objective_ms': turns.compute_objective(own.book, known),
+                    'objective_ms': turns.compute_objective(own.book, job),
                     'epoch': own.book.epoch,
                 },
             )
@@ -122,7 +132,7 @@
     own.touched.add(order.id)
     if jobs.is_timed(order):
         own.timed.add(order.id)
-    job.marked = writes.mark(
+    job.accepted = job.marked = writes.mark(
         own.writer,
         rows.get_job_key(order.id),
         lambda: rows.encode_job(job),
--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -15,6 +15,7 @@
 from nutmegknot._internal.jobs import writes
 from nutmegknot._internal.models import books
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import questions as questions_lib
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import signals
@@ -56,6 +57,7 @@
       asked: Notified when a stage wants advice.
       touched: Jobs whose newest write is not in the table yet.
       timed: Jobs with due times to come.
+      accepting: Acceptances under way, by job id.
       questions: Questions that wait for an adviser.
     """
 
@@ -76,6 +78,9 @@
     asked: signals.Signal = dataclasses.field(default_factory=signals.Signal)
     touched: set[str] = dataclasses.field(default_factory=set)
     timed: set[str] = dataclasses.field(default_factory=set)
+    accepting: dict[str, asyncio.Future[outcomes.Submitted]] = (
+        dataclasses.field(default_factory=dict)
+    )
     questions: questions_lib.Questions = dataclasses.field(
         default_factory=questions_lib.Questions
     )
--- a/src/nutmegknot/_internal/jobs/placing.py
+++ b/src/nutmegknot/_internal/jobs/placing.py
@@ -124,6 +124,9 @@
 ) -> None:
     if stage.ready_ms is not None or stage.done == len(stage.tasks):
         return
+    if stage.step.after and job.marked > own.writer.written:
+        # The ends that it waits for may not be in the table yet.
+        return
     for number in stage.step.after:
         before = job.stages.get((stage.occurrence, number))
         if before is None or before.done < len(before.tasks):
@@ -144,10 +147,12 @@
         if job is None:
             own.touched.discard(job_id)
             continue
+        if not job.is_durable and job.accepted <= own.writer.written:
+            job.is_durable = True
+            advance(own, job)
         if job.marked > own.writer.written:
             continue
         own.touched.discard(job_id)
-        job.is_durable = True
         if jobs.is_final(job):
             job.shown = job.state
         else:
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -242,6 +242,7 @@
       ended_ms: When it ended, since the Unix epoch in ms; 0 before.
       known_ms: When this owner learned of it, by its own clock.
       has_begun: Whether any of its tasks has been seen to start.
+      accepted: Number of the write that makes it durable.
       marked: Number of its newest write.
       chain_ms: Run time of its longest chain of steps by the estimates in ms.
     """
@@ -256,6 +257,7 @@
     ended_ms: int = 0
     known_ms: int = 0
     has_begun: bool = False
+    accepted: int = 0
     marked: int = 0
     chain_ms: int = 0
 
--- a/src/nutmegknot/_internal/models/outcomes.py
+++ b/src/nutmegknot/_internal/models/outcomes.py
@@ -130,5 +130,6 @@
     detail: str
 
 
+Submitted = Accepted | Refused | Unknown
 Final = Finished | Failed | Cancelled | MayHaveRun
 Outcome = Accepted | Refused | Conflict | Final | Pending | NotFound | Unknown
--- a/tests/unit/jobs/test_ownerships.py
+++ b/tests/unit/jobs/test_ownerships.py
@@ -291,6 +291,38 @@
     job_cells.run(script)
 
 
+def test_a_repeat_in_a_store_outage_undoes_nothing() -> None:
+    """A job whose tasks keep ending is handed in again in an outage.
+
+    Found in trouble-3 of the site ezokita-sched: the repeat took the job for
+    one that was not accepted yet, and withdrew it with all that was done.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 300 + 7 * name.index
+        node = await job_cells.open_jobs(cell, 'one')
+        own = get_own(node)
+        order = job_cells.make_order('a', job_cells.make_step(24))
+        await accepting.submit(own, order)
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) > 10)
+        job = own.book.jobs['a']
+        # As if more of it was being written all the time.
+        job.marked = own.writer.marked + 1_000
+        cell.table.is_down = True
+        await asyncio.sleep(0.5)
+        again = await accepting.submit(own, order)
+        assert again == outcomes.Accepted('a')
+        cell.table.is_down = False
+        assert own.book.jobs['a'] is job
+        assert await job_cells.wait_until(
+            cell, lambda: job.state is jobs.JobState.COMPLETED
+        )
+        assert len(cell.starts) == 24
+
+    job_cells.run(script)
+
+
 def test_a_customer_stays_within_its_limit() -> None:
     async def script(loop: asyncio.AbstractEventLoop) -> None:
         customer = catalogs.Customer(
