--- a/src/nutmegknot/_internal/jobs/owning.py
+++ b/src/nutmegknot/_internal/jobs/owning.py
@@ -31,6 +31,11 @@
 # Interval of reading the owner row while the owner is silent, in ms.
 WATCH_MS = 120
 STORE_MS = 700
+# A weaker owner hands over to an instance that has so many times its
+# processors; how long after its start and how often it looks, in ms.
+YIELD_FACTOR = 1.5
+YIELD_AFTER_MS = 2_000
+YIELD_CHECK_MS = 1_000
 # Time to read newer settings before the owner is greeted again, in ms.
 NEWS_MS = 100
 # How long nothing must have listened at the owner's address, in ms.
@@ -152,22 +157,19 @@
     elif owner.row.address == node.address:
         # An earlier process at our own address, which has ended.
         return True
-    elif _is_refused(node):
+    elif node.refused_ms is not None:
         # Its process has ended. Should it live on behind a broken network, its
         # next write fails, and workers that were claimed refuse its orders.
-        return True
+        refused_for_ms = node.clock.now_ms() - node.refused_ms
+        if refused_for_ms >= REFUSED_MS + patience_ms:
+            return True
+        lease_ms = node.limits.lease_ms
     else:
         lease_ms = node.limits.lease_ms
     age_ms = node.clock.now_ms() - owner.since_ms
     return age_ms >= lease_ms + patience_ms
 
 
-def _is_refused(node: nodes.Node) -> bool:
-    if node.refused_ms is None:
-        return False
-    return node.clock.now_ms() - node.refused_ms >= REFUSED_MS
-
-
 async def _take_over(node: nodes.Node, found: opening.Owner) -> None:
     sent_ms = node.clock.now_ms()
     owner = await opening.take_over(
@@ -289,10 +291,27 @@
     """Waits until the ownership is lost, and closes it."""
     count = 0
     while not own.writer.is_lost:
-        count = await signals.wait_beyond(own.writer.ended, count)
+        count = await signals.wait_at_most(
+            own.writer.ended, count, YIELD_CHECK_MS
+        )
+        if not own.writer.is_lost and _should_yield(node, own):
+            logger.info(
+                'ownership_yielded',
+                extra={'epoch': own.book.epoch, 'strength': node.strength},
+            )
+            await release(own.writer)
     await close(node)
 
 
+def _should_yield(node: nodes.Node, own: ownerships.Ownership) -> bool:
+    """Tells whether a much stronger instance should own the jobs."""
+    age_ms = node.clock.now_ms() - own.book.opened_ms
+    if node.relay is None or age_ms < YIELD_AFTER_MS:
+        return False
+    strongest = relays.find_strongest(node.relay)
+    return strongest >= node.strength * YIELD_FACTOR
+
+
 async def close(node: nodes.Node) -> None:
     """Stops serving as the owner at once."""
     own, node.own = node.own, None
--- a/src/nutmegknot/_internal/jobs/peers.py
+++ b/src/nutmegknot/_internal/jobs/peers.py
@@ -118,7 +118,9 @@
 ) -> jobs_pb2.GreetingReply:
     node.known_revision = max(node.known_revision, call.configuration)
     if node.relay is not None:
-        relays.note_peer(node.relay, call.address, call.reaches_store)
+        relays.note_peer(
+            node.relay, call.address, call.reaches_store, call.strength
+        )
     own = nodes.get_acting(node)
     if own is not None:
         _note_adviser(node, own, call.address)
@@ -323,6 +325,7 @@
         configuration=revision,
         reaches_store=_reaches_store(node),
         wait_ms=GREET_WAIT_MS,
+        strength=node.strength,
     )
     timeout_ms = GREET_WAIT_MS + GREET_MS
     try:
--- a/src/nutmegknot/_internal/jobs/relays.py
+++ b/src/nutmegknot/_internal/jobs/relays.py
@@ -42,11 +42,13 @@
     Attributes:
       heard_ms: When, by our clock.
       reaches: Whether it reaches the store.
+      strength: Its processors in thousandths of a core; 0 if not known.
       failed_ms: When a call through it failed last; None if none did.
     """
 
     heard_ms: int
     reaches: bool
+    strength: int = 0
     failed_ms: int | None = None
 
 
@@ -71,11 +73,15 @@
     lost_ms: int | None = None
 
 
-def note_peer(relay: Relay, address: str, reaches: bool) -> None:
+def note_peer(
+    relay: Relay, address: str, reaches: bool, strength: int = 0
+) -> None:
     """Takes note of what another instance says of its own way."""
     known = relay.peers.get(address)
     failed_ms = None if known is None else known.failed_ms
-    relay.peers[address] = Peer(relay.clock.now_ms(), reaches, failed_ms)
+    relay.peers[address] = Peer(
+        relay.clock.now_ms(), reaches, strength, failed_ms
+    )
 
 
 def make_fetch(relay: Relay) -> fetches.Fetch:
@@ -138,6 +144,19 @@
     return max(usable)[1] if usable else None
 
 
+def find_strongest(relay: Relay) -> int:
+    """Returns the most processors of an instance that could take over."""
+    now_ms = relay.clock.now_ms()
+    return max(
+        (
+            peer.strength
+            for peer in relay.peers.values()
+            if peer.reaches and now_ms - peer.heard_ms < RELY_MS
+        ),
+        default=0,
+    )
+
+
 async def _ask_peer(
     relay: Relay, call: fetches.Call, timeout_ms: int
 ) -> fetches.Reply | fetches.NoAnswer | None:
--- a/tests/unit/jobs/test_relays.py
+++ b/tests/unit/jobs/test_relays.py
@@ -115,3 +115,14 @@
     relay = make_relay(Ways(TURNED_AWAY, {}))
     fetch(relay, WRITE)
     assert not relays.is_lost_for_all(relay)
+
+
+def test_the_strongest_instance_that_reaches_the_store_is_found() -> None:
+    ways = Ways(DONE, {})
+    relay = make_relay(ways)
+    relays.note_peer(relay, 'b', True, 500)
+    relays.note_peer(relay, 'c', False, 4_000)
+    relays.note_peer(relay, 'd', True, 2_000)
+    assert relays.find_strongest(relay) == 2_000
+    ways.time.at_ms += relays.RELY_MS
+    assert relays.find_strongest(relay) == 0
