--- a/src/nutmegknot/_internal/commands/registry.py
+++ b/src/nutmegknot/_internal/commands/registry.py
@@ -51,6 +51,27 @@
     ] = 'info'
 
 
+@cappa.command(
+    name='explain',
+    help='Follow one job through the logs of several instances.',
+    description='Example: nutmegknot explain 5c0e7a21d94b36f8 a.log b.log',
+)
+@dataclasses.dataclass(slots=True)
+class Explain:
+    """Follow one job through the logs of several instances.
+
+    Attributes:
+      job: Id of the job.
+      logs: Files with the standard output of instances.
+    """
+
+    job: Annotated[str, cappa.Arg(help='Id of the job.')]
+    logs: Annotated[
+        list[pathlib.Path],
+        cappa.Arg(help='Files with the standard output of instances.'),
+    ]
+
+
 @cappa.command(
     name='local',
     help='Run a whole cell with stand-in workers in one process.',
@@ -85,6 +106,7 @@
     command: cappa.Subcommands[
         Serve
         | Attach
+        | Explain
         | Local
         | caller_arguments.Submit
         | caller_arguments.Wait
@@ -107,6 +129,7 @@
 _FUNCTIONS: dict[type, tuple[str, str]] = {
     Serve: ('serve', 'run_instance'),
     Attach: ('attach', 'run_instance'),
+    Explain: ('explain', 'explain_job'),
     Local: ('local', 'run_cell'),
     caller_arguments.Submit: ('submit', 'submit_request'),
     caller_arguments.Wait: ('requests', 'wait_for_request'),
