--- a/src/nutmegknot/_internal/jobs/entering.py
+++ b/src/nutmegknot/_internal/jobs/entering.py
@@ -1,8 +1,8 @@
 """Calls about jobs that come in at any instance, brought to the owner.
 
-A call that was surely never handed to an owner is refused; one whose answer
-was lost is repeated at the owner, which knows its first copy, until its time
-is over.
+A call whose answer was lost is repeated at the owner, which knows its first
+copy, until its time is over. Only an owner refuses a job: an instance that
+meets none can't tell whether an earlier copy was accepted.
 """
 
 import asyncio
@@ -28,7 +28,7 @@
 
 # Kept back from a caller's time for the answer, in ms.
 RESERVE_MS = 120
-# Longest wait of a new job for an owner before it is refused, in ms.
+# Longest wait of a new job for an owner before it is answered, in ms.
 OWNERLESS_MS = 600
 # When a caller may come back who met no owner, in ms.
 OWNERLESS_RETRY_MS = 1_000
@@ -69,28 +69,25 @@
         case jobs_pb2.JobReply():
             return _decode_submit(order.id, result)
         case Unhanded():
-            refused = outcomes.Refused(
-                outcomes.RefusalReason.UNAVAILABLE,
-                'no owner of the jobs is known',
-                OWNERLESS_RETRY_MS,
+            # An earlier copy may have been accepted, which an owner would know.
+            _log_unsettled(order, 'no owner of the jobs is known')
+            return outcomes.Unknown(
+                'no owner of the jobs is known', OWNERLESS_RETRY_MS
             )
-            logger.info(
-                'job_refused',
-                extra={
-                    'job': order.id,
-                    'queue': order.queue,
-                    'why': refused.reason.value,
-                    'detail': refused.detail,
-                },
-            )
-            return refused
         case Lost():
-            logger.warning('job_unsettled', extra={'job': order.id})
+            _log_unsettled(order, 'no answer came from the owner')
             return outcomes.Unknown('no answer came from the owner')
     submitted: accepting.SubmitOutcome = result
     return submitted
 
 
+def _log_unsettled(order: jobs.Order, why: str) -> None:
+    logger.warning(
+        'job_unsettled',
+        extra={'job': order.id, 'queue': order.queue, 'why': why},
+    )
+
+
 async def look(
     node: nodes.Node, job_id: str, customer: str, wait_ms: int
 ) -> jobs.JobState | outcomes.NotFound | outcomes.Unknown:
--- a/src/nutmegknot/_internal/models/outcomes.py
+++ b/src/nutmegknot/_internal/models/outcomes.py
@@ -125,9 +125,14 @@
     """The call's effect is not known, for example as its deadline passed.
 
     Repeating the call with the same request id is safe.
+
+    Attributes:
+      detail: One line for the caller.
+      retry_after_ms: When repeating it makes sense, in ms; 0 if at once.
     """
 
     detail: str
+    retry_after_ms: int = 0
 
 
 Submitted = Accepted | Refused | Unknown
--- a/src/nutmegknot/_internal/platform/fronts.py
+++ b/src/nutmegknot/_internal/platform/fronts.py
@@ -135,14 +135,20 @@
 
 def _refuse(refused: outcomes.Refused) -> web.Response:
     response = _show({'reason': refused.detail}, _STATUSES[refused.reason])
-    if refused.retry_after_ms:
-        seconds = math.ceil(refused.retry_after_ms / clock_lib.MS_PER_S)
-        response.headers['Retry-After'] = str(seconds)
+    _add_retry(response, refused.retry_after_ms)
     return response
 
 
 def _show_unknown(outcome: outcomes.Unknown) -> web.Response:
-    return _show({'reason': outcome.detail}, 504)
+    response = _show({'reason': outcome.detail}, 504)
+    _add_retry(response, outcome.retry_after_ms)
+    return response
+
+
+def _add_retry(response: web.Response, retry_after_ms: int) -> None:
+    if retry_after_ms:
+        seconds = math.ceil(retry_after_ms / clock_lib.MS_PER_S)
+        response.headers['Retry-After'] = str(seconds)
 
 
 async def _submit(
--- /dev/null
+++ b/tests/unit/jobs/test_entering.py
@@ -0,0 +1,98 @@
+"""Calls about jobs at an instance that may not be the owner."""
+
+import asyncio
+
+from lib import job_cells
+
+from nutmegknot._internal.jobs import admitting
+from nutmegknot._internal.jobs import entering
+from nutmegknot._internal.models import catalogs
+from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import outcomes
+
+CUSTOMER = catalogs.Customer('team', keys=frozenset(('secret',)))
+
+
+def test_without_an_owner_nothing_is_said_to_be_refused() -> None:
+    """An earlier copy of the job may have been accepted.
+
+    Found in trouble-3 --seed 11 of the site ezokita-sched: the first answer was
+    "unknown", the next one "refused", by instances that knew of no owner.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop)
+        node = job_cells.make_node(cell, 'me')
+        began_ms = cell.clock.now_ms()
+        order = job_cells.make_order('a', job_cells.make_step())
+        outcome = await entering.submit(node, order, 3_000)
+        assert isinstance(outcome, outcomes.Unknown)
+        assert outcome.retry_after_ms > 0
+        assert cell.clock.now_ms() - began_ms < 1_000
+
+    job_cells.run(script)
+
+
+def test_calls_at_the_owner_are_answered_there() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        node = await job_cells.open_jobs(cell, 'one')
+        order = job_cells.make_order('a', job_cells.make_step())
+        accepted = await entering.submit(node, order, 3_000)
+        assert accepted == outcomes.Accepted('a')
+        assert await entering.count_waiting(node, 'queue', 1_000) == 1
+        await asyncio.sleep(2.0)
+        state = await entering.look(node, 'a', '', 1_000)
+        assert state is jobs.JobState.COMPLETED
+        missing = await entering.look(node, 'b', '', 1_000)
+        assert missing == outcomes.NotFound('b')
+        other = await entering.look(node, 'a', 'another', 1_000)
+        assert other == outcomes.NotFound('a')
+
+    job_cells.run(script)
+
+
+def test_an_owner_that_is_replaced_meanwhile_is_asked_anew() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        node = await job_cells.open_jobs(cell, 'one')
+        assert node.own is not None
+        cell.table.faults = ['late'] * 3
+        order = job_cells.make_order('a', job_cells.make_step())
+        outcome = await entering.submit(node, order, 3_000)
+        assert outcome == outcomes.Accepted('a')
+
+    job_cells.run(script)
+
+
+def test_keys_and_queues_are_judged_by_the_settings_in_force() -> None:
+    closed = job_cells.make_queue('closed')
+    deeper = job_cells.make_queue('deeper', prefix='/closed/deep/')
+    free = job_cells.make_queue('free', is_open=True)
+    catalog = catalogs.Catalog(
+        revision=3,
+        queues={q.name: q for q in (closed, deeper, free)},
+        customers={'team': CUSTOMER},
+        customer_by_key={'secret': 'team'},
+    )
+    admitted = admitting.admit(catalog, 'host', '/closed/a1', 'secret')
+    assert admitted == admitting.Admitted(closed, 'team', 'a1')
+    admitted = admitting.admit(catalog, 'host', '/closed/deep/a1', 'secret')
+    assert admitted == admitting.Admitted(deeper, 'team', 'a1')
+    admitted = admitting.admit(catalog, 'host', '/free/a1', '')
+    assert admitted == admitting.Admitted(free, '', 'a1')
+    refusals = {
+        ('host', '/closed/a1', 'wrong'): outcomes.RefusalReason.KEY_REJECTED,
+        ('host', '/closed/a1', ''): outcomes.RefusalReason.KEY_REJECTED,
+        ('host', '/none/a1', 'secret'): outcomes.RefusalReason.UNKNOWN_QUEUE,
+        ('other', '/closed/a1', 'secret'): (
+            outcomes.RefusalReason.UNKNOWN_QUEUE
+        ),
+    }
+    for call, reason in refusals.items():
+        refused = admitting.admit(catalog, *call)
+        assert isinstance(refused, outcomes.Refused)
+        assert refused.reason is reason
+    early = admitting.admit(None, 'host', '/free/a1', '')
+    assert isinstance(early, outcomes.Refused)
+    assert early.retry_after_ms > 0
