--- a/src/nutmegknot/_internal/decisions/rooms.py
+++ b/src/nutmegknot/_internal/decisions/rooms.py
@@ -60,6 +60,7 @@
       questions: Questions so far.
       placed: Starts so far.
       evicted: Runs to stop so far, so that others can start.
+      held: Stages with tasks that can't start now, and what binds.
     """
 
     hosts: dict[str, list[books.Host]]
@@ -72,6 +73,7 @@
     )
     placed: list[Placement] = dataclasses.field(default_factory=list)
     evicted: list[jobs.TaskName] = dataclasses.field(default_factory=list)
+    held: list[tuple[Turn, str]] = dataclasses.field(default_factory=list)
 
 
 def open_room(book: books.Book, now_ms: int) -> Room:
--- a/src/nutmegknot/_internal/decisions/steps.py
+++ b/src/nutmegknot/_internal/decisions/steps.py
@@ -89,6 +89,7 @@
     missing = len(waiting) - len(placed)
     if not missing:
         return
+    room.held.append((turn, _find_binding(book, room, turn, suited, allowed)))
     if not step.all_at_once or step.count == 1:
         missing -= _evict(book, room, turn, allowed, missing, now_ms)
     if not missing:
@@ -101,6 +102,26 @@
         asking.add_question(room, turn, ids)
 
 
+def _find_binding(
+    book: books.Book,
+    room: rooms.Room,
+    turn: rooms.Turn,
+    suited: list[books.Host],
+    allowed: list[books.Host],
+) -> str:
+    """Returns the one thing that keeps a stage's tasks from starting."""
+    if not rooms.is_allowed(book, room, turn.job, turn.stage.step):
+        return 'limit'
+    if not suited:
+        return 'no_worker'
+    if not allowed:
+        return 'ticket'
+    held = jobs.get_held(turn.stage.step)
+    if any(resources.fits(held, room.free[h.worker.id]) for h in allowed):
+        return 'reservation'
+    return 'room'
+
+
 def _count_on(stage: jobs.Stage) -> dict[str, int]:
     """Returns how many tasks of a stage each worker has."""
     counts: dict[str, int] = {}
--- a/src/nutmegknot/_internal/jobs/placing.py
+++ b/src/nutmegknot/_internal/jobs/placing.py
@@ -4,6 +4,7 @@
 import logging
 
 from nutmegknot._internal.decisions import outliers
+from nutmegknot._internal.decisions import rooms
 from nutmegknot._internal.decisions import steps
 from nutmegknot._internal.decisions import turns
 from nutmegknot._internal.jobs import advising
@@ -21,6 +22,8 @@
 # Longest and shortest time between two decisions, in ms.
 IDLE_MS = 100
 LEAST_MS = 8
+# Wait after which it is logged what keeps a stage waiting, in ms.
+LOG_HELD_AFTER_MS = 500
 
 
 async def keep_placing(own: ownerships.Ownership) -> None:
@@ -75,6 +78,7 @@
     for key, stage in list(own.book.open_stages.items()):
         if not any(t.phase is jobs.Phase.WAITING for t in stage.tasks):
             del own.book.open_stages[key]
+    _log_held(own, room)
     for name in room.evicted:
         victim = books.find_stage(own.book, name)
         if victim is not None:
@@ -83,6 +87,28 @@
         advising.ask(own, question)
 
 
+def _log_held(own: ownerships.Ownership, room: rooms.Room) -> None:
+    """Logs what keeps stages waiting, when that changes."""
+    now_ms = own.clock.now_ms()
+    for turn, binding in room.held:
+        stage = turn.stage
+        waited_ms = now_ms - (stage.ready_ms or now_ms)
+        if binding == stage.held_by or waited_ms < LOG_HELD_AFTER_MS:
+            continue
+        stage.held_by = binding
+        logger.info(
+            'stage_held',
+            extra={
+                'stage': jobs.format_stage(turn.job.order.id, stage),
+                'by': binding,
+                'waited_ms': waited_ms,
+                'priority': turn.rank.priority,
+                'band': turn.rank.band,
+                'suited': len(stage.advice.tickets),
+            },
+        )
+
+
 def make_due(own: ownerships.Ownership) -> None:
     """Opens the occurrences whose time has come."""
     wall_ms = own.clock.wall_ms()
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -180,6 +180,7 @@
       begun: Whether any task of it has been seen to start.
       durations: Run times of its tasks that are done, in ms.
       stuck: How many of its runs were stopped as they took too long.
+      held_by: What keeps its waiting tasks from starting, as it was logged.
     """
 
     occurrence: int
@@ -192,6 +193,7 @@
     begun: bool = False
     durations: list[int] = dataclasses.field(default_factory=list)
     stuck: int = 0
+    held_by: str = ''
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
