--- /dev/null
+++ b/tests/functional/test_attach.py
@@ -0,0 +1,187 @@
+"""Instances attached to a stand-in of the users' platform, as processes."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import pathlib
+import random
+import signal
+
+import aiohttp
+from lib import job_platform
+
+from nutmegknot._internal.models import jobs
+
+STEP = {'count': 3, 'cpu': 1_000, 'memMb': 64, 'estimateMs': 400}
+BODY = {'spec': 'a check', 'steps': [STEP, {**STEP, 'after': [0]}]}
+Script = Callable[
+    [job_platform.Platform, aiohttp.ClientSession], Awaitable[None]
+]
+
+
+def run(folder: pathlib.Path, script: Script) -> None:
+    """Runs a script against three instances and four workers."""
+
+    async def play() -> None:
+        platform = await job_platform.start(folder, 4, random.Random(7))
+        platform.cell.run_ms = lambda name: 400
+        try:
+            job_platform.add_instances(platform, 3)
+            async with aiohttp.ClientSession() as session:
+                await wait_ready(platform, session)
+                await script(platform, session)
+        finally:
+            await job_platform.stop(platform)
+        assert platform.cell.broken == []
+
+    asyncio.run(play())
+
+
+async def wait_ready(
+    platform: job_platform.Platform, session: aiohttp.ClientSession
+) -> None:
+    for instance in platform.instances:
+        while True:
+            status, _ = await job_platform.call(
+                platform, session, instance, 'GET', 'f' * 16
+            )
+            if status == 410:
+                break
+            await asyncio.sleep(0.1)
+
+
+async def submit(
+    platform: job_platform.Platform, session: aiohttp.ClientSession, id: str
+) -> None:
+    """Hands a job in, at one instance after the other, until accepted."""
+    number = 0
+    while True:
+        instance = platform.instances[number % len(platform.instances)]
+        number += 1
+        status, _ = await job_platform.call(
+            platform, session, instance, 'POST', id, BODY
+        )
+        if status == 200:
+            return
+        await asyncio.sleep(0.2)
+
+
+async def wait_state(
+    platform: job_platform.Platform,
+    session: aiohttp.ClientSession,
+    id: str,
+    wanted: str,
+) -> None:
+    number = 0
+    while True:
+        instance = platform.instances[number % len(platform.instances)]
+        number += 1
+        _, fields = await job_platform.call(
+            platform, session, instance, 'GET', id
+        )
+        if fields.get('state') == wanted:
+            return
+        assert fields.get('state') not in ('failed', 'cancelled')
+        await asyncio.sleep(0.1)
+
+
+def list_done(platform: job_platform.Platform, id: str) -> int:
+    return len({s.name for s in platform.cell.starts if s.name.job == id})
+
+
+def test_a_job_is_accepted_at_any_instance_and_completed(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def script(
+        platform: job_platform.Platform, session: aiohttp.ClientSession
+    ) -> None:
+        ids = [f'{n:016x}' for n in range(1, 7)]
+        await asyncio.gather(*(submit(platform, session, i) for i in ids))
+        for id in ids:
+            await wait_state(platform, session, id, 'completed')
+            assert list_done(platform, id) == 6
+        first = platform.instances[0]
+        status, _ = await job_platform.call(
+            platform, session, first, 'DELETE', 'e' * 16
+        )
+        assert status == 410
+
+    run(tmp_path, script)
+
+
+def test_jobs_survive_the_kill_of_the_owner(tmp_path: pathlib.Path) -> None:
+    async def script(
+        platform: job_platform.Platform, session: aiohttp.ClientSession
+    ) -> None:
+        ids = [f'{n:016x}' for n in range(1, 9)]
+        await asyncio.gather(*(submit(platform, session, i) for i in ids))
+        owner = job_platform.find_owner(platform)
+        assert owner is not None
+        job_platform.send_signal(owner, signal.SIGKILL)
+        for id in ids:
+            await wait_state(platform, session, id, 'completed')
+        runs = [s.name for s in platform.cell.starts]
+        assert len(runs) == len(set(runs)) == 48
+
+    run(tmp_path, script)
+
+
+def test_a_planned_stop_ends_in_order_and_hands_over(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def script(
+        platform: job_platform.Platform, session: aiohttp.ClientSession
+    ) -> None:
+        await submit(platform, session, '1' * 16)
+        owner = job_platform.find_owner(platform)
+        assert owner is not None
+        job_platform.send_signal(owner, signal.SIGHUP)
+        job_platform.send_signal(owner, signal.SIGTERM)
+        assert await job_platform.wait_ended(owner) == 0
+        await wait_state(platform, session, '1' * 16, 'completed')
+        assert job_platform.find_owner(platform) not in (None, owner)
+        text = owner.log.read_text(encoding='utf-8')
+        for event in ('instance_started', 'handing_over', 'instance_stopped'):
+            assert f'event={event}' in text
+
+    run(tmp_path, script)
+
+
+def test_a_refusal_in_an_outage_is_true(tmp_path: pathlib.Path) -> None:
+    async def script(
+        platform: job_platform.Platform, session: aiohttp.ClientSession
+    ) -> None:
+        owner = job_platform.find_owner(platform)
+        assert owner is not None
+        platform.store.fault = 'busy'
+        id = 'a' * 16
+        status = 0
+        while status != 503:
+            status, _ = await job_platform.call(
+                platform, session, owner, 'POST', id, BODY
+            )
+        platform.store.fault = ''
+        await submit(platform, session, 'b' * 16)
+        await wait_state(platform, session, 'b' * 16, 'completed')
+        assert list_done(platform, id) == 0
+        status, _ = await job_platform.call(platform, session, owner, 'GET', id)
+        assert status == 410
+
+    run(tmp_path, script)
+
+
+def test_metrics_are_shown(tmp_path: pathlib.Path) -> None:
+    async def script(
+        platform: job_platform.Platform, session: aiohttp.ClientSession
+    ) -> None:
+        await submit(platform, session, '1' * 16)
+        await wait_state(platform, session, '1' * 16, 'completed')
+        owner = job_platform.find_owner(platform)
+        assert owner is not None
+        async with session.get(f'http://{owner.ip}:9464/metrics') as reply:
+            text = await reply.text()
+        ended = 'nutmegknot_jobs_ended_total{queue="queue",state="completed"} 1'
+        assert ended in text
+        assert jobs.JobState.COMPLETED.value in text
+
+    run(tmp_path, script)
--- /dev/null
+++ b/tests/lib/job_platform.py
@@ -0,0 +1,537 @@
+"""A stand-in for the users' platform over HTTP, and instances attached to it.
+
+It serves the store, the workers and the service for advice on loopback
+addresses; each instance is a process of its own with an address of its own.
+"""
+
+import asyncio
+import base64
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import time
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from lib import fakes
+from lib import job_cells
+
+from nutmegknot._internal.backing import advisers
+from nutmegknot._internal.backing import runners
+from nutmegknot._internal.jobs import rows
+from nutmegknot._internal.models import jobs
+from nutmegknot._internal.schema import jobs_pb2
+from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import signals
+
+SOURCES = pathlib.Path(__file__).parents[2] / 'src'
+HOST = '127.0.0.1'
+CALLER_HOST = 'jobs.example'
+KEY = 'key-of-the-team'
+QUEUE_PATH = '/checks/'
+DOMAINS = ('a', 'b', 'c')
+_REASONS = {
+    runners.Refusal.FENCED: 'fence',
+    runners.Refusal.OLD: 'old',
+    runners.Refusal.LATE: 'late',
+    runners.Refusal.NO_ROOM: 'room',
+    runners.Refusal.NO_TICKET: 'ticket',
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Store:
+    """The store's rows and its faults.
+
+    Attributes:
+      rows: Values and versions by table, part and key.
+      version: Newest version.
+      changes: Changed rows in order, with their versions.
+      changed: Notified with each change.
+      fault: '', 'busy' (503), 'silent' (no answer) or 'lost' (done, but not
+        answered), for calls of instances.
+    """
+
+    rows: dict[tuple[str, str, str], tuple[str, int]] = dataclasses.field(
+        default_factory=dict
+    )
+    version: int = 0
+    changes: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+    changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
+    fault: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class Instance:
+    """A process that is attached.
+
+    Attributes:
+      name: Its name.
+      ip: Its address.
+      settings: Its settings file.
+      log: File with its standard output.
+      process: The process; None while it is stopped.
+    """
+
+    name: str
+    ip: str
+    settings: pathlib.Path
+    log: pathlib.Path
+    process: subprocess.Popen[bytes] | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Platform:
+    """The stand-in and the instances.
+
+    Attributes:
+      cell: Workers, and what was seen of starts.
+      store: The store.
+      folder: Where settings and logs are kept.
+      ports: First port of instances; the next ones follow.
+      runners: Open servers.
+      store_address: Address of the store.
+      advice_address: Address of the service for advice.
+      instances: Attached processes.
+    """
+
+    cell: job_cells.Cell
+    store: Store
+    folder: pathlib.Path
+    ports: int
+    runners: list[web.AppRunner] = dataclasses.field(default_factory=list)
+    store_address: str = ''
+    advice_address: str = ''
+    instances: list[Instance] = dataclasses.field(default_factory=list)
+
+
+def make_clock() -> clock_lib.Clock:
+    """Returns the clock of the stand-in's workers."""
+    return clock_lib.Clock(
+        lambda: time.monotonic_ns() // clock_lib.NS_PER_MS,
+        lambda: time.time_ns() // clock_lib.NS_PER_MS,
+    )
+
+
+async def start(
+    folder: pathlib.Path, workers: int, rng: random.Random
+) -> Platform:
+    """Serves a store, advice and some workers."""
+    targets = {}
+    for number in range(workers):
+        domain = DOMAINS[number % len(DOMAINS)]
+        worker = job_cells.make_worker(f'i-{number:04x}', domain=domain)
+        targets[worker.id] = job_cells.FakeTarget(worker)
+    cell = job_cells.Cell(
+        make_clock(), fakes.FakeTable(), targets, job_cells.make_catalog()
+    )
+    platform = Platform(cell, Store(), folder, rng.randrange(20_000, 50_000))
+    platform.store_address = await _serve(platform, _route_store(platform))
+    platform.advice_address = await _serve(platform, _route_advice(platform))
+    for target in targets.values():
+        address = await _serve(platform, _route_worker(platform, target))
+        target.worker = dataclasses.replace(target.worker, address=address)
+        _put_worker(platform.store, target)
+    _put(platform.store, 'op', 'config', _make_configuration())
+    return platform
+
+
+async def _serve(platform: Platform, app: web.Application) -> str:
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, HOST, 0)
+    await site.start()
+    platform.runners.append(runner)
+    address: tuple[str, int] = runner.addresses[0]
+    return f'{HOST}:{address[1]}'
+
+
+def _make_configuration() -> dict[str, Any]:
+    return {
+        'version': 3,
+        'routes': [
+            {
+                'name': 'queue',
+                'host': CALLER_HOST,
+                'pathPrefix': QUEUE_PATH,
+                'service': 'pool',
+                'attempts': 4,
+                'stretch': 2.0,
+                'targetLatencyMs': 500,
+            }
+        ],
+        'services': [{'name': 'pool'}],
+        'tenants': [{'name': 'team', 'apiKeys': [KEY], 'weight': 1}],
+    }
+
+
+def _put(store: Store, table: str, key: str, fields: dict[str, Any]) -> None:
+    value = base64.b64encode(json.dumps(fields).encode()).decode()
+    store.version += 1
+    _write(store, {'table': table, 'part': '', 'key': key, 'value': value})
+
+
+def _write(store: Store, row: dict[str, Any]) -> None:
+    name = (row['table'], row.get('part', ''), row['key'])
+    change = {
+        'table': name[0],
+        'part': name[1],
+        'key': name[2],
+        'rowVersion': store.version,
+    }
+    if 'value' in row:
+        store.rows[name] = (row['value'], store.version)
+        change['value'] = row['value']
+    else:
+        store.rows.pop(name, None)
+        change['deleted'] = True
+    store.changes.append(change)
+    signals.notify(store.changed)
+
+
+def _put_worker(store: Store, target: job_cells.FakeTarget) -> None:
+    worker = target.worker
+    _put(
+        store,
+        'servers',
+        worker.id,
+        {
+            'service': worker.pool,
+            'address': worker.address,
+            'zone': worker.domain,
+            'state': 'ready',
+            'capacity': {
+                'cpu': worker.capacity.millicores,
+                'memMb': worker.capacity.memory_mib,
+                'gpu': 0,
+            },
+            'labels': ['plain', 'r1'],
+            'born': worker.life,
+        },
+    )
+
+
+def restart_worker(platform: Platform, id: str) -> None:
+    """Begins a new life of a worker."""
+    target = platform.cell.targets[id]
+    job_cells.restart(target)
+    _put_worker(platform.store, target)
+
+
+def _route_store(platform: Platform) -> web.Application:
+    store = platform.store
+
+    async def transact(request: web.Request) -> web.Response:
+        fault = store.fault
+        if fault == 'busy':
+            return web.Response(status=503)
+        call = await request.json()
+        if fault == 'silent':
+            await asyncio.sleep(30)
+        answer = _transact(store, call)
+        if fault == 'lost':
+            await asyncio.sleep(30)
+        return answer
+
+    async def get(request: web.Request) -> web.Response:
+        if store.fault == 'busy':
+            return web.Response(status=503)
+        if store.fault == 'silent':
+            await asyncio.sleep(30)
+        return _get(store, request.query)
+
+    async def feed(request: web.Request) -> web.Response:
+        if store.fault == 'busy':
+            return web.Response(status=503)
+        after = int(request.query['after'])
+        until_ms = platform.cell.clock.now_ms() + int(request.query['waitMs'])
+        while True:
+            count = store.changed.count
+            found = [
+                change
+                for change in store.changes
+                if change['table'] == request.query['table']
+                and change['rowVersion'] > after
+            ]
+            left_ms = until_ms - platform.cell.clock.now_ms()
+            if found or left_ms <= 0:
+                return web.json_response(
+                    {'rows': found, 'rowVersion': store.version, 'nowMs': 1}
+                )
+            await signals.wait_at_most(store.changed, count, left_ms)
+
+    app = web.Application()
+    app.router.add_post('/api/rows-tx', transact)
+    app.router.add_get('/api/rows-get', get)
+    app.router.add_get('/api/rows-feed', feed)
+    return app
+
+
+def _transact(store: Store, call: dict[str, Any]) -> web.Response:
+    failed = False
+    present = []
+    for row in call['precondition']:
+        name = (row['table'], row['part'], row['key'])
+        value, version = store.rows.get(name, ('', 0))
+        failed = failed or version != row['rowVersion']
+        if version:
+            present.append({**row, 'value': value, 'rowVersion': version})
+    if failed:
+        return web.json_response(
+            {'rows': present, 'rowVersion': store.version, 'nowMs': 1},
+            status=412,
+        )
+    store.version += 1
+    for row in [*call['puts'], *call['remove']]:
+        _write(store, row)
+    return web.json_response({'rowVersion': store.version, 'nowMs': 1})
+
+
+def _get(store: Store, query: Any) -> web.Response:  # noqa: ANN401 - aiohttp's
+    first, end = query.get('from', ''), query.get('target')
+    limit = int(query.get('limit', 500))
+    keys = sorted(
+        name
+        for name in store.rows
+        if name[:2] == (query['table'], query.get('part', ''))
+        and name[2] >= first
+        and (end is None or name[2] < end)
+    )
+    rows = [
+        {
+            'table': name[0],
+            'part': name[1],
+            'key': name[2],
+            'value': store.rows[name][0],
+            'rowVersion': store.rows[name][1],
+        }
+        for name in keys[:limit]
+    ]
+    return web.json_response(
+        {
+            'rows': rows,
+            'morePages': len(keys) > limit,
+            'rowVersion': store.version,
+            'nowMs': 1,
+        }
+    )
+
+
+def _route_advice(platform: Platform) -> web.Application:
+    advise_cell = job_cells.connect_adviser(platform.cell)
+
+    async def advise(request: web.Request) -> web.Response:
+        call = await request.json()
+        advised = await advise_cell(call['step'], call['workers'], 1_000)
+        assert isinstance(advised, advisers.Advised)
+        return web.json_response(
+            {
+                'good': list(advised.tickets.items()),
+                'validMs': advised.valid_ms,
+            }
+        )
+
+    app = web.Application()
+    app.router.add_post('/api/advise', advise)
+    return app
+
+
+def _route_worker(
+    platform: Platform, target: job_cells.FakeTarget
+) -> web.Application:
+    access = job_cells.connect_runners(platform.cell)
+
+    def find_name(call: dict[str, Any]) -> jobs.TaskName:
+        name = jobs.parse_task(call['task'])
+        assert name is not None
+        return name
+
+    async def hold(request: web.Request) -> web.Response:
+        call = await request.json()
+        result = await access.hold(
+            target.worker,
+            call['fencingToken'],
+            call['lastSeen'],
+            call.get('untilMs'),
+            call.get('waitMs', 0),
+            2_000,
+        )
+        if not isinstance(result, runners.Inventory):
+            return _show_result(result)
+        return web.json_response(
+            {
+                'clockMs': result.clock_ms,
+                'born': result.life,
+                'running': [
+                    [jobs.format_task(r.name), r.run, r.checkpoint, r.pace, 0]
+                    for r in result.runs
+                ],
+                'ended': [
+                    [
+                        e.number,
+                        jobs.format_task(e.name),
+                        e.run,
+                        e.kind.value,
+                        e.checkpoint,
+                    ]
+                    for e in result.ends
+                    if e.name is not None
+                ],
+            }
+        )
+
+    async def start_run(request: web.Request) -> web.Response:
+        call = await request.json()
+        order = runners.Start(
+            find_name(call),
+            call['run'],
+            call['spec'],
+            call['untilMs'],
+            call['fencingToken'],
+            call.get('checkpoint', ''),
+            call.get('ticket', ''),
+        )
+        return _show_result(await access.start(target.worker, order, 2_000))
+
+    async def stop_run(request: web.Request) -> web.Response:
+        call = await request.json()
+        return _show_result(
+            await access.stop(
+                target.worker,
+                find_name(call),
+                call['run'],
+                call['fencingToken'],
+                2_000,
+            )
+        )
+
+    app = web.Application()
+    app.router.add_post('/api/hold', hold)
+    app.router.add_post('/api/run-start', start_run)
+    app.router.add_post('/api/run-stop', stop_run)
+    return app
+
+
+def _show_result(
+    result: runners.StartResult | runners.HoldResult,
+) -> web.Response:
+    match result:
+        case runners.Taken(clock_ms, _):
+            return web.json_response({'clockMs': clock_ms})
+        case runners.Refused(reason) if reason in _REASONS:
+            fields = {'clockMs': 0, 'reason': _REASONS[reason]}
+            return web.json_response(fields, status=409)
+        case runners.Unanswered() | runners.Unreached():
+            # The waiting was done; the connection ends without an answer.
+            raise ConnectionResetError
+    return web.Response(status=503)
+
+
+def add_instances(platform: Platform, count: int) -> None:
+    """Writes the settings of some instances and starts them."""
+    for number in range(count):
+        ip = f'127.0.0.{number + 2}'
+        port = platform.ports
+        fields = {
+            'nodeName': f'front-{number}',
+            'role': 'instance',
+            'ip': ip,
+            'zone': DOMAINS[number % len(DOMAINS)],
+            'zones': dict.fromkeys(DOMAINS, 'region'),
+            'listen': {'front': f'{ip}:{port}', 'ready': f'{ip}:{port + 1}'},
+            'portRange': [port + 2, port + 9],
+            'limits': {'cpuShare': 0.5, 'cores': 2},
+            'bounds': {'graceS': 6, 'maxHoldMs': 10_000},
+            'advice': platform.advice_address,
+            'platform': {
+                'address': platform.store_address,
+                'rowBytes': 65_536,
+            },
+        }
+        settings = platform.folder / f'{number}.json'
+        settings.write_text(json.dumps(fields), encoding='utf-8')
+        log = platform.folder / f'{number}.log'
+        instance = Instance(f'front-{number}', ip, settings, log)
+        platform.instances.append(instance)
+        launch(instance)
+
+
+def launch(instance: Instance) -> None:
+    """Starts the process of an instance."""
+    env = {
+        **os.environ,
+        'NUTMEGKNOT_CONFIG': str(instance.settings),
+        'PYTHONPATH': str(SOURCES),
+    }
+    with instance.log.open('ab') as out:
+        instance.process = subprocess.Popen(
+            [sys.executable, '-m', 'nutmegknot.attach'],
+            env=env,
+            stdout=out,
+            stderr=out,
+        )
+
+
+def send_signal(instance: Instance, number: signal.Signals) -> None:
+    """Sends a signal to the process of an instance, if it runs."""
+    if instance.process is not None and instance.process.poll() is None:
+        instance.process.send_signal(number)
+
+
+async def wait_ended(instance: Instance) -> int:
+    """Waits until the process of an instance has ended."""
+    assert instance.process is not None
+    return await asyncio.to_thread(instance.process.wait)
+
+
+async def stop(platform: Platform) -> None:
+    """Ends the processes that were started here, and the servers."""
+    for instance in platform.instances:
+        send_signal(instance, signal.SIGCONT)
+        send_signal(instance, signal.SIGKILL)
+        if instance.process is not None:
+            await wait_ended(instance)
+    for runner in platform.runners:
+        await runner.cleanup()
+
+
+def find_owner(platform: Platform) -> Instance | None:
+    """Returns the instance that the owner row names, or None."""
+    found = platform.store.rows.get(('nutmegknot', 'cell', rows.OWNER_KEY))
+    if found is None:
+        return None
+    row = jobs_pb2.JobsOwnerRow.FromString(base64.b64decode(found[0]))
+    ip = row.address.partition(':')[0]
+    named = [i for i in platform.instances if i.ip == ip and row.holder]
+    return named[0] if named else None
+
+
+async def call(
+    platform: Platform,
+    session: aiohttp.ClientSession,
+    instance: Instance,
+    method: str,
+    job_id: str,
+    body: dict[str, Any] | None = None,
+) -> tuple[int, dict[str, Any]]:
+    """Makes a caller's call; status 0 if no answer came."""
+    url = f'http://{instance.ip}:{platform.ports}{QUEUE_PATH}{job_id}'
+    headers = {'Host': CALLER_HOST, 'Authorization': f'Bearer {KEY}'}
+    try:
+        async with session.request(
+            method,
+            url,
+            json=body,
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(total=4),
+        ) as reply:
+            text = await reply.text()
+            return reply.status, json.loads(text) if text else {}
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return 0, {}
