--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
-# Targets: setup, run, test, check, generate, bench, bench-cluster, slopes, binary.
+# Targets: setup, run, test, check, generate, bench, bench-cluster, slopes, soak,
+# binary, model.
 PYTHON ?= python3
 VENV ?= .venv
 PY := $(VENV)/bin/python
@@ -7,7 +8,7 @@
 export PYTHONPATH := src:tests:.
 export PYTHONHASHSEED := 0
 
-.PHONY: setup run test check generate check-generated format bench bench-cluster slopes binary model
+.PHONY: setup run test check generate check-generated format bench bench-cluster slopes soak binary model
 
 setup: $(VENV)/.ready
 
@@ -53,6 +54,13 @@
 slopes: setup
 	$(PY) -m benchmarks.slopes
 
+SEEDS ?= 10
+FIRST ?= 1
+
+# Attached instances under drawn faults.
+soak: setup
+	$(PY) tools/soak.py --seeds $(SEEDS) --first $(FIRST)
+
 binary: setup
 	$(PY) tools/binary.py
 
