--- a/src/nutmegknot/_internal/decisions/hopes.py
+++ b/src/nutmegknot/_internal/decisions/hopes.py
@@ -18,7 +18,8 @@
     book: books.Book, queue: catalogs.Queue, order: jobs.Order
 ) -> outcomes.Refused | None:
     """Returns why a job can never run, or None if it may."""
-    if not order.steps or sum(step.count for step in order.steps) > MOST_TASKS:
+    counts = [step.count for step in order.steps]
+    if not counts or min(counts) < 1 or sum(counts) > MOST_TASKS:
         return _refuse(outcomes.RefusalReason.BAD_REQUEST, 'number of tasks')
     customer = book.catalog.customers.get(order.customer)
     hosts = [
--- a/src/nutmegknot/_internal/jobs/owning.py
+++ b/src/nutmegknot/_internal/jobs/owning.py
@@ -20,6 +20,7 @@
 from nutmegknot._internal.jobs import rosters
 from nutmegknot._internal.jobs import sessions
 from nutmegknot._internal.jobs import writes
+from nutmegknot._internal.models import books
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.telemetry import counters
 from nutmegknot._internal.utils import clock as clock_lib
@@ -218,23 +219,10 @@
         ),
         'write',
     )
-    assert node.catalog is not None, 'an owner has read the settings'
-    until_ms = node.clock.now_ms() + READ_BOOK_MS
-    while True:
-        book = await opening.read_book(
-            node.outside.table,
-            owner.row.epoch,
-            node.clock.now_ms(),
-            node.catalog,
-        )
-        if not isinstance(book, tables.Unavailable):
-            break
-        logger.warning('book_unread', extra={'why': book.detail})
-        if writer.is_lost or node.clock.now_ms() > until_ms:
-            await _give_up(writer, part)
-            return
-        await _sleep(WATCH_MS)
-    book.catalog = node.catalog
+    book = await _read_book(node, writer)
+    if book is None:
+        await _give_up(writer, part)
+        return
     own = ownerships.Ownership(
         node.clock,
         node.rng,
@@ -256,6 +244,27 @@
     _begin(node, own)
 
 
+async def _read_book(
+    node: nodes.Node, writer: writes.Writer
+) -> books.Book | None:
+    """Reads the book until it can be read; None if that takes too long."""
+    assert node.catalog is not None, 'an owner has read the settings'
+    until_ms = node.clock.now_ms() + READ_BOOK_MS
+    while True:
+        book = await opening.read_book(
+            node.outside.table,
+            writer.row.epoch,
+            node.clock.now_ms(),
+            node.catalog,
+        )
+        if not isinstance(book, tables.Unavailable):
+            return book
+        logger.warning('book_unread', extra={'why': book.detail})
+        if writer.is_lost or node.clock.now_ms() > until_ms:
+            return None
+        await _sleep(WATCH_MS)
+
+
 async def _give_up(writer: writes.Writer, part: tasks.Tasks) -> None:
     if not writer.is_lost:
         await release(writer)
@@ -282,6 +291,9 @@
         'advise',
     )
     tasks.spawn(part, forgetting.keep_forgetting(own), 'forget')
+    # Settings may have come while the book was read.
+    if node.catalog is not None:
+        own.book.catalog = node.catalog
     node.own = own
     counters.count(node.figures.takeovers, 'gained')
     logger.info(
--- a/src/nutmegknot/_internal/platform/fleet.py
+++ b/src/nutmegknot/_internal/platform/fleet.py
@@ -1,5 +1,7 @@
 """The platform's workers, and its service for advice."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import logging
 from typing import Any
 
@@ -33,6 +35,13 @@
 }
 
 
+# Worker, path, body, time limit in ms.
+_Send = Callable[
+    [workers.Worker, str, dict[str, Any], int],
+    Awaitable[fetches.Reply | fetches.NoAnswer],
+]
+
+
 def connect(client: client_lib.Client) -> runners.Runners:
     """Returns access to the workers."""
 
@@ -47,6 +56,12 @@
             {'Expect-Instance': worker.id},
         )
 
+    return runners.Runners(
+        _make_hold(send), _make_start(send), _make_stop(send), _make_pace(send)
+    )
+
+
+def _make_hold(send: _Send) -> runners.Hold:
     async def hold(
         worker: workers.Worker,
         token: int,
@@ -68,6 +83,10 @@
             return runners.Unanswered('an answer without an inventory')
         return result
 
+    return hold
+
+
+def _make_start(send: _Send) -> runners.StartRun:
     async def start(
         worker: workers.Worker, order: runners.Start, timeout_ms: int
     ) -> runners.StartResult:
@@ -85,6 +104,10 @@
         reply = await send(worker, '/api/run-start', body, timeout_ms)
         return _decode_result(reply)
 
+    return start
+
+
+def _make_stop(send: _Send) -> runners.StopRun:
     async def stop(
         worker: workers.Worker,
         name: jobs.TaskName,
@@ -100,6 +123,10 @@
         reply = await send(worker, '/api/run-stop', body, timeout_ms)
         return _decode_result(reply)
 
+    return stop
+
+
+def _make_pace(send: _Send) -> runners.PaceRun:
     async def pace(
         worker: workers.Worker,
         name: jobs.TaskName,
@@ -117,7 +144,7 @@
         reply = await send(worker, '/api/pace', body, timeout_ms)
         return _decode_result(reply)
 
-    return runners.Runners(hold, start, stop, pace)
+    return pace
 
 
 def _decode_result(
--- a/src/nutmegknot/_internal/platform/fronts.py
+++ b/src/nutmegknot/_internal/platform/fronts.py
@@ -38,7 +38,13 @@
     outcomes.RefusalReason.STOPPING: 503,
 }
 _KINDS = {'POST': 'submit', 'GET': 'look', 'DELETE': 'cancel'}
-_BAD_BODY = (KeyError, TypeError, ValueError, AttributeError)
+_BAD_BODY = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 
 
 async def serve(node: nodes.Node, address: str, ready: str) -> web.ServerRunner:
--- a/src/nutmegknot/_internal/platform/notices.py
+++ b/src/nutmegknot/_internal/platform/notices.py
@@ -1,5 +1,7 @@
 """Operators' settings and the list of workers, from the store's rows."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import json
 import logging
@@ -23,7 +25,13 @@
 WAVE_PREFIX = 'wave/'
 _GONE = 410
 _OK = 200
-_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+_UNREADABLE = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,7 +54,16 @@
 def connect(fetch: fetches.Fetch, regions: dict[str, str]) -> listings.Listings:
     """Returns access to what the platform tells."""
     mirror = Mirror()
+    return listings.Listings(
+        _make_read(fetch, mirror),
+        _make_follow(fetch, mirror),
+        _make_list(fetch, regions),
+    )
+
 
+def _make_read(
+    fetch: fetches.Fetch, mirror: Mirror
+) -> Callable[[int], Awaitable[listings.News | tables.Unavailable]]:
     async def read_catalog(
         timeout_ms: int,
     ) -> listings.News | tables.Unavailable:
@@ -68,6 +85,15 @@
         mirror.position = position
         return _decode_mirror(mirror)
 
+    return read_catalog
+
+
+def _make_follow(
+    fetch: fetches.Fetch, mirror: Mirror
+) -> Callable[
+    [int, int],
+    Awaitable[listings.News | listings.HistoryGone | tables.Unavailable],
+]:
     async def follow_catalog(
         wait_ms: int, timeout_ms: int
     ) -> listings.News | listings.HistoryGone | tables.Unavailable:
@@ -86,6 +112,12 @@
             return failure or tables.Unavailable('no answer')
         return _take_changes(mirror, reply.fields)
 
+    return follow_catalog
+
+
+def _make_list(
+    fetch: fetches.Fetch, regions: dict[str, str]
+) -> Callable[[int], Awaitable[listings.Listed | tables.Unavailable]]:
     async def list_workers(
         timeout_ms: int,
     ) -> listings.Listed | tables.Unavailable:
@@ -101,7 +133,7 @@
                 found[worker.id] = worker
         return listings.Listed(found)
 
-    return listings.Listings(read_catalog, follow_catalog, list_workers)
+    return list_workers
 
 
 def _get_failure(
--- a/tests/unit/jobs/test_ownerships.py
+++ b/tests/unit/jobs/test_ownerships.py
@@ -397,6 +397,13 @@
         )
         assert isinstance(refused, outcomes.Refused)
         assert refused.reason is outcomes.RefusalReason.NEVER_RUNNABLE
+        for count in (0, -1):
+            refused = await accepting.submit(
+                get_own(node),
+                job_cells.make_order('b', job_cells.make_step(count)),
+            )
+            assert isinstance(refused, outcomes.Refused)
+            assert refused.reason is outcomes.RefusalReason.BAD_REQUEST
 
     job_cells.run(script)
 
