--- a/src/nutmegknot/_internal/jobs/writes.py
+++ b/src/nutmegknot/_internal/jobs/writes.py
@@ -49,10 +49,12 @@
     """A row that has to be written.
 
     Attributes:
-      number: Rises with each mark.
+      first: Number of the first mark of the row that is not written yet.
+      number: Number of its newest mark.
       encode: Returns the row's value when it is written; None to remove it.
     """
 
+    first: int
     number: int
     encode: Encode
 
@@ -153,8 +155,9 @@
       The number of the mark.
     """
     writer.marked += 1
-    writer.marks.pop(key, None)
-    writer.marks[key] = Mark(writer.marked, encode)
+    earlier = writer.marks.pop(key, None)
+    first = writer.marked if earlier is None else earlier.first
+    writer.marks[key] = Mark(first, writer.marked, encode)
     if is_hurried:
         writer.is_hurried = True
     signals.notify(writer.wanted)
@@ -333,10 +336,11 @@
 def _put_back(writer: Writer, batch: Batch) -> None:
     """Keeps a batch that was surely not written for the next attempt."""
     newer = writer.marks
-    writer.marks = {
-        key: taken for key, taken in batch.marks.items() if key not in newer
-    }
-    writer.marks.update(newer)
+    writer.marks = dict(batch.marks)
+    for key, taken in newer.items():
+        earlier = writer.marks.pop(key, taken)
+        taken.first = min(taken.first, earlier.first)
+        writer.marks[key] = taken
     failing_ms = writer.clock.now_ms() - (writer.failing_since_ms or 0)
     if failing_ms < WITHDRAW_AFTER_MS:
         return
@@ -355,7 +359,7 @@
 def _answer_waiters(writer: Writer) -> None:
     """Tells those whose marks are all written, or everybody if it is lost."""
     oldest = min(
-        (taken.number for taken in writer.marks.values()),
+        (taken.first for taken in writer.marks.values()),
         default=writer.marked + 1,
     )
     if not writer.is_lost:
