Give each test run loopback addresses of its own

Cause: two whole runs side by side used the same addresses, and the attached instances of one found their ports taken: the first tests of test_attach failed in both.

--- a/tests/lib/job_platform.py
+++ b/tests/lib/job_platform.py
@@ -439,7 +439,7 @@
 def add_instances(platform: Platform, count: int) -> None:
     """Writes the settings of some instances and starts them."""
     for number in range(count):
-        ip = f'127.0.0.{number + 2}'
+        ip = _make_ip(number)
         port = platform.ports
         fields = {
             'nodeName': f'front-{number}',
@@ -465,6 +465,12 @@
         launch(instance)
 
 
+def _make_ip(number: int) -> str:
+    """Returns a loopback address that no other run on this machine uses."""
+    own = os.getpid()
+    return f'127.{20 + own % 200}.{own // 200 % 250}.{number + 2}'
+
+
 def launch(instance: Instance) -> None:
     """Starts the process of an instance."""
     env = {
