Bound a job's tasks by what one row can hold

Cause: found in reading: a job of 5,000 tasks with checkpoints has a progress row of over 64 KiB, which the store refuses for good, and no later write of the owner would be made. A test builds the largest job that is accepted.

--- a/src/nutmegknot/_internal/decisions/hopes.py
+++ b/src/nutmegknot/_internal/decisions/hopes.py
@@ -11,7 +11,9 @@
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import resources
 
-MOST_TASKS = 5_000
+# The most tasks of a job, so that what is kept of them stays below the longest
+# row of the store, 64 KiB: a checkpoint and failures take 45 bytes a task.
+MOST_TASKS = 1_000
 
 
 def judge(
