--- a/tests/lib/job_platform.py
+++ b/tests/lib/job_platform.py
@@ -472,7 +472,9 @@
 
 
 def launch(instance: Instance) -> None:
-    """Starts the process of an instance."""
+    """Starts the process of an instance, unless it runs."""
+    if instance.process is not None and instance.process.poll() is None:
+        return
     env = {
         **os.environ,
         'NUTMEGKNOT_CONFIG': str(instance.settings),
