Remove settings that nothing reads

Cause: found in reading the change again: two fields of the settings file and two bounds were decoded and used nowhere. Behaviour is as before; linter, types of src, the unit tests of jobs and platform and one attach test pass.

--- a/src/nutmegknot/_internal/jobs/bounds.py
+++ b/src/nutmegknot/_internal/jobs/bounds.py
@@ -21,7 +21,6 @@
       call_ms: Time limit of an order to a worker.
       drift: Part by which a worker's clock may be slow.
       late_ms: An order without an answer may take effect for so long.
-      gang_ms: How long members of an all-at-once step wait for each other.
       list_ms: Interval of reading the list of workers.
       return_ms: Workers that left the list in a store outage are back in it so
         long after its end.
@@ -29,7 +28,6 @@
       early_ms: Margin kept before a due time against differing clocks.
       pace_ms: How long a tail may be over its target before filling tasks
         beside it are paced.
-      remote_factor: How much longer tasks take away from their rack.
     """
 
     lease_ms: int = 1_500
@@ -43,10 +41,8 @@
     call_ms: int = 600
     drift: float = 0.02
     late_ms: int = 13_000
-    gang_ms: int = 3_000
     list_ms: int = 700
     return_ms: int = 2_300
     keep_ms: int = 150_000
     early_ms: int = 0
     pace_ms: int = 600
-    remote_factor: float = 2.0
--- a/src/nutmegknot/_internal/platform/boots.py
+++ b/src/nutmegknot/_internal/platform/boots.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from nutmegknot._internal.jobs import bounds
-from nutmegknot._internal.utils import clock as clock_lib
 
 SETTINGS_VARIABLE = 'NUTMEGKNOT_CONFIG'
 # As in the deploy file, which names it for all days.
@@ -29,8 +28,6 @@
       store: Address of the store.
       adviser: Address of the service for advice; '' if there is none.
       millicores: Processors of the instance in thousandths of a core.
-      stop_ms: Time from the request to stop to a forced end in ms.
-      most_row_bytes: Longest value of a row of the store.
       limits: Bounds on time.
     """
 
@@ -44,8 +41,6 @@
     store: str
     adviser: str
     millicores: int
-    stop_ms: int
-    most_row_bytes: int
     limits: bounds.Bounds
 
 
@@ -82,8 +77,6 @@
         store=fields['platform']['address'],
         adviser=fields.get('advice') or '',
         millicores=int(share['cpuShare'] * share['cores'] * 1000),
-        stop_ms=int(fields['bounds']['graceS'] * clock_lib.MS_PER_S),
-        most_row_bytes=int(fields['platform']['rowBytes']),
         limits=_decode_bounds(fields['bounds']),
     )
 
@@ -95,6 +88,4 @@
         default,
         most_hold_ms=most_hold_ms,
         hold_ms=min(default.hold_ms, most_hold_ms),
-        gang_ms=int(given.get('gangTimeoutMs', default.gang_ms)),
-        remote_factor=float(given.get('remoteFactor', default.remote_factor)),
     )
