Go on with steps in an outage of the store, and spread returns over it

Callers were told to come back after 1 s each time, so their four tries were used up within an outage of 4 s. Change: in an outage steps begin from ends that the workers list; the workers keep them until they are written. The time to come back is as long as the outage has lasted, and up to half of that more.

--- a/src/nutmegknot/_internal/jobs/accepting.py
+++ b/src/nutmegknot/_internal/jobs/accepting.py
@@ -16,8 +16,10 @@
 
 logger = logging.getLogger(__name__)
 
-# When a caller may come back after the store has refused to write, in ms.
+# When a caller may come back after the store has refused to write, in ms, and
+# the part by which returns are spread.
 STORE_RETRY_MS = 1_000
+RETRY_SPREAD = 0.5
 
 SubmitOutcome = outcomes.Submitted
 CancelOutcome = outcomes.Cancelled | outcomes.NotFound | outcomes.Unknown
@@ -70,7 +72,7 @@
                 outcomes.Refused(
                     outcomes.RefusalReason.UNAVAILABLE,
                     'the store does not take writes',
-                    STORE_RETRY_MS,
+                    choose_return(own),
                 ),
             )
         case writes.Written.UNKNOWN:
@@ -85,17 +87,27 @@
         reason = outcomes.RefusalReason.UNKNOWN_QUEUE
         return _log_refusal(order, outcomes.Refused(reason, order.queue))
     refused = hopes.judge(own.book, queue, order)
-    if refused is None and own.writer.failing_since_ms is not None:
-        failing_ms = own.clock.now_ms() - own.writer.failing_since_ms
-        if failing_ms > writes.WITHDRAW_AFTER_MS:
-            refused = outcomes.Refused(
-                outcomes.RefusalReason.UNAVAILABLE,
-                'the store does not answer',
-                STORE_RETRY_MS,
-            )
+    failing_ms = writes.get_failing_ms(own.writer)
+    if refused is None and failing_ms > writes.WITHDRAW_AFTER_MS:
+        refused = outcomes.Refused(
+            outcomes.RefusalReason.UNAVAILABLE,
+            'the store does not answer',
+            choose_return(own),
+        )
     return None if refused is None else _log_refusal(order, refused)
 
 
+def choose_return(own: ownerships.Ownership) -> int:
+    """Returns when a caller may come back in an outage of the store, in ms.
+
+    Load pattern: callers whose jobs can't be stored come back again and again,
+    a few times each. They are told to wait for as long as the outage has gone
+    on, so that their last try comes after most outages, and not all at once.
+    """
+    wait_ms = max(STORE_RETRY_MS, writes.get_failing_ms(own.writer))
+    return wait_ms + int(own.rng.random() * RETRY_SPREAD * wait_ms)
+
+
 def _log_refusal(
     order: jobs.Order, refused: outcomes.Refused
 ) -> outcomes.Refused:
--- a/src/nutmegknot/_internal/jobs/placing.py
+++ b/src/nutmegknot/_internal/jobs/placing.py
@@ -12,6 +12,7 @@
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import starts
 from nutmegknot._internal.jobs import stops
+from nutmegknot._internal.jobs import writes
 from nutmegknot._internal.models import books
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.utils import clock as clock_lib
@@ -32,6 +33,7 @@
     while True:
         count = await signals.wait_at_most(own.changed, count, IDLE_MS)
         make_due(own)
+        _open_unwritten(own)
         if ownerships.may_act(own):
             _stop_stuck(own)
             _place(own)
@@ -123,6 +125,24 @@
             advance(own, job)
 
 
+def _open_unwritten(own: ownerships.Ownership) -> None:
+    """Opens stages whose ends can't be written while the store is away.
+
+    Workers keep those ends until they are written, so that a new owner finds
+    them again.
+    """
+    if not _is_store_away(own):
+        return
+    for job_id in list(own.touched):
+        job = own.book.jobs.get(job_id)
+        if job is not None and job.is_durable:
+            advance(own, job)
+
+
+def _is_store_away(own: ownerships.Ownership) -> bool:
+    return writes.get_failing_ms(own.writer) > writes.WITHDRAW_AFTER_MS
+
+
 def count_due(job: jobs.Job) -> int:
     """Returns how many occurrences of a job have been opened."""
     return len({occurrence for occurrence, _ in job.stages})
@@ -150,7 +170,8 @@
 ) -> None:
     if stage.ready_ms is not None or stage.done == len(stage.tasks):
         return
-    if stage.step.after and job.marked > own.writer.written:
+    is_written = job.marked <= own.writer.written
+    if stage.step.after and not is_written and not _is_store_away(own):
         # The ends that it waits for may not be in the table yet.
         return
     for number in stage.step.after:
--- a/src/nutmegknot/_internal/jobs/writes.py
+++ b/src/nutmegknot/_internal/jobs/writes.py
@@ -261,6 +261,13 @@
     _answer_waiters(writer)
 
 
+def get_failing_ms(writer: Writer) -> int:
+    """Returns for how long the store has not confirmed a write, in ms."""
+    if writer.failing_since_ms is None:
+        return 0
+    return writer.clock.now_ms() - writer.failing_since_ms
+
+
 def get_timeout(writer: Writer) -> int:
     """Returns the time limit of a write in ms, from the latest answers."""
     return min(
@@ -341,8 +348,7 @@
         earlier = writer.marks.pop(key, taken)
         taken.first = min(taken.first, earlier.first)
         writer.marks[key] = taken
-    failing_ms = writer.clock.now_ms() - (writer.failing_since_ms or 0)
-    if failing_ms < WITHDRAW_AFTER_MS:
+    if get_failing_ms(writer) < WITHDRAW_AFTER_MS:
         return
     kept = []
     for waiter in writer.waiters:
--- a/tests/unit/jobs/test_ownerships.py
+++ b/tests/unit/jobs/test_ownerships.py
@@ -594,6 +594,75 @@
     job_cells.run(script)
 
 
+async def lose_store(
+    cell: job_cells.Cell, node: nodes.Node, wait_ms: int
+) -> None:
+    """Has the store be away for all for a while; it stays away then."""
+
+    async def fail(
+        call: fetches.Call, timeout_ms: int
+    ) -> fetches.Reply | fetches.NoAnswer:
+        return fetches.Reply(503, {})
+
+    relay = relays.Relay(cell.clock, fail, fetches.Call('GET', '/'))
+    get_own(node).relay = relay
+    cell.table.is_down = True
+    await relays.check(relay)
+    for _ in range(wait_ms // 400):
+        relays.note_peer(relay, 'other', False)
+        await asyncio.sleep(0.4)
+
+
+def test_steps_follow_one_another_while_the_store_is_lost_for_all() -> None:
+    """Found in scale-1 of the site ezokita-sched-grown.
+
+    Steps waited 3 s for the store, and most urgent jobs were late.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        listed = [job_cells.make_worker(f'w{i}') for i in range(2)]
+        cell = job_cells.make_cell(loop, *listed)
+        node = await job_cells.open_jobs(cell, 'one')
+        steps = (
+            job_cells.make_step(2),
+            job_cells.make_step(2, after=(0,)),
+        )
+        order = job_cells.make_order('a', *steps)
+        await accepting.submit(get_own(node), order)
+        await lose_store(cell, node, 2_000)
+        assert [start.name.step for start in cell.starts] == [0, 0, 1, 1]
+        assert get_state(node, 'a') is not jobs.JobState.COMPLETED
+        await owning.close(node)
+        cell.table.is_down = False
+        second = await job_cells.open_jobs(cell, 'two')
+        assert await job_cells.wait_until(
+            cell, lambda: get_state(second, 'a') is jobs.JobState.COMPLETED
+        )
+        assert len(cell.starts) == 4
+        assert cell.broken == []
+
+    job_cells.run(script)
+
+
+def test_returns_are_later_and_spread_the_longer_an_outage_lasts() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        node = await job_cells.open_jobs(cell, 'one')
+        own = get_own(node)
+        waits_ms: list[int] = []
+        for number in range(8):
+            await lose_store(cell, node, 400)
+            order = job_cells.make_order(f'a{number}', job_cells.make_step())
+            refused = await accepting.submit(own, order)
+            assert isinstance(refused, outcomes.Refused)
+            waits_ms.append(refused.retry_after_ms)
+        assert 1_000 <= waits_ms[0] < 2_000
+        assert 2_000 <= waits_ms[-1] < 6_000
+        assert len(set(waits_ms)) == len(waits_ms)
+
+    job_cells.run(script)
+
+
 def test_accepted_work_goes_on_while_the_store_is_lost_for_all() -> None:
     async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
