Poll busy workers more often, and soon again after a lost answer

Cause: a poll whose answer was lost hid the ends on its worker for up to 1.6 s, and the worker took no starts meanwhile. Change: a worker with runs is polled for 0.3 s at a time, an answer may come 0.2 s late, and a lost one is asked for anew at once, without a wait for an end.

--- a/src/nutmegknot/_internal/jobs/bounds.py
+++ b/src/nutmegknot/_internal/jobs/bounds.py
@@ -18,6 +18,8 @@
       most_hold_ms: Longest lease that a worker grants.
       start_ms: How long a start may take effect after it was decided on.
       poll_ms: Longest wait for an end in one call to a worker.
+      busy_poll_ms: The same on a worker with runs, where a lost answer hides
+        ends.
       call_ms: Longest time limit of an order to a worker.
       first_call_ms: Time limit of the first attempt at an order. Attempts are
         idempotent, and each has twice the time of the one before, so that a
@@ -41,6 +43,7 @@
     most_hold_ms: int = 10_000
     start_ms: int = 1_500
     poll_ms: int = 1_000
+    busy_poll_ms: int = 300
     call_ms: int = 600
     first_call_ms: int = 100
     drift: float = 0.02
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -5,6 +5,7 @@
 import logging
 
 from nutmegknot._internal.backing import runners
+from nutmegknot._internal.jobs import bounds
 from nutmegknot._internal.jobs import ends
 from nutmegknot._internal.jobs import fences
 from nutmegknot._internal.jobs import leases
@@ -22,14 +23,13 @@
 
 logger = logging.getLogger(__name__)
 
-# Wait before a worker that did not answer is called again, in ms.
+# Wait before a worker that did not answer is called again, in ms; a single
+# lost answer is asked for anew at once.
 RETRY_MS = 150
 # Wait after an end for others that come with it, in ms.
 GATHER_MS = 15
 # Longest wait for ends to be written before the worker is polled again, in ms.
 UNWRITTEN_MS = 300
-# Waits for an end while a run there serves users beside filling ones, in ms.
-WATCHFUL_POLL_MS = 500
 
 
 def open_session(
@@ -81,14 +81,16 @@
 
 async def _keep_polling(own: ownerships.Ownership, host: books.Host) -> None:
     """Renews the lease of one worker and takes in what it lists."""
+    lost = 0
     while _is_served(own, host):
         if not ownerships.may_act(own):
             await _sleep(RETRY_MS)
             continue
         sent_ms = own.clock.now_ms()
-        result = await _hold(own, host, sent_ms)
+        result = await _hold(own, host, sent_ms, lost)
         match result:
             case runners.Inventory():
+                lost = 0
                 await _take_inventory(own, host, result, sent_ms)
             case runners.Refused(reason):
                 fences.note_refusal(own, host, reason)
@@ -96,18 +98,25 @@
                     _note_gone(own, host)
                 await _sleep(RETRY_MS)
             case runners.Unanswered(detail) | runners.Unreached(detail):
+                lost += 1
                 _note_silence(own, host, detail, sent_ms)
-                await _sleep(RETRY_MS)
+                await _sleep(0 if lost == 1 else RETRY_MS)
         _check_lapse(own, host)
 
 
+def _choose_poll(own: ownerships.Ownership, host: books.Host) -> int:
+    """Returns how long a worker waits for an end before it answers, in ms."""
+    if not host.is_claimed or host.asked_ms is not None:
+        return 0
+    return own.limits.busy_poll_ms if host.runs else own.limits.poll_ms
+
+
 async def _hold(
-    own: ownerships.Ownership, host: books.Host, now_ms: int
+    own: ownerships.Ownership, host: books.Host, now_ms: int, lost: int
 ) -> runners.HoldResult:
+    """Makes one call to a worker, after some that had no answer."""
     limits = own.limits
-    poll_ms = limits.poll_ms if host.is_claimed else 0
-    if host.serving and host.filling:
-        poll_ms = min(poll_ms, WATCHFUL_POLL_MS)
+    poll_ms = _choose_poll(own, host)
     until_ms = None
     # Without answers nothing is renewed, so that the lease lapses for certain.
     is_fresh = now_ms - host.answered_ms < limits.hold_ms // 2
@@ -119,7 +128,7 @@
         host.seen,
         until_ms,
         poll_ms,
-        poll_ms + limits.call_ms,
+        poll_ms + bounds.get_attempt_limit(limits, lost + 1),
     )
 
 
--- a/tests/unit/jobs/test_ownerships.py
+++ b/tests/unit/jobs/test_ownerships.py
@@ -170,6 +170,32 @@
     job_cells.run(script)
 
 
+def test_an_end_whose_listing_is_lost_is_known_soon() -> None:
+    """Found in scale-1 of the site mvhd-sched-grown.
+
+    A poll without an answer hid the ends on its worker for 1.6 s, and the
+    worker took no starts meanwhile.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 1_000
+        node = await job_cells.open_jobs(cell, 'one')
+        await asyncio.sleep(0.5)
+        await accepting.submit(
+            get_own(node), job_cells.make_order('a', job_cells.make_step())
+        )
+        await asyncio.sleep(0.95)
+        cell.targets['w1'].is_silent = True
+        await asyncio.sleep(0.1)
+        cell.targets['w1'].is_silent = False
+        await asyncio.sleep(0.7)
+        assert get_state(node, 'a') is jobs.JobState.COMPLETED
+        assert cell.broken == []
+
+    job_cells.run(script)
+
+
 def test_work_on_a_silent_worker_starts_elsewhere_only_after_its_lease() -> (
     None
 ):
