Log an attached instance's state on SIGUSR1

The state is taken at one instant and logged as lines of the bounded log: the instance, the others that it hears, and on the owner the ownership, customers' usage, workers and open jobs.

--- a/src/nutmegknot/_internal/platform/assembling.py
+++ b/src/nutmegknot/_internal/platform/assembling.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from nutmegknot._internal.jobs import dumping
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import relays
 from nutmegknot._internal.jobs import running
@@ -101,6 +102,7 @@
         await client_lib.close(client)
         return PortTaken(f'{boot.front}: {error.strerror}')
     tasks.spawn(node.tasks, _keep_settings(node, boot, wanted.reload), 'reload')
+    tasks.spawn(node.tasks, dumping.keep_dumping(node, wanted.dump), 'dump')
     metrics = await web_lib.serve(
         boot.metrics,
         {METRICS_PATH: showing.make_metrics_page(node)},
--- a/tests/functional/test_attach.py
+++ b/tests/functional/test_attach.py
@@ -136,6 +136,9 @@
         owner = job_platform.find_owner(platform)
         assert owner is not None
         job_platform.send_signal(owner, signal.SIGHUP)
+        job_platform.send_signal(owner, signal.SIGUSR1)
+        while 'event=state_written' not in owner.log.read_text('utf-8'):
+            await asyncio.sleep(0.1)
         job_platform.send_signal(owner, signal.SIGTERM)
         assert await job_platform.wait_ended(owner) == 0
         await wait_state(platform, session, '1' * 16, 'completed')
