Ask about other workers once the suited ones have their share of a step

The step allows one task a worker; the 8 suited of the 30 workers asked about had one each and room for more, so their tickets counted as lapsed and were renewed without end, while nobody was asked about the other 96. Change: whether a worker can take a task more, its share included, is one function for placing, asking and keeping room.

--- a/src/nutmegknot/_internal/decisions/asking.py
+++ b/src/nutmegknot/_internal/decisions/asking.py
@@ -9,7 +9,6 @@
 from nutmegknot._internal.models import catalogs
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import questions as questions_lib
-from nutmegknot._internal.models import resources
 
 # A ticket must hold at least so long beyond a decision in ms.
 TICKET_MARGIN_MS = 150
@@ -44,11 +43,10 @@
     room: rooms.Room, stage: jobs.Stage, hosts: list[books.Host], now_ms: int
 ) -> list[str]:
     """Returns the workers to ask about, so that the stage can start now."""
-    held = jobs.get_held(stage.step)
+    counts = rooms.count_on(stage)
 
     def has_room(host: books.Host) -> bool:
-        id = host.worker.id
-        return id not in room.reserved and resources.fits(held, room.free[id])
+        return rooms.has_place(room, stage.step, host.worker.id, counts)
 
     lapsed = [
         host.worker.id
@@ -93,15 +91,13 @@
     Returns:
       For how many tasks room is kept.
     """
-    held = jobs.get_held(stage.step)
+    counts = rooms.count_on(stage)
     kept = 0
     for id in stage.advice.tickets:
         if kept >= missing:
             break
-        if id not in room.free or id in room.reserved:
-            continue
-        if resources.fits(held, room.free[id]):
-            rooms.take(room, id, held)
+        if rooms.has_place(room, stage.step, id, counts):
+            rooms.take(room, id, jobs.get_held(stage.step))
             kept += 1
     return kept
 
--- a/src/nutmegknot/_internal/decisions/rooms.py
+++ b/src/nutmegknot/_internal/decisions/rooms.py
@@ -119,6 +119,33 @@
     return resources.fits(jobs.get_held(step), host.worker.capacity)
 
 
+def count_on(stage: jobs.Stage) -> dict[str, int]:
+    """Returns how many tasks of a stage each worker has."""
+    counts: dict[str, int] = {}
+    for task in stage.tasks:
+        if task.worker:
+            counts[task.worker] = counts.get(task.worker, 0) + 1
+    return counts
+
+
+def has_place(
+    room: Room, step: jobs.Step, id: str, counts: dict[str, int]
+) -> bool:
+    """Tells whether one task more of a step could start on a worker now.
+
+    Args:
+      room: What is left.
+      step: The step.
+      id: The worker.
+      counts: How many tasks of the stage each worker has.
+    """
+    if id not in room.free or id in room.reserved:
+        return False
+    if step.per_worker and counts.get(id, 0) >= step.per_worker:
+        return False
+    return resources.fits(jobs.get_held(step), room.free[id])
+
+
 def take(room: Room, id: str, held: resources.Resources) -> None:
     """Takes room on a worker."""
     room.free[id] = resources.subtract(room.free[id], held)
--- a/src/nutmegknot/_internal/decisions/steps.py
+++ b/src/nutmegknot/_internal/decisions/steps.py
@@ -122,15 +122,6 @@
     return 'room'
 
 
-def _count_on(stage: jobs.Stage) -> dict[str, int]:
-    """Returns how many tasks of a stage each worker has."""
-    counts: dict[str, int] = {}
-    for task in stage.tasks:
-        if task.worker:
-            counts[task.worker] = counts.get(task.worker, 0) + 1
-    return counts
-
-
 def _place_tasks(
     book: books.Book,
     room: rooms.Room,
@@ -141,7 +132,7 @@
 ) -> list[rooms.Placement]:
     """Places as many of the tasks as fit, each by itself."""
     held = jobs.get_held(stage.step)
-    counts = _count_on(stage)
+    counts = rooms.count_on(stage)
     placed = []
     for task in waiting:
         if not rooms.is_allowed(book, room, job, stage.step):
@@ -203,14 +194,10 @@
     counts: dict[str, int],
 ) -> books.Host | None:
     """Returns the best worker for one task of a stage, or None."""
-    held = jobs.get_held(stage.step)
-    most = stage.step.per_worker
     best, best_cost = None, 0.0
     for host in allowed:
         id = host.worker.id
-        if id in room.reserved or not resources.fits(held, room.free[id]):
-            continue
-        if most and counts.get(id, 0) >= most:
+        if not rooms.has_place(room, stage.step, id, counts):
             continue
         cost = _compute_cost(book, room, stage, host, counts)
         if id in task.shunned:
--- a/tests/unit/decisions/test_steps.py
+++ b/tests/unit/decisions/test_steps.py
@@ -154,6 +154,32 @@
     assert list_bindings(room) == ['ticket', 'room']
 
 
+def test_others_are_asked_for_where_suited_workers_have_their_share() -> None:
+    """Found in scale-1 of the site mvhd-sched-grown (LOST).
+
+    Of 30 workers asked about 8 were suited, and each had one task of a lasting
+    step that allows one a worker. Their tickets were renewed again and again,
+    and no other worker was asked about for the ninth task.
+    """
+    listed = [job_cells.make_worker(f'w{i}') for i in range(3)]
+    book = make_book(*listed)
+    step = job_cells.make_step(2, 100, per_worker=1, lasting=True)
+    stage = add(book, 'a', step, 'asked')
+    job = book.jobs['a']
+    stage.advice.asked = {'w0': 1, 'w1': 1}
+    stage.advice.tickets = {'w0': jobs.Ticket('ticket', NOW_MS - 1, 1)}
+    books.occupy(
+        book,
+        book.hosts['w0'],
+        job,
+        books.name_task(job, stage, 0),
+        stage.tasks[0],
+    )
+    stage.tasks[0].phase = jobs.Phase.RUNNING
+    room = plan(book)
+    assert [question.workers for question in room.questions] == [['w2']]
+
+
 def test_nothing_starts_where_it_may_not() -> None:
     for change in (
         {'is_claimed': False},
