--- a/src/nutmegknot/_internal/jobs/bounds.py
+++ b/src/nutmegknot/_internal/jobs/bounds.py
@@ -15,6 +15,7 @@
       renew_ms: Longest time between writes of the owner row.
       gather_ms: How long ends are gathered into one write.
       hold_ms: Length of a lease on a worker.
+      fresh_ms: A lease is renewed for so long after the worker's last answer.
       most_hold_ms: Longest lease that a worker grants.
       start_ms: How long a start may take effect after it was decided on.
       poll_ms: Longest wait for an end in one call to a worker.
@@ -40,6 +41,7 @@
     renew_ms: int = 250
     gather_ms: int = 25
     hold_ms: int = 4_500
+    fresh_ms: int = 1_000
     most_hold_ms: int = 10_000
     start_ms: int = 1_500
     poll_ms: int = 1_000
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -119,7 +119,7 @@
     poll_ms = _choose_poll(own, host)
     until_ms = None
     # Without answers nothing is renewed, so that the lease lapses for certain.
-    is_fresh = now_ms - host.answered_ms < limits.hold_ms // 2
+    is_fresh = now_ms - host.answered_ms < limits.fresh_ms
     if host.is_claimed and is_fresh:
         until_ms = leases.extend(host, limits.hold_ms, own)
     return await own.runners.hold(
--- a/tests/unit/jobs/test_silences.py
+++ b/tests/unit/jobs/test_silences.py
@@ -101,12 +101,15 @@
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 1)
         await asyncio.sleep(2.0)
         cell.targets[cell.starts[0].worker].is_cut = True
+        cut_ms = cell.clock.now_ms()
         cell.run_ms = lambda name: 500
         assert await job_cells.wait_until(
             cell,
             lambda: job_views.get_state(node, 'a') is jobs.JobState.COMPLETED,
         )
         assert len(cell.starts) == 2
+        lapse_ms = node.limits.hold_ms / 0.98
+        assert lapse_ms <= cell.starts[1].at_ms - cut_ms <= lapse_ms + 1_500
         assert cell.broken == []
 
     job_cells.run(script)
