Soak: wait for callers to be served once the faults are over

The logs show one job accepted by the owner whose caller had been told nothing by then. Change: callers go on after the faults until a job is accepted, up to the time that accepted jobs have to complete. The check stays, and now also means that instances serve again.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -169,6 +169,18 @@
     seen.broken += platform.cell.broken
 
 
+async def end(task: asyncio.Task[None]) -> None:
+    """Cancels a task and waits for its end.
+
+    Raises:
+      Exception: What the task failed with.
+    """
+    task.cancel()
+    (result,) = await asyncio.gather(task, return_exceptions=True)
+    if isinstance(result, Exception):
+        raise result
+
+
 async def play(seed: int, seconds: float, folder: pathlib.Path) -> Seen:
     """Plays one seed and returns what was seen."""
     rng = random.Random(seed)
@@ -178,16 +190,17 @@
     try:
         job_platform.add_instances(platform, INSTANCES)
         await asyncio.sleep(2.0)
-        work = [
-            asyncio.create_task(hand_in(platform, seen, random.Random(seed))),
-            asyncio.create_task(keep_faulting(platform, seen, rng)),
-        ]
+        calling = asyncio.create_task(
+            hand_in(platform, seen, random.Random(seed))
+        )
+        faulting = asyncio.create_task(keep_faulting(platform, seen, rng))
         await asyncio.sleep(seconds)
-        for task in work:
-            task.cancel()
-        for result in await asyncio.gather(*work, return_exceptions=True):
-            if isinstance(result, Exception):
-                raise result
+        await end(faulting)
+        # Once the faults are over, callers are served, also on a slow machine.
+        until = asyncio.get_running_loop().time() + RECOVERY_S
+        while not seen.accepted and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.1)
+        await end(calling)
         await judge(platform, seen)
     finally:
         await job_platform.stop(platform)
