One sleep in ms, and one reply of the owner to other instances

Cause: reading the change again: jobs/ had four copies of a sleep in ms, and the handlers of submit and cancel repeated the check for the owner. Change: clock.sleep, and peers._reply_as_owner. Behaviour is the same.

--- a/src/nutmegknot/_internal/jobs/catalogs.py
+++ b/src/nutmegknot/_internal/jobs/catalogs.py
@@ -42,7 +42,7 @@
                 logger.warning('settings_unread', extra={'why': detail})
                 # What was missed meanwhile is read whole.
                 is_whole = False
-                await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
+                await clock_lib.sleep(RETRY_MS)
 
 
 async def _follow(
--- a/src/nutmegknot/_internal/jobs/dumping.py
+++ b/src/nutmegknot/_internal/jobs/dumping.py
@@ -1,6 +1,5 @@
 """State of an instance as log lines; payloads and keys are never in it."""
 
-import asyncio
 import dataclasses
 import logging
 from typing import Any
@@ -44,7 +43,7 @@
         for number, line in enumerate(lines, 1):
             logger.info(line.event, extra=line.fields)
             if number % LINES_AT_A_TIME == 0:
-                await asyncio.sleep(clock_lib.to_seconds(PAUSE_MS))
+                await clock_lib.sleep(PAUSE_MS)
         logger.info('state_written', extra={'lines': len(lines)})
 
 
--- a/src/nutmegknot/_internal/jobs/forgetting.py
+++ b/src/nutmegknot/_internal/jobs/forgetting.py
@@ -1,6 +1,5 @@
 """Removes jobs that ended long ago."""
 
-import asyncio
 import logging
 
 from nutmegknot._internal.jobs import ownerships
@@ -19,7 +18,7 @@
 async def keep_forgetting(own: ownerships.Ownership) -> None:
     """Removes ended jobs from the book and the table on a steady tick."""
     while True:
-        await asyncio.sleep(clock_lib.to_seconds(INTERVAL_MS))
+        await clock_lib.sleep(INTERVAL_MS)
         if ownerships.may_act(own):
             forget_ended(own)
 
--- a/src/nutmegknot/_internal/jobs/owning.py
+++ b/src/nutmegknot/_internal/jobs/owning.py
@@ -5,7 +5,6 @@
 its version lets one succeed.
 """
 
-import asyncio
 import logging
 
 from nutmegknot._internal.backing import tables
@@ -106,7 +105,7 @@
     known = 0 if node.catalog is None else node.catalog.revision
     if reply.configuration > known:
         # The owner answers at once until the news has been read.
-        await _sleep(NEWS_MS)
+        await clock_lib.sleep(NEWS_MS)
     return True
 
 
@@ -127,14 +126,14 @@
             # While the store is away the row may not change, so that says
             # nothing of its owner.
             node.owner.since_ms = node.clock.now_ms()
-        await _sleep(WATCH_MS)
+        await clock_lib.sleep(WATCH_MS)
         return
     note_row(node, found)
     wait_ms = get_wait_ms(node)
     if wait_ms == 0 and node.catalog is not None and not node.is_stopping:
         await _take_over(node, found)
         return
-    await _sleep(min(WATCH_MS, max(LEAST_WATCH_MS, wait_ms)))
+    await clock_lib.sleep(min(WATCH_MS, max(LEAST_WATCH_MS, wait_ms)))
 
 
 def note_row(node: nodes.Node, found: opening.Owner) -> None:
@@ -200,7 +199,7 @@
         node.outside.table, found, node.id, node.address, STORE_MS
     )
     if owner is None:
-        await _sleep(WATCH_MS)
+        await clock_lib.sleep(WATCH_MS)
         return
     logger.info(
         'ownership_gained',
@@ -277,7 +276,7 @@
         logger.warning('book_unread', extra={'why': book.detail})
         if writer.is_lost or node.clock.now_ms() > until_ms:
             return None
-        await _sleep(WATCH_MS)
+        await clock_lib.sleep(WATCH_MS)
 
 
 async def _give_up(writer: writes.Writer, part: tasks.Tasks) -> None:
@@ -380,7 +379,3 @@
 
 # A row that is never there; removing it has the owner row written at once.
 RELEASE_MARK = 'jobs/released'
-
-
-async def _sleep(wait_ms: int) -> None:
-    await asyncio.sleep(clock_lib.to_seconds(wait_ms))
--- a/src/nutmegknot/_internal/jobs/peers.py
+++ b/src/nutmegknot/_internal/jobs/peers.py
@@ -1,5 +1,7 @@
 """Calls between instances about jobs."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import json
 import logging
@@ -76,11 +78,8 @@
 async def _serve_submit(
     node: nodes.Node, call: jobs_pb2.SubmitJob
 ) -> jobs_pb2.JobReply:
-    own = nodes.get_acting(node)
-    if own is None:
-        return jobs_pb2.JobReply()
-    outcome = await accepting.submit(own, rows.decode_order(call.job))
-    return encode_outcome(own, outcome)
+    order = rows.decode_order(call.job)
+    return await _reply_as_owner(node, lambda own: accepting.submit(own, order))
 
 
 async def _serve_look(
@@ -100,11 +99,20 @@
 async def _serve_cancel(
     node: nodes.Node, call: jobs_pb2.NamedJob
 ) -> jobs_pb2.JobReply:
+    return await _reply_as_owner(
+        node, lambda own: accepting.cancel(own, call.id, call.customer)
+    )
+
+
+async def _reply_as_owner(
+    node: nodes.Node,
+    act: Callable[[ownerships.Ownership], Awaitable[outcomes.Outcome]],
+) -> jobs_pb2.JobReply:
+    """Returns the owner's outcome; an empty reply at any other instance."""
     own = nodes.get_acting(node)
     if own is None:
         return jobs_pb2.JobReply()
-    outcome = await accepting.cancel(own, call.id, call.customer)
-    return encode_outcome(own, outcome)
+    return encode_outcome(own, await act(own))
 
 
 async def _serve_count(
--- a/src/nutmegknot/_internal/jobs/placing.py
+++ b/src/nutmegknot/_internal/jobs/placing.py
@@ -1,6 +1,5 @@
 """Makes stages due, and starts what the decisions choose."""
 
-import asyncio
 import logging
 
 from nutmegknot._internal.decisions import outliers
@@ -37,7 +36,7 @@
         if ownerships.may_act(own):
             _stop_stuck(own)
             _place(own)
-        await asyncio.sleep(clock_lib.to_seconds(LEAST_MS))
+        await clock_lib.sleep(LEAST_MS)
 
 
 def _stop_stuck(own: ownerships.Ownership) -> None:
--- a/src/nutmegknot/_internal/jobs/relays.py
+++ b/src/nutmegknot/_internal/jobs/relays.py
@@ -5,7 +5,6 @@
 to one that does, so that an owner can go on instead of being replaced.
 """
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
@@ -184,7 +183,7 @@
 async def keep_probing(relay: Relay) -> None:
     """Tries the own way now and then while it fails."""
     while True:
-        await asyncio.sleep(clock_lib.to_seconds(PROBE_MS))
+        await clock_lib.sleep(PROBE_MS)
         if relay.lost_ms is not None:
             await check(relay)
 
--- a/src/nutmegknot/_internal/jobs/rosters.py
+++ b/src/nutmegknot/_internal/jobs/rosters.py
@@ -1,6 +1,5 @@
 """Keeps the owner's sessions in step with the platform's list of workers."""
 
-import asyncio
 import dataclasses
 import logging
 
@@ -42,7 +41,7 @@
         now_ms = own.clock.now_ms()
         if isinstance(result, tables.Unavailable):
             note_failure(reach, now_ms, result.detail)
-            await _sleep(RETRY_MS)
+            await clock_lib.sleep(RETRY_MS)
             continue
         if reach.is_lost:
             reach.is_lost = False
@@ -136,7 +135,3 @@
         signals.notify(own.changed)
         return
     book.settled_ms = leases.compute_settled(own)
-
-
-async def _sleep(wait_ms: int) -> None:
-    await asyncio.sleep(clock_lib.to_seconds(wait_ms))
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -1,6 +1,5 @@
 """Sessions with workers: one task that polls and one that sends orders."""
 
-import asyncio
 import dataclasses
 import logging
 
@@ -84,7 +83,7 @@
     lost = 0
     while _is_served(own, host):
         if not ownerships.may_act(own):
-            await _sleep(RETRY_MS)
+            await clock_lib.sleep(RETRY_MS)
             continue
         sent_ms = own.clock.now_ms()
         result = await _hold(own, host, sent_ms, lost)
@@ -96,11 +95,11 @@
                 fences.note_refusal(own, host, reason)
                 if reason is runners.Refusal.OTHER_LIFE:
                     _note_gone(own, host)
-                await _sleep(RETRY_MS)
+                await clock_lib.sleep(RETRY_MS)
             case runners.Unanswered(detail) | runners.Unreached(detail):
                 lost += 1
                 _note_silence(own, host, detail, sent_ms)
-                await _sleep(0 if lost == 1 else RETRY_MS)
+                await clock_lib.sleep(0 if lost == 1 else RETRY_MS)
         _check_lapse(own, host)
 
 
@@ -196,7 +195,7 @@
         if host.unwritten:
             left_ms = until_ms - own.clock.now_ms()
             await signals.wait_at_most(own.written, count, max(1, left_ms))
-    await _sleep(GATHER_MS)
+    await clock_lib.sleep(GATHER_MS)
 
 
 def begin_life(
@@ -292,7 +291,3 @@
 
 async def _do_nothing() -> None:
     """Wakes the sender so that it ends."""
-
-
-async def _sleep(wait_ms: int) -> None:
-    await asyncio.sleep(clock_lib.to_seconds(wait_ms))
--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -1,6 +1,5 @@
 """Orders to start runs."""
 
-import asyncio
 import dataclasses
 import logging
 
@@ -115,7 +114,7 @@
             case runners.Unanswered() | runners.Unreached():
                 counters.count(own.figures.starts, 'unanswered')
                 is_open = True
-        await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
+        await clock_lib.sleep(RETRY_MS)
     if task.run == decided.run and task.phase is jobs.Phase.STARTING:
         if not is_open and not ownerships.may_act(own):
             _refuse(own, decided, name, runners.Refusal.LATE, False)
--- a/src/nutmegknot/_internal/jobs/stops.py
+++ b/src/nutmegknot/_internal/jobs/stops.py
@@ -1,6 +1,5 @@
 """Orders to stop runs."""
 
-import asyncio
 import logging
 
 from nutmegknot._internal.backing import runners
@@ -95,7 +94,7 @@
                 pass
         if own.book.hosts.get(host.worker.id) is not host:
             return
-        await asyncio.sleep(clock_lib.to_seconds(RETRY_MS))
+        await clock_lib.sleep(RETRY_MS)
 
 
 def _settle(
--- a/src/nutmegknot/_internal/jobs/writes.py
+++ b/src/nutmegknot/_internal/jobs/writes.py
@@ -254,9 +254,9 @@
             case tables.Unavailable():
                 if first_sent_ms is None:
                     _put_back(writer, batch)
-                    await _wait(retries.take_wait(backoff))
+                    await clock_lib.sleep(retries.take_wait(backoff))
                     return
-        await _wait(retries.take_wait(backoff))
+        await clock_lib.sleep(retries.take_wait(backoff))
     retries.reset(backoff)
     _answer_waiters(writer)
 
@@ -379,7 +379,3 @@
         elif not waiter.done.done():
             waiter.done.set_result(result)
     writer.waiters = kept
-
-
-async def _wait(wait_ms: int) -> None:
-    await asyncio.sleep(clock_lib.to_seconds(wait_ms))
--- a/src/nutmegknot/_internal/platform/assembling.py
+++ b/src/nutmegknot/_internal/platform/assembling.py
@@ -153,7 +153,7 @@
     logger.info('instance_stopping', extra={'instance': node.id})
     node.is_stopping = True
     await running.hand_over(node)
-    await asyncio.sleep(clock_lib.to_seconds(LINGER_MS))
+    await clock_lib.sleep(LINGER_MS)
     await front.cleanup()
     started.server.close()
     await tasks.cancel_all(node.tasks)
--- a/src/nutmegknot/_internal/utils/clock.py
+++ b/src/nutmegknot/_internal/utils/clock.py
@@ -3,6 +3,7 @@
 All durations and instants in nutmegknot are integers in milliseconds.
 """
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 import time
@@ -56,3 +57,8 @@
 def to_seconds(duration_ms: int) -> float:
     """Converts a duration in ms into the seconds that asyncio expects."""
     return duration_ms / MS_PER_S
+
+
+async def sleep(wait_ms: int) -> None:
+    """Waits for a time in ms."""
+    await asyncio.sleep(to_seconds(wait_ms))
--- a/src/nutmegknot/_internal/utils/lateness.py
+++ b/src/nutmegknot/_internal/utils/lateness.py
@@ -4,7 +4,6 @@
 carry; everything that the process does then starts late.
 """
 
-import asyncio
 import dataclasses
 
 from nutmegknot._internal.utils import clock as clock_lib
@@ -38,5 +37,5 @@
     """Measures until cancelled."""
     while True:
         due_ms = clock.now_ms() + SAMPLE_MS
-        await asyncio.sleep(clock_lib.to_seconds(SAMPLE_MS))
+        await clock_lib.sleep(SAMPLE_MS)
         note(lateness, clock.now_ms() - due_ms)
