Ledger: ignore a cancellation that is written after the end; stand-in list: read the clock once

Cause 1: the end of a request can wait for the table while a cancellation of it is queued behind it. Applied in that order, the cancellation marked an ended request as cancelled and had it withdrawn from its fleet partition. The caller is told the outcome in both cases, so the ledger was wrong and not the model: what has ended is not cancelled. Cause 2: the stand-in's list of workers read the clock before it recorded the present list, so a change on a new millisecond was shown one call late.

Each has a test that failed before.

--- a/src/nutmegknot/_internal/ledger/ledgers.py
+++ b/src/nutmegknot/_internal/ledger/ledgers.py
@@ -153,7 +153,7 @@
             entry.outcome = event.outcome
             entry.ended_ms = record.at_ms
             entry.ended.set()
-        case records.Cancel():
+        case records.Cancel() if entry.outcome is None:
             entry.cancelled = True
             queue_withdrawal(ledger, entry)
         case records.Forget():
--- a/src/nutmegknot_standins/servers.py
+++ b/src/nutmegknot_standins/servers.py
@@ -223,9 +223,8 @@
 
     The addresses in it contain the caller, so that faults can match it.
     """
-    now_ms = platform.history.clock.wall_ms()
     record_list(platform)
-    due_ms = now_ms - platform.list_lag_ms
+    due_ms = platform.history.clock.wall_ms() - platform.list_lag_ms
     while (
         len(platform.list_versions) > 1
         and platform.list_versions[1][0] <= due_ms
--- a/tests/unit/backing/test_http_adapters.py
+++ b/tests/unit/backing/test_http_adapters.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP adapters to the platform, also when the platform fails."""
 
 import dataclasses
+import itertools
 
 import aiohttp
 from lib import standins
@@ -75,6 +76,27 @@
         assert changed[0].state is workers.TargetState.LEAVING
 
 
+async def test_list_without_lag_is_never_older_than_the_call() -> None:
+    """A list shows a change made before the call, on whatever ms it begins."""
+    readings = itertools.count(1)
+    advancing = clock_lib.Clock(
+        now_ms=lambda: next(readings), wall_ms=lambda: next(readings)
+    )
+    async with standins.serve(clock=advancing) as (platform, session):
+        directory = http_worker_clients.connect(
+            session, platform.url, TIMEOUT_MS
+        )
+        first = await directory.list_workers(TIMEOUT_MS)
+        assert isinstance(first, list)
+        machine = platform.machines[first[0].id]
+        machine.worker = dataclasses.replace(
+            machine.worker, state=workers.TargetState.LEAVING
+        )
+        changed = await directory.list_workers(TIMEOUT_MS)
+        assert isinstance(changed, list)
+        assert changed[0].state is workers.TargetState.LEAVING
+
+
 async def test_refused_connection_means_no_effect() -> None:
     async with standins.serve() as (platform, session):
         url = platform.url
--- a/tests/unit/ledger/test_request_operations.py
+++ b/tests/unit/ledger/test_request_operations.py
@@ -214,3 +214,32 @@
     await batch.completion
     assert list(owner.ledger.entries) == ['t/open']
     await ledger_partitions.stop(owner)
+
+
+async def test_cancellation_written_after_the_end_changes_nothing() -> None:
+    """An end that still waits for the table is written before a cancellation.
+
+    The request has ended by the time the cancellation takes effect. So it isn't
+    cancelled, and there is nothing to withdraw from its fleet partition.
+    """
+    environment = ledger_partitions.Environment()
+    owner = await ledger_partitions.take_over(environment)
+    assert await submit(owner) == outcomes.Accepted(KEY)
+    environment.table.faults = ['down'] * 3
+    finished = outcomes.Finished((b'answer',))
+    ended = reports.Report(
+        KEY, 0, ledger_partitions.FLEET_PARTITION, 1, reports.Ended(finished)
+    )
+    reporting = asyncio.create_task(
+        report_processing.process_reports(owner.ledger, owner.context, [ended])
+    )
+    await asyncio.sleep(0)
+    cancelled = await request_operations.cancel(
+        owner.ledger, owner.context, KEY, 60_000
+    )
+    assert await reporting
+    assert cancelled == finished
+    entry = owner.ledger.entries[KEY]
+    assert not entry.cancelled
+    assert not owner.ledger.unsent_withdrawals
+    await ledger_partitions.stop(owner)
