Survive malformed answers and unexpected errors; time-outs allow for the owner's lag

Cause 1: each background task ended the whole process with its first unexpected error. One worker's answer with a text for a number, an infinite clock or deep nesting raised in the decoder or in the state of the jobs, and the owner ended. Answers of workers and of the advice service are now decoded to the stated types or count as no answer; a session, a call of a peer and a call of a caller survive any error with one log line; a start that fails so is stopped. Cause 2: time-outs of calls to workers were shorter than the delay of an owner on a slow processor, so healthy workers looked silent and lost their leases. The owner's own recent lag is added, and one unanswered call is no evidence. Cause 3: a worker lists 500 ends at most. A run whose end was cut off counted as lost and was started again; nothing counts as lost while a list is full.

--- a/src/nutmegknot/_internal/backing/runners.py
+++ b/src/nutmegknot/_internal/backing/runners.py
@@ -154,6 +154,8 @@
       runs: Runs in progress.
       ends: Ends with numbers above the one that the poll acknowledged.
       unreadable_runs: Number of runs whose task name can't be parsed.
+      has_more_ends: Whether there may be further ends, which are not listed
+        before the listed ones are acknowledged.
     """
 
     clock_ms: int
@@ -161,6 +163,7 @@
     runs: list[ReportedRun]
     ends: list[ReportedEnd]
     unreadable_runs: int = 0
+    has_more_ends: bool = False
 
 
 CommandResult = Taken | Refused | Unanswered | Unreached
--- a/src/nutmegknot/_internal/jobs/lifecycle.py
+++ b/src/nutmegknot/_internal/jobs/lifecycle.py
@@ -38,11 +38,10 @@
 ) -> RunningInstance | grpc_server.AddressUnavailable:
     """Opens the port for other instances and starts the instance's tasks."""
 
-    def report_error(error: Exception) -> None:
-        if not node.tasks.first_error.done():
-            node.tasks.first_error.set_result(error)
+    def log_error(error: Exception) -> None:
+        logger.error('peer_call_failed', extra={'why': repr(error)})
 
-    calls = services.ActiveCalls(report_error=report_error)
+    calls = services.ActiveCalls(report_error=log_error)
     server = await grpc_server.start_server(
         node.address,
         [peer_calls.bind_service(node, calls)],
@@ -60,8 +59,12 @@
         tasks.spawn(
             node.tasks, store_routes.probe_periodically(routes), 'probe'
         )
-    tasks.spawn(node.tasks, settings_updates.follow_settings(node), 'settings')
-    tasks.spawn(node.tasks, owner_election.run_election(node), 'owner')
+    tasks.spawn_restartable(
+        node.tasks, lambda: settings_updates.follow_settings(node), 'settings'
+    )
+    tasks.spawn_restartable(
+        node.tasks, lambda: owner_election.run_election(node), 'owner'
+    )
     tasks.spawn(
         node.tasks,
         event_loop_lag.run_sampling_loop(node.lateness, node.clock),
--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -289,6 +289,7 @@
         owner_tasks,
         node.metrics,
         node.routes,
+        node.lateness,
     )
 
     def process_completed_write() -> None:
@@ -341,22 +342,26 @@
     owner_tasks = ownership.tasks
     for worker in ownership.cluster.predecessor_workers:
         sessions.open_session(ownership, worker, is_listed=False)
-    tasks.spawn(
+    tasks.spawn_restartable(
         owner_tasks,
-        worker_discovery.poll_worker_list(
+        lambda: worker_discovery.poll_worker_list(
             ownership, node.backends.listings, node.list_availability
         ),
         'roster',
     )
-    tasks.spawn(
-        owner_tasks, task_scheduling.run_scheduling_loop(ownership), 'place'
+    tasks.spawn_restartable(
+        owner_tasks,
+        lambda: task_scheduling.run_scheduling_loop(ownership),
+        'place',
     )
-    tasks.spawn(
+    tasks.spawn_restartable(
         owner_tasks,
-        advice_calls.run_adviser_calls(ownership, node.backends.advise),
+        lambda: advice_calls.run_adviser_calls(ownership, node.backends.advise),
         'advise',
     )
-    tasks.spawn(owner_tasks, retention.run_retention(ownership), 'forget')
+    tasks.spawn_restartable(
+        owner_tasks, lambda: retention.run_retention(ownership), 'forget'
+    )
     # The settings may have changed while the jobs were loaded.
     if node.settings is not None:
         ownership.cluster.settings = node.settings
--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -18,6 +18,7 @@
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.utils import clock as clock_lib
+from nutmegknot._internal.utils import event_loop_lag
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
 
@@ -51,6 +52,7 @@
       tasks: asyncio tasks that are cancelled when the ownership ends.
       metrics: Metrics of the instance.
       routes: Routes to the store; None if there is only the direct one.
+      lag: How late timers of this process fire.
       scheduling_needed: Notified when tasks may have become ready to be placed.
       worker_claimed: Notified when a worker first answers this owner, or is
         gone.
@@ -74,6 +76,9 @@
     tasks: tasks.TaskSet
     metrics: job_metrics.JobMetrics
     routes: store_routes.StoreRoutes | None = None
+    lag: event_loop_lag.EventLoopLag = dataclasses.field(
+        default_factory=event_loop_lag.EventLoopLag
+    )
     scheduling_needed: signals.Signal = dataclasses.field(
         default_factory=signals.Signal
     )
@@ -116,6 +121,22 @@
     return is_store_down and not ownership.writer.is_lost
 
 
+def compute_call_timeout(ownership: Ownership, attempt: int) -> int:
+    """Returns the time-out of an attempt at a call to a worker in ms.
+
+    The lag of this process is added once for the sending and once for the
+    answer, so that a worker does not look silent because its owner is late.
+
+    Args:
+      ownership: The ownership.
+      attempt: Number of the attempt, from 0.
+    """
+    own_ms = 2 * int(ownership.lag.peak_ms)
+    return own_ms + time_limits.compute_attempt_timeout(
+        ownership.limits, attempt
+    )
+
+
 def queue_progress_write(
     ownership: Ownership, job: jobs.Job, *, is_hurried: bool = False
 ) -> None:
--- a/src/nutmegknot/_internal/jobs/reconciliation.py
+++ b/src/nutmegknot/_internal/jobs/reconciliation.py
@@ -307,6 +307,9 @@
             info.unexpected_runs[text] = row.run
             if previous.get(text) != row.run:
                 stops.stop_unknown_run(ownership, info, row.name, row.run)
+    if inventory.has_more_ends:
+        # A run that is not listed may have ended as done.
+        return
     ended = {(end.name, end.run) for end in inventory.ends}
     for name, task in list(info.runs.items()):
         is_start_pending = task.phase is jobs.TaskPhase.STARTING
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -16,7 +16,6 @@
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import stops
 from nutmegknot._internal.jobs import throttling
-from nutmegknot._internal.jobs import time_limits
 from nutmegknot._internal.jobs import writers
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
@@ -32,6 +31,9 @@
 # Wait before the next poll after a run has ended, so that other runs that end
 # at about the same time are reported in one answer.
 END_BATCH_WAIT_MS = 15
+# Number of calls in a row without an answer from which on a worker counts as
+# not answering.
+MIN_UNANSWERED_CALLS = 2
 # Longest wait for ended runs to be written; then the worker is polled again,
 # as its lease has to be renewed.
 MAX_END_WRITE_WAIT_MS = 300
@@ -54,12 +56,14 @@
     info.registration_write = _write_roster(ownership)
     commands = ownerships.CommandQueue()
     ownership.command_queues[worker.id] = commands
-    tasks.spawn(
-        ownership.tasks, _poll_worker(ownership, info), f'poll {worker.id}'
+    tasks.spawn_restartable(
+        ownership.tasks,
+        lambda: _poll_worker(ownership, info),
+        f'poll {worker.id}',
     )
-    tasks.spawn(
+    tasks.spawn_restartable(
         ownership.tasks,
-        _send_commands(ownership, info, commands),
+        lambda: _send_commands(ownership, info, commands),
         f'send {worker.id}',
     )
 
@@ -172,7 +176,12 @@
     until_ms = None
     # The lease of a worker that does not answer is not renewed, so that it
     # expires at a known time, after which its tasks may start elsewhere.
-    is_answering = now_ms - info.last_answer_ms < limits.lease_renewal_window_ms
+    # One call without an answer is no evidence of that: this process may have
+    # been paused meanwhile.
+    is_answering = (
+        unanswered_calls < MIN_UNANSWERED_CALLS
+        or now_ms - info.last_answer_ms < limits.lease_renewal_window_ms
+    )
     if info.is_claimed and is_answering:
         until_ms = leases.extend_lease(info, limits.worker_lease_ms, ownership)
     return await ownership.runners.poll(
@@ -182,7 +191,7 @@
         until_ms,
         poll_ms,
         poll_ms
-        + time_limits.compute_attempt_timeout(limits, unanswered_calls + 1),
+        + ownerships.compute_call_timeout(ownership, unanswered_calls + 1),
     )
 
 
--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -9,7 +9,6 @@
 from nutmegknot._internal.jobs import reconciliation
 from nutmegknot._internal.jobs import refusals
 from nutmegknot._internal.jobs import stops
-from nutmegknot._internal.jobs import time_limits
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.telemetry import instruments
@@ -84,7 +83,30 @@
         },
     )
     commands = ownership.command_queues[decision.info.worker.id]
-    commands.queue.put_nowait(lambda: _send_start(ownership, decision, name))
+    commands.queue.put_nowait(
+        lambda: _send_start_or_stop(ownership, decision, name)
+    )
+
+
+async def _send_start_or_stop(
+    ownership: ownerships.Ownership,
+    decision: StartDecision,
+    name: jobs.TaskName,
+) -> None:
+    """Sends a start command; stops the run if that fails unexpectedly."""
+    try:
+        await _send_start(ownership, decision, name)
+    except Exception as error:
+        logger.exception(
+            'start_failed',
+            extra={
+                'task': jobs.format_task(name),
+                'run': decision.run,
+                'worker': decision.info.worker.id,
+                'why': repr(error),
+            },
+        )
+        _stop_unsettled_start(ownership, decision, name)
 
 
 async def _send_start(
@@ -111,7 +133,7 @@
         result = await ownership.runners.start(
             info.worker,
             _make_start_command(ownership, decision, name, until_ms),
-            time_limits.compute_attempt_timeout(ownership.limits, attempt),
+            ownerships.compute_call_timeout(ownership, attempt),
         )
         attempt += 1
         instruments.record(
--- a/src/nutmegknot/_internal/jobs/stops.py
+++ b/src/nutmegknot/_internal/jobs/stops.py
@@ -5,7 +5,6 @@
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import refusals
-from nutmegknot._internal.jobs import time_limits
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.telemetry import instruments
@@ -96,7 +95,7 @@
             name,
             run,
             ownership.cluster.epoch,
-            time_limits.compute_attempt_timeout(ownership.limits, attempt),
+            ownerships.compute_call_timeout(ownership, attempt),
         )
         attempt += 1
         match result:
--- a/src/nutmegknot/_internal/platform/caller_api.py
+++ b/src/nutmegknot/_internal/platform/caller_api.py
@@ -64,7 +64,17 @@
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         if request.path == READY_PATH:
             return web.Response(status=200 if lifecycle.is_ready(node) else 503)
-        response = await _handle(node, request)
+        try:
+            response = await _handle(node, request)
+        except Exception as error:
+            # The operation may have taken effect before the error.
+            logger.exception(
+                'call_failed',
+                extra={'path': request.path, 'why': repr(error)},
+            )
+            response = _make_unknown_response(
+                outcomes.Unknown('the call failed unexpectedly')
+            )
         if node.is_stopping:
             # The caller's next call then goes to another instance.
             response.force_close()
--- a/src/nutmegknot/_internal/platform/http_client.py
+++ b/src/nutmegknot/_internal/platform/http_client.py
@@ -3,12 +3,15 @@
 import asyncio
 import dataclasses
 import json
+import logging
 
 import aiohttp
 
 from nutmegknot._internal.backing import platform_calls
 from nutmegknot._internal.utils import clock
 
+logger = logging.getLogger(__name__)
+
 # How long an unused connection is kept open, in seconds.
 KEEP_ALIVE_TIMEOUT_S = 20.0
 
@@ -68,7 +71,7 @@
                 allow_redirects=False,
                 timeout=_NO_TIMEOUT,
             ) as response:
-                return _decode_reply(response.status, await response.read())
+                return decode_reply(response.status, await response.read())
     except aiohttp.ClientConnectorError as error:
         return platform_calls.NoAnswer(
             False, f'{address}: {type(error).__name__}'
@@ -94,12 +97,16 @@
 _NO_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=None)
 
 
-def _decode_reply(status: int, raw: bytes) -> platform_calls.Reply:
+def decode_reply(status: int, raw: bytes) -> platform_calls.Reply:
+    """Decodes a response; a body that is no JSON object gives no fields."""
     if not raw:
         return platform_calls.Reply(status, {})
     try:
         fields = json.loads(raw)
-    except ValueError:
+    except (ValueError, RecursionError) as error:
+        logger.warning(
+            'reply_unreadable', extra={'status': status, 'why': repr(error)}
+        )
         return platform_calls.Reply(status, {})
     return platform_calls.Reply(
         status, fields if isinstance(fields, dict) else {}
--- a/src/nutmegknot/_internal/platform/platform_workers.py
+++ b/src/nutmegknot/_internal/platform/platform_workers.py
@@ -17,6 +17,9 @@
 _OK = 200
 _CONFLICT = 409
 _MISDIRECTED_REQUEST = 421
+# Largest number of ends in one answer of a worker; it lists the others once
+# these are acknowledged.
+_MAX_LISTED_ENDS = 500
 _UNHEALTHY_STATUSES = frozenset((429, 503))
 _REFUSALS = {
     'fence': runners.Refusal.FENCED,
@@ -25,6 +28,13 @@
     'room': runners.Refusal.NO_ROOM,
     'ticket': runners.Refusal.NO_TICKET,
 }
+_DECODE_ERRORS = (
+    AttributeError,
+    LookupError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 _END_KINDS = {
     'done': jobs.EndKind.DONE,
     'failed': jobs.EndKind.FAILED,
@@ -163,7 +173,8 @@
     reported_clock = reply.fields.get('clockMs')
     clock_ms = reported_clock if isinstance(reported_clock, int) else None
     if reply.status == _OK:
-        return runners.Taken(clock_ms, int(reply.fields.get('born') or 0))
+        life = reply.fields.get('born')
+        return runners.Taken(clock_ms, life if isinstance(life, int) else 0)
     if reply.status == _MISDIRECTED_REQUEST:
         return runners.Refused(runners.Refusal.OTHER_LIFE, clock_ms)
     if reply.status in _UNHEALTHY_STATUSES:
@@ -184,30 +195,44 @@
 ) -> runners.Inventory | runners.Unanswered:
     try:
         runs, unreadable_runs = [], 0
-        for run in fields.get('running') or ():
-            name = jobs.parse_task(run[0])
-            if name is None:
+        for row in fields.get('running') or ():
+            run = _decode_run(row)
+            if run is None:
                 unreadable_runs += 1
-                continue
-            load = float(run[4]) if len(run) > 4 and run[4] else 0.0
-            runs.append(
-                runners.ReportedRun(name, run[1], run[2] or '', run[3], load)
-            )
-        ends = [
-            runners.ReportedEnd(
-                ended[0],
-                jobs.parse_task(ended[1]),
-                ended[2],
-                _END_KINDS[ended[3]],
-                ended[4] or '',
-            )
-            for ended in fields.get('ended') or ()
-        ]
-        life = int(fields.get('born') or 0)
-        clock_ms = int(fields['clockMs'])
-    except (KeyError, IndexError, TypeError, ValueError) as error:
+            else:
+                runs.append(run)
+        ends = [_decode_end(row) for row in fields.get('ended') or ()]
+        return runners.Inventory(
+            int(fields['clockMs']),
+            int(fields.get('born') or 0),
+            runs,
+            ends,
+            unreadable_runs,
+            has_more_ends=len(ends) >= _MAX_LISTED_ENDS,
+        )
+    except _DECODE_ERRORS as error:
         return runners.Unanswered(f'malformed inventory: {error!r}')
-    return runners.Inventory(clock_ms, life, runs, ends, unreadable_runs)
+
+
+def _decode_run(row: list[Any]) -> runners.ReportedRun | None:
+    """Decodes a run; returns None if its task's name can't be parsed."""
+    name = jobs.parse_task(row[0])
+    if name is None:
+        return None
+    load = float(row[4]) if len(row) > 4 and row[4] else 0.0
+    return runners.ReportedRun(
+        name, int(row[1]), str(row[2] or ''), int(row[3]), load
+    )
+
+
+def _decode_end(row: list[Any]) -> runners.ReportedEnd:
+    return runners.ReportedEnd(
+        int(row[0]),
+        jobs.parse_task(row[1]),
+        int(row[2]),
+        _END_KINDS[row[3]],
+        str(row[4] or ''),
+    )
 
 
 def connect_adviser(
@@ -233,9 +258,11 @@
         if reply.status != _OK:
             return advisers.Unadvised(f'status {reply.status}')
         try:
-            tickets = dict(reply.fields['good'])
+            tickets = {
+                str(id): str(ticket) for id, ticket in reply.fields['good']
+            }
             valid_ms = int(reply.fields['validMs'])
-        except (KeyError, TypeError, ValueError) as error:
+        except _DECODE_ERRORS as error:
             return advisers.Unadvised(f'malformed reply: {error!r}')
         return advisers.Advised(tickets, valid_ms)
 
--- a/src/nutmegknot/_internal/utils/tasks.py
+++ b/src/nutmegknot/_internal/utils/tasks.py
@@ -1,14 +1,25 @@
 """Sets of asyncio tasks that are cancelled together when their owner ends.
 
 An exception that a task does not catch means that an invariant is violated. The
-first one is stored; the code that waits for it then stops the process.
+first one is stored; the code that waits for it then stops the process. A task
+that serves one peer or one worker is run again instead, so that one malformed
+message does not end the service of all others.
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import dataclasses
+import logging
 from typing import Any
 
+from nutmegknot._internal.utils import clock
+
+logger = logging.getLogger(__name__)
+
+# Wait before a task that has failed is run again.
+RERUN_DELAY_MS = 100
+
 
 @dataclasses.dataclass(slots=True)
 class TaskSet:
@@ -35,6 +46,35 @@
     return task
 
 
+def spawn_restartable(
+    tasks: TaskSet,
+    run: Callable[[], Coroutine[Any, Any, None]],
+    name: str,
+) -> asyncio.Task[None]:
+    """Starts a task of the set that is run again after an unexpected error.
+
+    Args:
+      tasks: The set.
+      run: Returns the coroutine to run; called again after each error.
+      name: Name of the task.
+    """
+    return spawn(tasks, _run_again_after_errors(run, name), name)
+
+
+async def _run_again_after_errors(
+    run: Callable[[], Coroutine[Any, Any, None]], name: str
+) -> None:
+    while True:
+        try:
+            await run()
+            return
+        except Exception as error:
+            logger.exception(
+                'task_failed', extra={'task': name, 'why': repr(error)}
+            )
+        await clock.sleep(RERUN_DELAY_MS)
+
+
 def _record_end(tasks: TaskSet, ended: asyncio.Task[None]) -> None:
     tasks.running.discard(ended)
     if ended.cancelled():
