Logs: find values that need no quotes with one expression

Change: printable ASCII without special characters is matched at once. Run: tests/unit/telemetry, which compares both for each character below 0x250.

--- a/src/nutmegknot/_internal/telemetry/logs.py
+++ b/src/nutmegknot/_internal/telemetry/logs.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+import re
 import sys
 from typing import Any
 
@@ -11,6 +12,8 @@
 
 _FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
 # Key in the log line by attribute of the logging library.
+# Printable ASCII text that needs no quotes; most values are of this form.
+_PLAIN_TEXT = re.compile(r'[!#-<>-\[\]-~]+')
 _KEYS = {
     'asctime': 'time',
     'levelname': 'level',
@@ -42,6 +45,8 @@
 
 def _quote(value: object) -> str:
     text = str(value)
+    if _PLAIN_TEXT.fullmatch(text):
+        return text
     if text and not any(c in ' "=\\' or not c.isprintable() for c in text):
         return text
     escaped = text.replace('\\', '\\\\').replace('"', '\\"')
--- /dev/null
+++ b/tests/unit/telemetry/test_logs.py
@@ -0,0 +1,16 @@
+"""Format of log lines."""
+
+import pytest
+
+from nutmegknot._internal.telemetry import logs
+
+
+@pytest.mark.parametrize('code', range(0x250))
+def test_values_are_quoted_if_a_reader_could_split_them(code: int) -> None:
+    text = f'a{chr(code)}'
+    line = logs.format_pairs({'key': text})
+    needs_quotes = chr(code) in ' "=\\' or not chr(code).isprintable()
+    assert line.startswith('key="') is needs_quotes
+    assert '\n' not in line
+    if not needs_quotes:
+        assert line == f'key={text}'
