Scheduling passes: look at workers once, not for each stage again

Change: eligible workers are kept from pass to pass until a worker changes; tickets are looked up by stage; runs that may be evicted are assessed once a pass; free resources are kept with the worker; a stage that certainly fits nowhere is not placed; stuck runs are searched four times a second; the reason for a wait is worked out only when it is logged. A pass is followed by a pause of twice its duration, so that a slow owner still answers its calls.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -12,6 +12,7 @@
 from benchmarks import decisions_placement
 from benchmarks import decisions_policies
 from benchmarks import measurements
+from benchmarks import scheduling_passes
 
 RANDOM_SEED = 20_261
 
@@ -36,6 +37,7 @@
     started_s = time.monotonic()
     print(f'bench name=seed value={RANDOM_SEED} unit=count target=- ok=yes')
     results = decisions_placement.measure_cost(RANDOM_SEED)
+    results += scheduling_passes.measure_passes(RANDOM_SEED)
     measurements.print_measurements(results)
     with concurrent.futures.ProcessPoolExecutor(PROCESSES) as pool:
         for future in [
--- a/src/nutmegknot/_internal/decisions/advice_selection.py
+++ b/src/nutmegknot/_internal/decisions/advice_selection.py
@@ -57,10 +57,37 @@
     return ticket is not None and ticket.life == info.worker.life
 
 
+def list_advised(
+    stage: jobs.Stage, eligible: plans.EligibleWorkers
+) -> list[cluster_state.WorkerInfo]:
+    """Returns the eligible workers that advice named, in their order.
+
+    The cost follows the number of tickets, not that of the workers.
+    """
+    positions = sorted(
+        eligible.positions[id]
+        for id in stage.advice.tickets
+        if id in eligible.positions
+    )
+    infos = (eligible.infos[position] for position in positions)
+    return [info for info in infos if is_advised(stage, info)]
+
+
+def list_ticket_holders(
+    stage: jobs.Stage, eligible: plans.EligibleWorkers, now_ms: int
+) -> list[cluster_state.WorkerInfo]:
+    """Returns the eligible workers on which the stage may start now."""
+    return [
+        info
+        for info in list_advised(stage, eligible)
+        if has_valid_ticket(stage, info, now_ms, MIN_TICKET_REMAINING_MS)
+    ]
+
+
 def choose_workers_to_ask(
     plan: plans.Plan,
     stage: jobs.Stage,
-    infos: list[cluster_state.WorkerInfo],
+    eligible: plans.EligibleWorkers,
     now_ms: int,
 ) -> list[str]:
     """Returns the ids of the workers to request advice on for a stage.
@@ -78,16 +105,15 @@
 
     expired = [
         info.worker.id
-        for info in infos
-        if is_advised(stage, info)
-        and not has_valid_ticket(stage, info, now_ms, MIN_TICKET_REMAINING_MS)
+        for info in list_advised(stage, eligible)
+        if not has_valid_ticket(stage, info, now_ms, MIN_TICKET_REMAINING_MS)
         and fits_now(info)
     ]
     if expired:
         return expired[:MAX_WORKERS_PER_CALL]
     unasked = [
         info
-        for info in infos
+        for info in eligible.infos
         if stage.advice.asked.get(info.worker.id) != info.worker.life
     ]
     if stage.advice.asked and not any(fits_now(info) for info in unasked):
--- a/src/nutmegknot/_internal/decisions/evictions.py
+++ b/src/nutmegknot/_internal/decisions/evictions.py
@@ -4,8 +4,6 @@
 arrives, or many small tasks take up a part of every large worker.
 """
 
-import dataclasses
-
 from nutmegknot._internal.decisions import plans
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
@@ -25,22 +23,6 @@
 CORES_PER_ACCELERATOR = 8
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Victim:
-    """A run that could be stopped.
-
-    Attributes:
-      name: Name of its task.
-      released: Resources that become free when it ends.
-      cost: Cost of stopping it: its processors, and its accelerators at
-        CORES_PER_ACCELERATOR each. The cheapest runs are stopped.
-    """
-
-    name: jobs.TaskName
-    released: resources.Resources
-    cost: float
-
-
 def plan_evictions(
     cluster: cluster_state.ClusterState,
     plan: plans.Plan,
@@ -69,9 +51,11 @@
     """
     needed = jobs.get_reserved(step)
     for info in infos:
-        if plans.deduct_free_or_releasing(plan, info.worker.id, needed):
+        if plans.deduct_free_or_releasing(cluster, plan, info, needed):
             return True
-    best: tuple[float, cluster_state.WorkerInfo, list[Victim]] | None = None
+    best: tuple[float, cluster_state.WorkerInfo, list[plans.Victim]] | None = (
+        None
+    )
     for info in infos:
         victims = _choose_victims(cluster, plan, info, needed, priority, now_ms)
         if victims is None:
@@ -86,9 +70,10 @@
         return False
     for victim in victims:
         plan.evicted.append(victim.name)
-        id = info.worker.id
-        plan.releasing[id] = resources.add(plan.releasing[id], victim.released)
-    return plans.deduct_free_or_releasing(plan, info.worker.id, needed)
+        plan.releasing[info.worker.id] = resources.add(
+            plans.get_releasing(cluster, plan, info), victim.released
+        )
+    return plans.deduct_free_or_releasing(cluster, plan, info, needed)
 
 
 def _choose_victims(
@@ -98,16 +83,18 @@
     needed: resources.Resources,
     priority: int,
     now_ms: int,
-) -> list[Victim] | None:
+) -> list[plans.Victim] | None:
     """Returns the cheapest runs that leave enough resources, or None."""
-    id = info.worker.id
-    total = resources.add(plan.free[id], plan.releasing[id])
-    candidates = []
-    for name, task in info.runs.items():
-        victim = _assess_run(cluster, name, task, priority, now_ms)
-        if victim is not None and name not in plan.evicted:
-            candidates.append(victim)
-    candidates.sort(key=lambda victim: victim.cost)
+    candidates = [
+        victim
+        for victim in list_victims(cluster, plan, info, now_ms)
+        if victim.priority > priority and victim.name not in plan.evicted
+    ]
+    if not candidates:
+        return None
+    total = resources.add(
+        plan.free[info.worker.id], plans.get_releasing(cluster, plan, info)
+    )
     chosen = []
     for victim in candidates[:MAX_EVICTIONS_PER_TASK]:
         total = resources.add(total, victim.released)
@@ -117,27 +104,45 @@
     return None
 
 
+def list_victims(
+    cluster: cluster_state.ClusterState,
+    plan: plans.Plan,
+    info: cluster_state.WorkerInfo,
+    now_ms: int,
+) -> list[plans.Victim]:
+    """Returns the runs on a worker that could be stopped, cheapest first.
+
+    A pass looks at the runs of each worker once, for all stages together.
+    """
+    victims = plan.victims.get(info.worker.id)
+    if victims is None:
+        assessed = (
+            _assess_run(cluster, name, task, now_ms)
+            for name, task in info.runs.items()
+        )
+        victims = [victim for victim in assessed if victim is not None]
+        victims.sort(key=lambda victim: victim.cost)
+        plan.victims[info.worker.id] = victims
+    return victims
+
+
 def _assess_run(
     cluster: cluster_state.ClusterState,
     name: jobs.TaskName,
     task: jobs.Task,
-    priority: int,
     now_ms: int,
-) -> Victim | None:
+) -> plans.Victim | None:
     """Returns a run with its cost if it may be stopped, otherwise None.
 
     Gangs, whose tasks run only together, and steps that run until their job is
-    cancelled are never stopped.
+    cancelled are never stopped. The cost of a run is its processors, and its
+    accelerators at CORES_PER_ACCELERATOR each.
     """
     job = cluster.jobs.get(name.job)
     if job is None or task.phase is not jobs.TaskPhase.RUNNING:
         return None
     step = job.spec.steps[name.step]
-    is_less_urgent = (
-        cluster_state.get_queue(cluster, job.spec).priority > priority
-    )
-    is_gang = step.is_gang and step.count > 1
-    if not is_less_urgent or is_gang or step.is_long_running:
+    if (step.is_gang and step.count > 1) or step.is_long_running:
         return None
     age_ms = now_ms - task.start_decided_ms if task.start_decided_ms else 0
     if step.makes_checkpoints:
@@ -145,9 +150,9 @@
             return None
     elif age_ms > MAX_UNSAVED_RUN_MS:
         return None
-    needed = jobs.get_reserved(step)
     cores = (
         step.size.millicores / 1000
         + CORES_PER_ACCELERATOR * step.size.accelerators
     )
-    return Victim(name, needed, cores)
+    priority = cluster_state.get_queue(cluster, job.spec).priority
+    return plans.Victim(name, priority, jobs.get_reserved(step), cores)
--- a/src/nutmegknot/_internal/decisions/plans.py
+++ b/src/nutmegknot/_internal/decisions/plans.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import operator
 
 from nutmegknot._internal.models import advice_requests as advice_requests_lib
 from nutmegknot._internal.models import cluster_state
@@ -16,6 +17,8 @@
 
 # Time without an answer after which a worker gets no new tasks, in ms.
 MAX_SILENCE_MS = 700
+# Number of requirements above which the eligibility cache is emptied.
+MAX_CACHED_REQUIREMENTS = 2_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -53,6 +56,62 @@
     stage: jobs.Stage
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EligibleWorkers:
+    """Usable workers that could run a step's task if they ran nothing.
+
+    Attributes:
+      infos: The workers.
+      positions: Position of each worker in infos, by worker id.
+    """
+
+    infos: list[cluster_state.WorkerInfo]
+    positions: dict[str, int]
+
+
+# What selects workers for a step: pool, required label, reserved resources.
+_Requirement = tuple[str, str, resources.Resources]
+
+
+@dataclasses.dataclass(slots=True)
+class EligibilityCache:
+    """Eligible workers of recent steps, kept from one pass to the next.
+
+    It is emptied when the usable workers or their descriptions have changed.
+
+    Attributes:
+      infos: The usable workers that the entries refer to.
+      descriptions: These workers as the platform listed them.
+      entries: Eligible workers by requirement.
+    """
+
+    infos: list[cluster_state.WorkerInfo] = dataclasses.field(
+        default_factory=list
+    )
+    descriptions: list[workers.Worker] = dataclasses.field(default_factory=list)
+    entries: dict[_Requirement, EligibleWorkers] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Victim:
+    """A run that could be stopped for a more urgent task.
+
+    Attributes:
+      name: Name of its task.
+      priority: Priority class of its job; only more urgent tasks, of classes
+        with lower numbers, may take its place.
+      released: Resources that become free when it ends.
+      cost: Cost of stopping it; the cheapest runs are stopped.
+    """
+
+    name: jobs.TaskName
+    priority: int
+    released: resources.Resources
+    cost: float
+
+
 @dataclasses.dataclass(slots=True)
 class Plan:
     """State and result of one planning pass.
@@ -60,12 +119,17 @@
     Attributes:
       workers_by_pool: Workers on which tasks may start, by pool.
       free: Free resources of each worker, by worker id.
-      releasing: Resources of each worker that become free once the runs that
-        are being stopped there have ended, by worker id.
+      max_free: Upper bound of the free resources of any worker, by pool.
+      releasing: Resources that become free once the runs that are being stopped
+        have ended, by worker id. A worker is added when it is first needed; see
+        get_releasing.
+      eligibility: Eligible workers of recent steps.
       usage: Resources that each customer's tasks take, by customer.
       reserved: Ids of the workers that are reserved for a stage; stages of
         lower rank start nothing there.
       advice_requests: Requests for advice that are to be made.
+      victims: Runs that could be stopped, the cheapest first, by worker id. A
+        worker is added when it is first needed; see evictions.list_victims.
       placed: Tasks to be started.
       evicted: Tasks whose runs are to be stopped so that others can start.
       blocked: Stages with tasks that can't start now, each with the reason.
@@ -73,12 +137,15 @@
 
     workers_by_pool: dict[str, list[cluster_state.WorkerInfo]]
     free: dict[str, resources.Resources]
+    max_free: dict[str, resources.Resources]
     releasing: dict[str, resources.Resources]
     usage: dict[str, resources.Resources]
+    eligibility: EligibilityCache
     reserved: set[str] = dataclasses.field(default_factory=set)
     advice_requests: list[advice_requests_lib.AdviceRequest] = (
         dataclasses.field(default_factory=list)
     )
+    victims: dict[str, list[Victim]] = dataclasses.field(default_factory=dict)
     placed: list[Placement] = dataclasses.field(default_factory=list)
     evicted: list[jobs.TaskName] = dataclasses.field(default_factory=list)
     blocked: list[tuple[RankedStage, str]] = dataclasses.field(
@@ -86,27 +153,103 @@
     )
 
 
-def start_plan(cluster: cluster_state.ClusterState, now_ms: int) -> Plan:
-    """Returns a plan without decisions, from the job owner's state."""
+def start_plan(
+    cluster: cluster_state.ClusterState,
+    now_ms: int,
+    eligibility: EligibilityCache | None = None,
+) -> Plan:
+    """Returns a plan without decisions, from the job owner's state.
+
+    Args:
+      cluster: State of the jobs and workers.
+      now_ms: Monotonic time in ms.
+      eligibility: Eligible workers of recent steps, as an earlier pass left
+        them; None for an empty cache.
+    """
     by_pool: dict[str, list[cluster_state.WorkerInfo]] = {}
-    free, releasing = {}, {}
+    free = {}
+    usable = []
     for id, info in cluster.workers_by_id.items():
         if not is_usable(cluster, info, now_ms):
             continue
+        usable.append(info)
         by_pool.setdefault(info.worker.pool, []).append(info)
-        free[id] = resources.subtract(info.worker.capacity, info.used)
-        releasing[id] = _sum_stopping_runs(cluster, info)
-    return Plan(by_pool, free, releasing, dict(cluster.usage))
+        free[id] = cluster_state.get_free(info)
+    if eligibility is None:
+        eligibility = EligibilityCache()
+    _update_eligibility(eligibility, usable)
+    max_free = {
+        pool: _find_max_free(infos, free) for pool, infos in by_pool.items()
+    }
+    return Plan(by_pool, free, max_free, {}, dict(cluster.usage), eligibility)
+
+
+def _find_max_free(
+    infos: list[cluster_state.WorkerInfo], free: dict[str, resources.Resources]
+) -> resources.Resources:
+    amounts = [free[info.worker.id] for info in infos]
+    return resources.Resources(
+        max(amount.millicores for amount in amounts),
+        max(amount.memory_mib for amount in amounts),
+        max(amount.accelerators for amount in amounts),
+        max(amount.slots for amount in amounts),
+    )
+
+
+def may_fit(plan: Plan, pool: str, step: jobs.Step) -> bool:
+    """Returns False if a step's task certainly fits on no worker of a pool."""
+    max_free = plan.max_free.get(pool)
+    return max_free is not None and resources.fits(
+        jobs.get_reserved(step), max_free
+    )
 
 
-def _sum_stopping_runs(
-    cluster: cluster_state.ClusterState, info: cluster_state.WorkerInfo
+def _update_eligibility(
+    cache: EligibilityCache, usable: list[cluster_state.WorkerInfo]
+) -> None:
+    """Empties the cache if the usable workers have changed."""
+    descriptions = [info.worker for info in usable]
+    is_same = (
+        len(usable) == len(cache.infos)
+        and all(map(operator.is_, usable, cache.infos))
+        and all(map(operator.is_, descriptions, cache.descriptions))
+    )
+    if not is_same or len(cache.entries) > MAX_CACHED_REQUIREMENTS:
+        cache.infos, cache.descriptions = usable, descriptions
+        cache.entries.clear()
+
+
+def find_eligible(plan: Plan, pool: str, step: jobs.Step) -> EligibleWorkers:
+    """Returns the usable workers of a pool that could run a step's task."""
+    key = (pool, step.required_label, jobs.get_reserved(step))
+    found = plan.eligibility.entries.get(key)
+    if found is None:
+        infos = [
+            info
+            for info in plan.workers_by_pool.get(pool, ())
+            if is_eligible(info, step)
+        ]
+        positions = {info.worker.id: n for n, info in enumerate(infos)}
+        found = EligibleWorkers(infos, positions)
+        plan.eligibility.entries[key] = found
+    return found
+
+
+def get_releasing(
+    cluster: cluster_state.ClusterState,
+    plan: Plan,
+    info: cluster_state.WorkerInfo,
 ) -> resources.Resources:
+    """Returns what becomes free on a worker once stopped runs have ended."""
+    total = plan.releasing.get(info.worker.id)
+    if total is not None:
+        return total
     total = resources.ZERO
     for name, task in info.runs.items():
         if task.phase is jobs.TaskPhase.STOPPING:
             step = cluster.jobs[name.job].spec.steps[name.step]
             total = resources.add(total, jobs.get_reserved(step))
+    plan.releasing[info.worker.id] = total
     return total
 
 
@@ -171,14 +314,21 @@
 
 
 def deduct_free_or_releasing(
-    plan: Plan, id: str, needed: resources.Resources
+    cluster: cluster_state.ClusterState,
+    plan: Plan,
+    info: cluster_state.WorkerInfo,
+    needed: resources.Resources,
 ) -> bool:
     """Subtracts what a task needs from free and soon released resources.
 
     Returns:
       Whether they suffice; if they do not, nothing is subtracted.
     """
-    total = resources.add(plan.free[id], plan.releasing[id])
+    id = info.worker.id
+    releasing = get_releasing(cluster, plan, info)
+    total = plan.free[id]
+    if releasing is not resources.ZERO:
+        total = resources.add(total, releasing)
     if not resources.fits(needed, total):
         return False
     left = resources.subtract(total, needed)
--- a/src/nutmegknot/_internal/decisions/task_placement.py
+++ b/src/nutmegknot/_internal/decisions/task_placement.py
@@ -18,6 +18,8 @@
 
 # Wait after which a stage that does not fit reserves workers, in ms.
 RESERVE_AFTER_MS = 300
+# Wait after which the plan gives the reason why a stage can't start, in ms.
+EXPLAIN_AFTER_MS = 500
 # Wait after which a stage that does not fit has less urgent runs stopped, in
 # ms.
 EVICT_AFTER_MS = 60
@@ -39,7 +41,10 @@
 
 
 def plan_starts(
-    cluster: cluster_state.ClusterState, now_ms: int, wall_ms: int
+    cluster: cluster_state.ClusterState,
+    now_ms: int,
+    wall_ms: int,
+    eligibility: plans.EligibilityCache | None = None,
 ) -> plans.Plan:
     """Decides which waiting tasks start now.
 
@@ -47,12 +52,14 @@
       cluster: State of the jobs and workers; it is not changed.
       now_ms: Monotonic time in ms.
       wall_ms: Time since the Unix epoch in ms.
+      eligibility: Eligible workers of recent steps, as the pass before left
+        them; None for an empty cache.
 
     Returns:
       The tasks to start, runs to stop, requests for advice, and stages that
       can't start, each list with the most urgent first.
     """
-    plan = plans.start_plan(cluster, now_ms)
+    plan = plans.start_plan(cluster, now_ms, eligibility)
     for ranked in rank_stages(cluster, now_ms, wall_ms):
         _plan_stage(cluster, plan, ranked, now_ms)
     return plan
@@ -86,30 +93,22 @@
     if step.is_gang and len(waiting) < len(stage.tasks):
         return
     queue = cluster_state.get_queue(cluster, job.spec)
-    eligible = [
-        info
-        for info in plan.workers_by_pool.get(queue.pool, ())
-        if plans.is_eligible(info, step)
-    ]
-    allowed = eligible
+    eligible = plans.find_eligible(plan, queue.pool, step)
+    allowed = eligible.infos
     if queue.needs_tickets:
-        margin_ms = advice_selection.MIN_TICKET_REMAINING_MS
-        allowed = [
-            info
-            for info in eligible
-            if advice_selection.has_valid_ticket(stage, info, now_ms, margin_ms)
-        ]
+        allowed = advice_selection.list_ticket_holders(stage, eligible, now_ms)
     place = _place_gang if step.is_gang else _place_tasks
-    placed = place(cluster, plan, job, stage, waiting, allowed)
+    placed = []
+    if plans.may_fit(plan, queue.pool, step):
+        placed = place(cluster, plan, job, stage, waiting, allowed)
     unplaced = len(waiting) - len(placed)
     if not unplaced:
         return
-    plan.blocked.append(
-        (
-            ranked,
-            _find_blocking_reason(cluster, plan, ranked, eligible, allowed),
+    if stage.ready_ms is None or now_ms - stage.ready_ms >= EXPLAIN_AFTER_MS:
+        reason = _find_blocking_reason(
+            cluster, plan, ranked, eligible.infos, allowed
         )
-    )
+        plan.blocked.append((ranked, reason))
     if not step.is_gang or step.count == 1:
         unplaced -= _evict_runs(
             cluster, plan, ranked, allowed, unplaced, now_ms
@@ -279,7 +278,7 @@
 def _request_advice(
     plan: plans.Plan,
     ranked: plans.RankedStage,
-    eligible: list[cluster_state.WorkerInfo],
+    eligible: plans.EligibleWorkers,
     unplaced: int,
     now_ms: int,
 ) -> None:
@@ -338,7 +337,7 @@
 def _reserve_workers(
     plan: plans.Plan,
     stage: jobs.Stage,
-    eligible: list[cluster_state.WorkerInfo],
+    eligible: plans.EligibleWorkers,
     unplaced: int,
     now_ms: int,
 ) -> list[cluster_state.WorkerInfo]:
@@ -353,21 +352,26 @@
     """
     if stage.ready_ms is None or now_ms - stage.ready_ms < RESERVE_AFTER_MS:
         return []
+    max_reserved = int(len(eligible.infos) * MAX_RESERVED_FRACTION)
+    max_added = max_reserved - len(plan.reserved)
+    if max_added <= 0:
+        return []
     needed = jobs.get_reserved(stage.step)
+    infos = eligible.infos
+    if stage.advice.asked:
+        infos = advice_selection.list_advised(stage, eligible)
     candidates = [
         info
-        for info in eligible
+        for info in infos
         if info.worker.id not in plan.reserved
         and not resources.fits(needed, plan.free[info.worker.id])
-        and (not stage.advice.asked or advice_selection.is_advised(stage, info))
     ]
-    max_added = int(len(eligible) * MAX_RESERVED_FRACTION) - len(plan.reserved)
     candidates.sort(
         key=lambda info: resources.compute_dominant_share(
             plan.free[info.worker.id], info.worker.capacity
         ),
         reverse=True,
     )
-    reserved = candidates[: max(0, min(max_added, unplaced))]
+    reserved = candidates[: min(max_added, unplaced)]
     plan.reserved.update(info.worker.id for info in reserved)
     return reserved
--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -8,6 +8,7 @@
 
 from nutmegknot._internal.backing import advisers
 from nutmegknot._internal.backing import runners
+from nutmegknot._internal.decisions import plans
 from nutmegknot._internal.jobs import job_metrics
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import store_routes
@@ -53,6 +54,7 @@
       metrics: Metrics of the instance.
       routes: Routes to the store; None if there is only the direct one.
       lag: How late timers of this process fire.
+      eligibility: Eligible workers of recent steps, for the scheduling passes.
       scheduling_needed: Notified when tasks may have become ready to be placed.
       worker_claimed: Notified when a worker first answers this owner, or is
         gone.
@@ -79,6 +81,9 @@
     lag: event_loop_lag.EventLoopLag = dataclasses.field(
         default_factory=event_loop_lag.EventLoopLag
     )
+    eligibility: plans.EligibilityCache = dataclasses.field(
+        default_factory=plans.EligibilityCache
+    )
     scheduling_needed: signals.Signal = dataclasses.field(
         default_factory=signals.Signal
     )
--- a/src/nutmegknot/_internal/jobs/task_scheduling.py
+++ b/src/nutmegknot/_internal/jobs/task_scheduling.py
@@ -24,23 +24,39 @@
 
 MAX_PASS_INTERVAL_MS = 100
 MIN_PASS_INTERVAL_MS = 8
-# Waiting time of a stage after which the reason for the wait is logged.
-LOG_WAITING_AFTER_MS = 500
+# Multiple of a pass's duration that passes are apart at least, so that an owner
+# on a slow processor has time left for calls.
+PASS_DURATION_FACTOR = 2
+# Interval between two searches for stuck runs.
+STUCK_CHECK_INTERVAL_MS = 250
 
 
 async def run_scheduling_loop(ownership: ownerships.Ownership) -> None:
     """Runs a scheduling pass whenever something has changed."""
     count = -1
+    stuck_check_ms = 0
     while True:
         count = await signals.wait_with_timeout(
             ownership.scheduling_needed, count, MAX_PASS_INTERVAL_MS
         )
+        began_ms = ownership.clock.now_ms()
         open_due_occurrences(ownership)
         _open_stages_in_outage(ownership)
         if ownerships.may_act(ownership):
-            _stop_stuck_runs(ownership)
+            if began_ms >= stuck_check_ms:
+                stuck_check_ms = began_ms + STUCK_CHECK_INTERVAL_MS
+                _stop_stuck_runs(ownership)
             _start_and_evict(ownership)
-        await clock.sleep(MIN_PASS_INTERVAL_MS)
+        pass_ms = ownership.clock.now_ms() - began_ms
+        await clock.sleep(compute_pass_interval(pass_ms))
+
+
+def compute_pass_interval(pass_ms: int) -> int:
+    """Returns the pause in ms after a scheduling pass that took pass_ms."""
+    return min(
+        MAX_PASS_INTERVAL_MS,
+        max(MIN_PASS_INTERVAL_MS, PASS_DURATION_FACTOR * pass_ms),
+    )
 
 
 def _stop_stuck_runs(ownership: ownerships.Ownership) -> None:
@@ -60,7 +76,10 @@
 
 def _start_and_evict(ownership: ownerships.Ownership) -> None:
     plan = task_placement.plan_starts(
-        ownership.cluster, ownership.clock.now_ms(), ownership.clock.wall_ms()
+        ownership.cluster,
+        ownership.clock.now_ms(),
+        ownership.clock.wall_ms(),
+        ownership.eligibility,
     )
     gang_runs: dict[int, int] = {}
     for placement in plan.placed:
@@ -109,8 +128,7 @@
     now_ms = ownership.clock.now_ms()
     for turn, reason in plan.blocked:
         stage = turn.stage
-        waited_ms = now_ms - (stage.ready_ms or now_ms)
-        if reason == stage.logged_blocker or waited_ms < LOG_WAITING_AFTER_MS:
+        if reason == stage.logged_blocker:
             continue
         stage.logged_blocker = reason
         logger.info(
@@ -118,7 +136,7 @@
             extra={
                 'stage': jobs.format_stage(turn.job.spec.id, stage),
                 'by': reason,
-                'waited_ms': waited_ms,
+                'waited_ms': now_ms - (stage.ready_ms or now_ms),
                 'priority': turn.rank.priority,
                 'band': turn.rank.urgency_band,
                 'suited': len(stage.advice.tickets),
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -65,6 +65,8 @@
         write to the table after which that end may be acknowledged.
       runs: Tasks whose runs hold resources there.
       used: Resources that these runs hold.
+      free: Its free resources when they were last computed; see get_free.
+      free_basis: The capacity and the used resources that they follow from.
       is_claimed: Whether it has accepted the owner's fencing token since the
         worker was last restarted.
       is_listed: Whether the platform still lists it.
@@ -106,6 +108,11 @@
         default_factory=dict
     )
     used: resources.Resources = resources.ZERO
+    free: resources.Resources = resources.ZERO
+    free_basis: tuple[resources.Resources, resources.Resources] = (
+        resources.ZERO,
+        resources.ZERO,
+    )
     is_claimed: bool = False
     is_listed: bool = True
     is_replaced: bool = False
@@ -169,6 +176,15 @@
     )
 
 
+def get_free(info: WorkerInfo) -> resources.Resources:
+    """Returns the free resources of a worker."""
+    capacity, used = info.free_basis
+    if capacity is not info.worker.capacity or used is not info.used:
+        info.free_basis = (info.worker.capacity, info.used)
+        info.free = resources.subtract(info.worker.capacity, info.used)
+    return info.free
+
+
 def find_stage(
     cluster: ClusterState, name: jobs_lib.TaskName
 ) -> jobs_lib.Stage | None:
--- a/tests/unit/jobs/test_loads.py
+++ b/tests/unit/jobs/test_loads.py
@@ -6,6 +6,7 @@
 
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import owner_operations
+from nutmegknot._internal.jobs import task_scheduling
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import resources
 
@@ -209,3 +210,15 @@
         assert cell.violations == []
 
     job_cells.run(script)
+
+
+def test_passes_leave_a_slow_owner_time_for_its_calls() -> None:
+    """A pass that takes long is followed by a pause of twice its duration.
+
+    Passes at a fixed interval took all of a slow processor, so that the owner
+    answered neither its peers nor its workers in time.
+    """
+    intervals = [
+        task_scheduling.compute_pass_interval(ms) for ms in (0, 3, 20, 400)
+    ]
+    assert intervals == [8, 8, 40, 100]
