Yield only to a larger or faster instance; greetings allow for the owner's lag

Cause: an owner whose timers were late yielded to any instance that was idle. A late owner yields only to an instance that is larger or faster by half. Time-outs of greetings allow for the owner's reported lag and one's own, and greetings to an owner that does not answer follow at growing intervals with jitter.

--- a/src/nutmegknot/_internal/jobs/lifecycle.py
+++ b/src/nutmegknot/_internal/jobs/lifecycle.py
@@ -13,6 +13,7 @@
 from nutmegknot._internal.network import grpc_server
 from nutmegknot._internal.network import services
 from nutmegknot._internal.utils import event_loop_lag
+from nutmegknot._internal.utils import processor_speed
 from nutmegknot._internal.utils import tasks
 
 logger = logging.getLogger(__name__)
@@ -70,6 +71,9 @@
         event_loop_lag.run_sampling_loop(node.lateness, node.clock),
         'late',
     )
+    tasks.spawn(
+        node.tasks, processor_speed.run_sampling_loop(node.speed), 'speed'
+    )
     logger.info(
         'instance_started',
         extra={
--- a/src/nutmegknot/_internal/jobs/nodes.py
+++ b/src/nutmegknot/_internal/jobs/nodes.py
@@ -17,6 +17,7 @@
 from nutmegknot._internal.schema import jobs_pb2
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import event_loop_lag
+from nutmegknot._internal.utils import processor_speed
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
 
@@ -94,6 +95,13 @@
       refused_since_ms: Since when the owner's address has refused connections;
         None if it has not, or if that is not known.
       lateness: How late timers of this process fire.
+      speed: Speed of the processor as this process measures it.
+      owner_lag_ms: Largest recent delay of the owner's timers; 0 if unknown.
+        It is what the owner told last.
+      missed_greetings: Number of greetings in a row that the owner did not
+        answer.
+      next_greeting_ms: When the next greeting to an owner that does not answer
+        may be sent.
       changed: Notified when the owner or the settings change.
     """
 
@@ -130,6 +138,12 @@
     lateness: event_loop_lag.EventLoopLag = dataclasses.field(
         default_factory=event_loop_lag.EventLoopLag
     )
+    speed: processor_speed.ProcessorSpeed = dataclasses.field(
+        default_factory=processor_speed.ProcessorSpeed
+    )
+    owner_lag_ms: int = 0
+    missed_greetings: int = 0
+    next_greeting_ms: int = 0
     changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
 
 
--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -24,6 +24,7 @@
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.telemetry import instruments
 from nutmegknot._internal.utils import clock
+from nutmegknot._internal.utils import processor_speed
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
 
@@ -32,14 +33,18 @@
 # Interval between two readings of the owner row while the owner is silent.
 OWNER_ROW_READ_INTERVAL_MS = 120
 OWNER_ROW_TIMEOUT_MS = 700
-# Ratio of a standby's processors to the owner's from which on the owner yields
-# to the standby.
+# Shortest and longest interval between greetings to an owner that does not
+# answer them, before jitter.
+MIN_GREETING_INTERVAL_MS = 60
+MAX_GREETING_INTERVAL_MS = 480
+# Ratio of a standby's processors, or of its measured speed, to the owner's from
+# which on the owner yields to the standby.
 YIELD_PROCESSOR_RATIO = 1.5
 # Shortest time from a takeover until the new owner may yield.
 MIN_OWNERSHIP_MS = 2_000
 YIELD_CHECK_INTERVAL_MS = 250
 # Mean lateness of timers from which on an owner counts as overloaded and
-# yields to a standby whose lateness is much lower.
+# yields to a faster standby whose lateness is much lower.
 OVERLOAD_LATENESS_MS = 70
 # Highest mean lateness of such a standby, as a fraction of the owner's.
 MAX_STANDBY_LATENESS_RATIO = 0.34
@@ -85,12 +90,16 @@
     owner = node.owner
     if owner is None or not owner.row.holder:
         return False
+    if node.is_owner_silent and node.clock.now_ms() < node.next_greeting_ms:
+        return False
     reply = await peer_calls.greet(node, owner.row.address)
     if isinstance(reply, peer_calls.NoReply):
         record_missed_greeting(node, reply)
         return False
     node.refused_since_ms = None
     node.is_owner_silent = False
+    node.missed_greetings = 0
+    node.owner_lag_ms = reply.lag_ms
     node.known_revision = max(node.known_revision, reply.configuration)
     if not reply.reaches_store and node.routes is not None:
         await store_routes.probe_direct_route(node.routes)
@@ -123,8 +132,20 @@
 def record_missed_greeting(
     node: nodes.Node, no_reply: peer_calls.NoReply
 ) -> None:
-    """Records that the owner did not answer a greeting."""
+    """Records that the owner did not answer a greeting.
+
+    Further greetings follow at growing intervals with jitter, so that the
+    standbys do not add to the load of an owner that is only late.
+    """
     node.is_owner_silent = True
+    interval_ms = min(
+        MAX_GREETING_INTERVAL_MS,
+        MIN_GREETING_INTERVAL_MS << min(node.missed_greetings, 8),
+    )
+    node.missed_greetings += 1
+    node.next_greeting_ms = node.clock.now_ms() + int(
+        interval_ms * (0.5 + node.rng.random())
+    )
     if not no_reply.is_refused:
         node.refused_since_ms = None
     elif node.refused_since_ms is None:
@@ -168,6 +189,8 @@
         # Failed calls to the previous owner say nothing about this one.
         node.refused_since_ms = None
         node.is_owner_silent = False
+        node.missed_greetings = 0
+        node.owner_lag_ms = 0
     elif known is not None:
         node.owner.answered_ms = known.answered_ms
     if is_new or not found.row.holder:
@@ -402,7 +425,12 @@
 
 
 def _should_yield(node: nodes.Node, ownership: ownerships.Ownership) -> bool:
-    """Tells whether a standby has far more processors or far less load."""
+    """Tells whether a standby would do far better as the owner.
+
+    Load pattern: the owner has more work than its processor can do. An instance
+    that is no faster would be as late with that work, and each takeover adds
+    the cost of claiming all workers anew.
+    """
     age_ms = node.clock.now_ms() - ownership.cluster.owned_since_ms
     if node.routes is None or age_ms < MIN_OWNERSHIP_MS:
         return False
@@ -411,15 +439,26 @@
     if late_ms >= OVERLOAD_LATENESS_MS:
         return any(
             peer.late_ms <= late_ms * MAX_STANDBY_LATENESS_RATIO
+            and (_is_larger(node, peer) or _is_faster(node, peer))
             for peer in standbys
         )
     return any(
-        peer.millicores >= node.millicores * YIELD_PROCESSOR_RATIO
-        and peer.late_ms < OVERLOAD_LATENESS_MS
+        _is_larger(node, peer) and peer.late_ms < OVERLOAD_LATENESS_MS
         for peer in standbys
     )
 
 
+def _is_larger(node: nodes.Node, peer: store_routes.Peer) -> bool:
+    """Tells whether another instance has far more processors than this one."""
+    return peer.millicores >= node.millicores * YIELD_PROCESSOR_RATIO
+
+
+def _is_faster(node: nodes.Node, peer: store_routes.Peer) -> bool:
+    """Tells whether another instance's processor is far faster at present."""
+    own_us = processor_speed.get_calculation_time(node.speed)
+    return 0 < peer.calculation_us * YIELD_PROCESSOR_RATIO <= own_us
+
+
 async def end_ownership(node: nodes.Node) -> None:
     """Stops serving as the owner, without a write to the table."""
     ownership, node.ownership = node.ownership, None
--- a/src/nutmegknot/_internal/jobs/peer_calls.py
+++ b/src/nutmegknot/_internal/jobs/peer_calls.py
@@ -28,6 +28,7 @@
 from nutmegknot._internal.schema import jobs_grpc
 from nutmegknot._internal.schema import jobs_pb2
 from nutmegknot._internal.utils import clock
+from nutmegknot._internal.utils import processor_speed
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
 
@@ -42,6 +43,9 @@
 GREETING_TIMEOUT_MARGIN_MS = 120
 # Time-out of a greeting to an owner that did not answer the previous one.
 SILENT_OWNER_TIMEOUT_MS = 80
+# Longest addition to the time-out of a greeting for the delay of timers. With
+# it, a failed owner is still noticed before its lease ends.
+MAX_GREETING_LAG_MS = 400
 # Time without any answer on a connection after which it is closed when a call
 # on it is lost.
 IDLE_CONNECTION_MS = 1_500
@@ -158,6 +162,7 @@
             call.reaches_store,
             call.strength,
             call.late_ms,
+            call.calculation_us,
         )
     ownership = nodes.get_valid_ownership(node)
     if ownership is not None:
@@ -171,6 +176,7 @@
         version=0 if ownership is None else ownership.writer.version,
         reaches_store=_reaches_store(node),
         strongest=_find_max_standby_millicores(node),
+        lag_ms=int(node.lateness.peak_ms),
     )
 
 
@@ -415,12 +421,9 @@
         wait_ms=wait_ms,
         strength=node.millicores,
         late_ms=int(node.lateness.mean_ms),
+        calculation_us=processor_speed.get_calculation_time(node.speed),
     )
-    timeout_ms = wait_ms + (
-        SILENT_OWNER_TIMEOUT_MS
-        if node.is_owner_silent
-        else GREETING_TIMEOUT_MARGIN_MS
-    )
+    timeout_ms = wait_ms + compute_greeting_margin(node)
     try:
         reply: jobs_pb2.GreetingReply = await get_stub(node, address).Greet(
             call, timeout=clock.to_seconds(timeout_ms)
@@ -438,6 +441,23 @@
     return reply
 
 
+def compute_greeting_margin(node: nodes.Node) -> int:
+    """Returns the time-out of a greeting beyond the holding time, in ms.
+
+    Load pattern: the owner has so much work that it answers late. Standbys that
+    give up on a call before its answer can come add the cost of another call.
+    The margin therefore allows for the delay that the owner last told, and for
+    the delay of this instance itself.
+    """
+    margin_ms = (
+        SILENT_OWNER_TIMEOUT_MS
+        if node.is_owner_silent
+        else GREETING_TIMEOUT_MARGIN_MS
+    )
+    lag_ms = node.owner_lag_ms + int(node.lateness.peak_ms)
+    return margin_ms + min(MAX_GREETING_LAG_MS, lag_ms)
+
+
 def _reaches_store(node: nodes.Node) -> bool:
     """Tells whether this instance reaches the store on its direct route."""
     return node.routes is None or node.routes.direct_failed_since_ms is None
--- a/src/nutmegknot/_internal/jobs/state_dump.py
+++ b/src/nutmegknot/_internal/jobs/state_dump.py
@@ -95,6 +95,7 @@
                 'reaches_store': peer.reaches_store,
                 'strength': peer.millicores,
                 'late_ms': peer.late_ms,
+                'calculation_us': peer.calculation_us,
             },
         )
         for address, peer in sorted(peers.items())
--- a/src/nutmegknot/_internal/jobs/store_routes.py
+++ b/src/nutmegknot/_internal/jobs/store_routes.py
@@ -49,6 +49,7 @@
       reaches_store: Whether it reaches the store on its direct route.
       millicores: Its processors in thousandths of a core; 0 if not known.
       late_ms: Mean lateness of its timers.
+      calculation_us: Time that a fixed calculation takes there; 0 if not known.
       last_failure_ms: When a call through it failed last; None if none did.
     """
 
@@ -56,6 +57,7 @@
     reaches_store: bool
     millicores: int = 0
     late_ms: int = 0
+    calculation_us: int = 0
     last_failure_ms: int | None = None
 
 
@@ -88,6 +90,7 @@
     reaches_store: bool,
     millicores: int = 0,
     late_ms: int = 0,
+    calculation_us: int = 0,
 ) -> None:
     """Records the report of another instance about itself."""
     known = routes.peers.get(address)
@@ -97,6 +100,7 @@
         reaches_store,
         millicores,
         late_ms,
+        calculation_us,
         last_failure_ms,
     )
 
