Workers' clocks: keep the best bound of earlier answers; starts allow for lag

Cause: an answer that its owner reads late makes the worker's clock look slow by that delay. The owner stayed overloaded with repeating them. Change: the estimate keeps the highest bound of all answers, less the largest drift; the validity of a start includes the owner's own lag, within the lease that the next owner waits for. Tests: tests/unit/jobs/test_leases.py; the first and the last test failed on the code before (the last for want of the function).

--- a/src/nutmegknot/_internal/jobs/leases.py
+++ b/src/nutmegknot/_internal/jobs/leases.py
@@ -13,15 +13,34 @@
 
 
 def record_clock(
-    info: cluster_state.WorkerInfo, clock_ms: int, now_ms: int
+    info: cluster_state.WorkerInfo,
+    clock_ms: int,
+    now_ms: int,
+    max_clock_drift: float,
 ) -> None:
     """Records the time of a worker's clock from an answer of the worker.
 
     The answer was sent before it arrived at now_ms, so the worker's clock shows
-    at least clock_ms at that time.
+    at least clock_ms at that time. So does any earlier answer, less the drift
+    since then. The higher of the two bounds counts.
+
+    Load pattern: this process has so much work that it reads answers late. Each
+    answer by itself then makes the worker's clock look slow by that delay, and
+    starts that are valid for a limited time reach the worker too late.
+
+    Args:
+      info: The worker.
+      clock_ms: Time of its clock as given in the answer.
+      now_ms: Time now, by this instance's clock.
+      max_clock_drift: Largest part by which the worker's clock may be slow.
     """
-    info.lease.clock_ms = clock_ms
-    info.lease.read_ms = now_ms
+    lease = info.lease
+    if lease.clock_ms:
+        age_ms = now_ms - lease.read_ms
+        bound_ms = lease.clock_ms + int(age_ms * (1 - max_clock_drift))
+        clock_ms = max(clock_ms, bound_ms)
+    lease.clock_ms = clock_ms
+    lease.read_ms = now_ms
 
 
 def estimate_clock(info: cluster_state.WorkerInfo, now_ms: int) -> int:
--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -142,6 +142,19 @@
     )
 
 
+def compute_start_validity(ownership: Ownership) -> int:
+    """Returns how long after its sending a start may take effect, in ms.
+
+    The lag of this process is added, since the command leaves it that much
+    later. Like any lease, a start ends before the next owner may assume that
+    nothing of this one is left.
+    """
+    return min(
+        ownership.limits.worker_lease_ms,
+        ownership.limits.start_validity_ms + int(ownership.lag.peak_ms),
+    )
+
+
 def queue_progress_write(
     ownership: Ownership, job: jobs.Job, *, is_hurried: bool = False
 ) -> None:
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -219,7 +219,12 @@
         )
     info.last_answer_ms = now_ms
     info.unanswered_since_ms = None
-    leases.record_clock(info, inventory.clock_ms, now_ms)
+    leases.record_clock(
+        info,
+        inventory.clock_ms,
+        now_ms,
+        ownership.limits.max_clock_drift,
+    )
     new_ends = [
         end for end in inventory.ends if end.number > info.processed_end
     ]
--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -119,10 +119,9 @@
     After the time for which the command is valid, the run is stopped instead.
     """
     info, task = decision.info, decision.task
-    until_ms = leases.extend_lease(
-        info, ownership.limits.start_validity_ms, ownership
-    )
-    give_up_ms = ownership.clock.now_ms() + ownership.limits.start_validity_ms
+    validity_ms = ownerships.compute_start_validity(ownership)
+    until_ms = leases.extend_lease(info, validity_ms, ownership)
+    give_up_ms = ownership.clock.now_ms() + validity_ms
     may_have_started = False
     attempt = 0
     while (
