Tickets: those that expire before the start is sent are renewed

Cause: a ticket had to be valid for 0.15 s when a start was decided, however late the owner's commands left it. Change: the owner's lag is added to that time, 0.4 s at most, so that tickets with a short validity remain usable. Test: tests/unit/decisions/test_task_placement.py.

--- a/src/nutmegknot/_internal/decisions/advice_selection.py
+++ b/src/nutmegknot/_internal/decisions/advice_selection.py
@@ -14,8 +14,12 @@
 from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import jobs
 
-# Time for which a ticket must still be valid when a start is decided, in ms.
+# Time for which a ticket must still be valid when a start is decided, in ms,
+# beyond the lag of the process that sends it.
 MIN_TICKET_REMAINING_MS = 150
+# Longest addition to that time for the lag, in ms, so that tickets with a short
+# validity remain usable.
+MAX_TICKET_LAG_MS = 400
 # Largest number of workers in one call for advice.
 MAX_WORKERS_PER_CALL = 30
 # A ticket for a reserved worker is renewed once it expires within this time
@@ -73,14 +77,28 @@
     return [info for info in infos if is_advised(stage, info)]
 
 
+def compute_ticket_margin(plan: plans.Plan) -> int:
+    """Returns how long a ticket must still be valid for a start, in ms.
+
+    Load pattern: the owner has so much work that its commands leave it late.
+    With a ticket that expires meanwhile, a start is refused, and the stage
+    needs new advice, which adds to the load.
+    """
+    return MIN_TICKET_REMAINING_MS + min(plan.lag_ms, MAX_TICKET_LAG_MS)
+
+
 def list_ticket_holders(
-    stage: jobs.Stage, eligible: plans.EligibleWorkers, now_ms: int
+    plan: plans.Plan,
+    stage: jobs.Stage,
+    eligible: plans.EligibleWorkers,
+    now_ms: int,
 ) -> list[cluster_state.WorkerInfo]:
     """Returns the eligible workers on which the stage may start now."""
+    margin_ms = compute_ticket_margin(plan)
     return [
         info
         for info in list_advised(stage, eligible)
-        if has_valid_ticket(stage, info, now_ms, MIN_TICKET_REMAINING_MS)
+        if has_valid_ticket(stage, info, now_ms, margin_ms)
     ]
 
 
@@ -99,6 +117,7 @@
     on at least one of them.
     """
     counts = plans.count_tasks_by_worker(stage)
+    margin_ms = compute_ticket_margin(plan)
 
     def fits_now(info: cluster_state.WorkerInfo) -> bool:
         return plans.can_start_task(plan, stage.step, info.worker.id, counts)
@@ -106,7 +125,7 @@
     expired = [
         info.worker.id
         for info in list_advised(stage, eligible)
-        if not has_valid_ticket(stage, info, now_ms, MIN_TICKET_REMAINING_MS)
+        if not has_valid_ticket(stage, info, now_ms, margin_ms)
         and fits_now(info)
     ]
     if expired:
--- a/src/nutmegknot/_internal/decisions/plans.py
+++ b/src/nutmegknot/_internal/decisions/plans.py
@@ -125,6 +125,7 @@
         get_releasing.
       eligibility: Eligible workers of recent steps.
       usage: Resources that each customer's tasks take, by customer.
+      lag_ms: How late the commands that follow from the plan may be sent.
       reserved: Ids of the workers that are reserved for a stage; stages of
         lower rank start nothing there.
       advice_requests: Requests for advice that are to be made.
@@ -141,6 +142,7 @@
     releasing: dict[str, resources.Resources]
     usage: dict[str, resources.Resources]
     eligibility: EligibilityCache
+    lag_ms: int = 0
     reserved: set[str] = dataclasses.field(default_factory=set)
     advice_requests: list[advice_requests_lib.AdviceRequest] = (
         dataclasses.field(default_factory=list)
--- a/src/nutmegknot/_internal/decisions/task_placement.py
+++ b/src/nutmegknot/_internal/decisions/task_placement.py
@@ -45,6 +45,7 @@
     now_ms: int,
     wall_ms: int,
     eligibility: plans.EligibilityCache | None = None,
+    lag_ms: int = 0,
 ) -> plans.Plan:
     """Decides which waiting tasks start now.
 
@@ -54,12 +55,14 @@
       wall_ms: Time since the Unix epoch in ms.
       eligibility: Eligible workers of recent steps, as the pass before left
         them; None for an empty cache.
+      lag_ms: How late the commands that follow may be sent.
 
     Returns:
       The tasks to start, runs to stop, requests for advice, and stages that
       can't start, each list with the most urgent first.
     """
     plan = plans.start_plan(cluster, now_ms, eligibility)
+    plan.lag_ms = lag_ms
     for ranked in rank_stages(cluster, now_ms, wall_ms):
         _plan_stage(cluster, plan, ranked, now_ms)
     return plan
@@ -96,7 +99,9 @@
     eligible = plans.find_eligible(plan, queue.pool, step)
     allowed = eligible.infos
     if queue.needs_tickets:
-        allowed = advice_selection.list_ticket_holders(stage, eligible, now_ms)
+        allowed = advice_selection.list_ticket_holders(
+            plan, stage, eligible, now_ms
+        )
     place = _place_gang if step.is_gang else _place_tasks
     placed = []
     if plans.may_fit(plan, queue.pool, step):
--- a/src/nutmegknot/_internal/jobs/task_scheduling.py
+++ b/src/nutmegknot/_internal/jobs/task_scheduling.py
@@ -80,6 +80,7 @@
         ownership.clock.now_ms(),
         ownership.clock.wall_ms(),
         ownership.eligibility,
+        int(ownership.lag.peak_ms),
     )
     gang_runs: dict[int, int] = {}
     for placement in plan.placed:
--- a/tests/unit/decisions/test_task_placement.py
+++ b/tests/unit/decisions/test_task_placement.py
@@ -179,6 +179,26 @@
     assert list_blocking_reasons(plan) == ['ticket', 'room']
 
 
+def test_a_ticket_that_expires_before_the_start_is_sent_is_renewed() -> None:
+    """Guards against starts that workers refuse as their tickets have expired.
+
+    The owner's commands left it up to 1 s late, and 375 starts had tickets that
+    were over by then. Found in quiet-1 --small of the site mvhd-sched-large.
+    """
+    cluster = make_cluster(job_cells.make_worker('w1'))
+    stage = add_stage(cluster, 'a', job_cells.make_step(), queue='asked')
+    stage.advice.asked['w1'] = 1
+    stage.advice.tickets['w1'] = jobs.Ticket('ticket', NOW_MS + 300, 1)
+    assert len(make_plan(cluster).placed) == 1
+    plan = task_placement.plan_starts(cluster, NOW_MS, NOW_MS, lag_ms=200)
+    assert plan.placed == []
+    assert [request.workers for request in plan.advice_requests] == [['w1']]
+    # A new ticket is enough, however large the lag is.
+    stage.advice.tickets['w1'] = jobs.Ticket('ticket', NOW_MS + 600, 1)
+    plan = task_placement.plan_starts(cluster, NOW_MS, NOW_MS, lag_ms=9_000)
+    assert len(plan.placed) == 1
+
+
 def test_advice_is_requested_on_others_once_advised_workers_are_full() -> None:
     """Guards against a long-running step that stays short of tasks.
 
