Logs: quote plain text without looking at each character

Cause: the time of each line holds a space and was checked and escaped character by character. Change: printable ASCII text without quotes and backslashes is matched at once. Test: tests/unit/telemetry/test_logs.py, the same before and after.

--- a/src/nutmegknot/_internal/telemetry/logs.py
+++ b/src/nutmegknot/_internal/telemetry/logs.py
@@ -11,9 +11,11 @@
 from pythonjsonlogger import json as json_lib
 
 _FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
-# Key in the log line by attribute of the logging library.
 # Printable ASCII text that needs no quotes; most values are of this form.
 _PLAIN_TEXT = re.compile(r'[!#-<>-\[\]-~]+')
+# Printable ASCII text that needs quotes and no escapes, such as a time.
+_QUOTABLE_TEXT = re.compile(r'[ !#-\[\]-~]*')
+# Key in the log line by attribute of the logging library.
 _KEYS = {
     'asctime': 'time',
     'levelname': 'level',
@@ -47,6 +49,8 @@
     text = str(value)
     if _PLAIN_TEXT.fullmatch(text):
         return text
+    if _QUOTABLE_TEXT.fullmatch(text):
+        return f'"{text}"'
     if text and not any(c in ' "=\\' or not c.isprintable() for c in text):
         return text
     escaped = text.replace('\\', '\\\\').replace('"', '\\"')
