Outages: an owner goes on while the store is silent for all

Cause: the owner goes on in an outage while each other instance has reported within 1.1 s that it does not reach the store. With a silent store the reports came every 1.22 s, as each instance waited for a probe and for the owner row first. The owner lost its authority for 4 s: nothing was started, and 192 new jobs got an unknown outcome. Change: an instance out of reach of the store does not wait for it between two greetings; the owner answers held greetings when it loses the store. Tests: tests/unit/jobs/test_outages.py, failing before (gaps of 1,225 ms).

--- a/src/nutmegknot/_internal/jobs/lifecycle.py
+++ b/src/nutmegknot/_internal/jobs/lifecycle.py
@@ -14,6 +14,7 @@
 from nutmegknot._internal.network import services
 from nutmegknot._internal.utils import event_loop_lag
 from nutmegknot._internal.utils import processor_speed
+from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
 
 logger = logging.getLogger(__name__)
@@ -57,6 +58,7 @@
         routes.call_peer = lambda address, call, timeout_ms: (
             peer_calls.relay_call(node, address, call, timeout_ms)
         )
+        routes.on_change = lambda: signals.notify(node.changed)
         tasks.spawn(
             node.tasks, store_routes.probe_periodically(routes), 'probe'
         )
--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -33,6 +33,10 @@
 # Interval between two readings of the owner row while the owner is silent.
 OWNER_ROW_READ_INTERVAL_MS = 120
 OWNER_ROW_TIMEOUT_MS = 700
+# Interval between two greetings of an instance that can't reach the store, if
+# the owner does not hold its answers. Several reports come within the time for
+# which the owner relies on one.
+OUT_OF_REACH_INTERVAL_MS = 300
 # Shortest and longest interval between greetings to an owner that does not
 # answer them, before jitter.
 MIN_GREETING_INTERVAL_MS = 60
@@ -101,7 +105,11 @@
     node.missed_greetings = 0
     node.owner_lag_ms = reply.lag_ms
     node.known_revision = max(node.known_revision, reply.configuration)
-    if not reply.reaches_store and node.routes is not None:
+    if (
+        not reply.reaches_store
+        and node.routes is not None
+        and node.routes.direct_failed_since_ms is None
+    ):
         await store_routes.probe_direct_route(node.routes)
     if reply.instance != owner.row.holder and owner.row.holder:
         # Another process answers at the owner's address, so the owner's
@@ -153,13 +161,20 @@
 
 
 async def _check_owner_row(node: nodes.Node) -> None:
-    """Reads the owner row, and takes over if the owner's lease has ended."""
+    """Reads the owner row, and takes over if the owner's lease has ended.
+
+    Load pattern: the store answers nobody, and each call to it lasts until its
+    time-out. The owner may go on only while every other instance reports again
+    and again that it does not reach the store either. So no instance waits for
+    the row before its next greeting; the probes show when a route works again.
+    """
+    if node.routes is not None and store_routes.is_out_of_reach(node.routes):
+        _postpone_takeover(node)
+        await clock.sleep(OUT_OF_REACH_INTERVAL_MS)
+        return
     found = await takeover.read_owner(node.backends.table, OWNER_ROW_TIMEOUT_MS)
     if found is None:
-        if node.owner is not None:
-            # The owner can't write during a store outage, so an unchanged row
-            # does not show that it has failed.
-            node.owner.unchanged_since_ms = node.clock.now_ms()
+        _postpone_takeover(node)
         await clock.sleep(OWNER_ROW_READ_INTERVAL_MS)
         return
     record_owner_row(node, found)
@@ -175,6 +190,16 @@
     )
 
 
+def _postpone_takeover(node: nodes.Node) -> None:
+    """Has the owner's lease count from now on.
+
+    The owner can't write during an outage of the store, so an unchanged row
+    does not show that it has failed.
+    """
+    if node.owner is not None:
+        node.owner.unchanged_since_ms = node.clock.now_ms()
+
+
 def record_owner_row(
     node: nodes.Node, found: takeover.VersionedOwnerRow
 ) -> None:
--- a/src/nutmegknot/_internal/jobs/peer_calls.py
+++ b/src/nutmegknot/_internal/jobs/peer_calls.py
@@ -77,7 +77,7 @@
         'Look': lambda call, _: _serve_look(node, call),
         'Cancel': lambda call, _: _serve_cancel(node, call),
         'Count': lambda call, _: _serve_count(node, call),
-        'Greet': lambda call, _: _serve_greeting(node, call),
+        'Greet': lambda call, _: serve_greeting(node, call),
         'Advise': lambda call, _: _serve_advice(node, call),
         'Relay': lambda call, _: _serve_relay(node, call),
     }
@@ -151,9 +151,10 @@
     )
 
 
-async def _serve_greeting(
+async def serve_greeting(
     node: nodes.Node, call: jobs_pb2.Greeting
 ) -> jobs_pb2.GreetingReply:
+    """Answers a greeting; the owner holds its answer until it has news."""
     node.known_revision = max(node.known_revision, call.configuration)
     if node.routes is not None:
         store_routes.update_peer(
@@ -167,7 +168,7 @@
     ownership = nodes.get_valid_ownership(node)
     if ownership is not None:
         _add_adviser(node, ownership, call.address)
-        await _wait_for_newer_settings(node, call)
+        await _wait_for_news(node, call)
         ownership = nodes.get_valid_ownership(node)
     return jobs_pb2.GreetingReply(
         epoch=0 if ownership is None else ownership.cluster.epoch,
@@ -188,14 +189,16 @@
     return max((peer.millicores for peer in standbys), default=0)
 
 
-async def _wait_for_newer_settings(
-    node: nodes.Node, call: jobs_pb2.Greeting
-) -> None:
-    """Waits until there are newer settings than those of a greeting's sender.
+async def _wait_for_news(node: nodes.Node, call: jobs_pb2.Greeting) -> None:
+    """Waits until there is news for the sender of a greeting.
 
+    News are newer settings than those of the sender, and a change of whether
+    this instance reaches the store: in an outage for all, it may go on only if
+    every other instance reports soon that it does not reach the store either.
     The wait also ends when this instance is no longer the owner, and after the
     time that the sender allows.
     """
+    reached_store = _reaches_store(node)
     until_ms = node.clock.now_ms() + min(call.wait_ms, MAX_GREETING_HOLD_MS)
     count = node.changed.count
     while (
@@ -205,6 +208,8 @@
         left_ms = until_ms - node.clock.now_ms()
         if left_ms <= 0 or node.settings.revision > call.configuration:
             return
+        if _reaches_store(node) is not reached_store:
+            return
         count = await signals.wait_with_timeout(node.changed, count, left_ms)
 
 
--- a/src/nutmegknot/_internal/jobs/store_routes.py
+++ b/src/nutmegknot/_internal/jobs/store_routes.py
@@ -74,6 +74,7 @@
       peers: Last reports of the other instances by address.
       direct_failed_since_ms: Since when the direct route fails; None while it
         works.
+      on_change: Called when the direct route fails or works again.
     """
 
     clock: clock_lib.Clock
@@ -82,6 +83,7 @@
     call_peer: CallPeer | None = None
     peers: dict[str, Peer] = dataclasses.field(default_factory=dict)
     direct_failed_since_ms: int | None = None
+    on_change: Callable[[], None] = lambda: None
 
 
 def update_peer(
@@ -159,10 +161,12 @@
                 else f'status {reply.status}'
             )
             logger.warning('direct_route_lost', extra={'why': why})
+            routes.on_change()
     elif routes.direct_failed_since_ms is not None:
         lost_ms = routes.clock.now_ms() - routes.direct_failed_since_ms
         routes.direct_failed_since_ms = None
         logger.info('direct_route_regained', extra={'after_ms': lost_ms})
+        routes.on_change()
 
 
 def choose_peer(routes: StoreRoutes) -> str | None:
@@ -181,6 +185,14 @@
     return max(usable)[1] if usable else None
 
 
+def is_out_of_reach(routes: StoreRoutes) -> bool:
+    """Tells whether no route of this instance to the store works at present."""
+    return (
+        routes.direct_failed_since_ms is not None
+        and choose_peer(routes) is None
+    )
+
+
 def list_standbys(routes: StoreRoutes) -> list[Peer]:
     """Returns the instances that could take over, as they reach the store."""
     now_ms = routes.clock.now_ms()
--- a/tests/unit/jobs/test_outages.py
+++ b/tests/unit/jobs/test_outages.py
@@ -1,17 +1,25 @@
 """Jobs during an outage of the store."""
 
 import asyncio
+import itertools
+from unittest import mock
 
 from lib import job_cells
 from lib import job_views
 
 from nutmegknot._internal.backing import platform_calls
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import owner_election
 from nutmegknot._internal.jobs import owner_operations
+from nutmegknot._internal.jobs import peer_calls
 from nutmegknot._internal.jobs import store_routes
+from nutmegknot._internal.jobs import takeover
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
+from nutmegknot._internal.schema import jobs_pb2
+from nutmegknot._internal.utils import signals
+from nutmegknot._internal.utils import tasks
 
 
 def test_a_job_refused_in_a_store_outage_never_runs() -> None:
@@ -90,6 +98,98 @@
         await asyncio.sleep(0.4)
 
 
+def test_instances_report_often_while_the_store_is_silent() -> None:
+    """Guards against an owner that stops for the whole of a silent outage.
+
+    Each call to the store lasted until its time-out. The other instances waited
+    for a probe and for the owner row between two greetings, 1.22 s in all,
+    while the owner relies on a report for 1.1 s only. It started nothing for
+    4.4 s, and 192 new jobs got an unknown outcome. Found in inc-0aab of the
+    site coopbien-rfp.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop)
+        node = job_cells.make_node(cell, 'me')
+        row = jobs_pb2.JobsOwnerRow(epoch=1, holder='one', address='one:1')
+        owner_election.record_owner_row(
+            node, takeover.VersionedOwnerRow(row, 7)
+        )
+        node.routes = store_routes.StoreRoutes(
+            cell.clock, time_out, platform_calls.Call('GET', '/')
+        )
+        report_times_ms: list[int] = []
+
+        async def greet(
+            node: nodes.Node, address: str
+        ) -> jobs_pb2.GreetingReply:
+            assert node.routes is not None
+            if node.routes.direct_failed_since_ms is not None:
+                report_times_ms.append(cell.clock.now_ms())
+            await asyncio.sleep(0.005)
+            return jobs_pb2.GreetingReply(instance='one', reaches_store=False)
+
+        async def read_in_vain(table: tables.Table, timeout_ms: int) -> None:
+            await asyncio.sleep(timeout_ms / 1_000)
+
+        with (
+            mock.patch.object(peer_calls, 'greet', greet),
+            mock.patch.object(takeover, 'read_owner', read_in_vain),
+        ):
+            tasks.spawn(node.tasks, owner_election.run_election(node), 'owner')
+            await asyncio.sleep(6)
+        gaps_ms = [
+            later - earlier
+            for earlier, later in itertools.pairwise(report_times_ms)
+        ]
+        assert len(gaps_ms) > 5
+        assert max(gaps_ms) < store_routes.OUTAGE_REPORT_VALIDITY_MS / 2
+
+    job_cells.run(script)
+
+
+def test_a_held_greeting_is_answered_when_the_owner_loses_the_store() -> None:
+    """The other instances then find out at once whether they reach it."""
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop)
+        node = await job_cells.start_owner(cell, 'one')
+        routes = store_routes.StoreRoutes(
+            cell.clock,
+            time_out,
+            platform_calls.Call('GET', '/'),
+            on_change=lambda: signals.notify(node.changed),
+        )
+        node.routes = routes
+        assert node.settings is not None
+        call = jobs_pb2.Greeting(
+            instance='two',
+            configuration=node.settings.revision,
+            reaches_store=True,
+            wait_ms=peer_calls.GREETING_HOLD_MS,
+        )
+        held = asyncio.create_task(peer_calls.serve_greeting(node, call))
+        await asyncio.sleep(0.1)
+        assert not held.done()
+        await store_routes.make_fetch(routes)(routes.probe, 50)
+        await asyncio.sleep(0.01)
+        assert held.done() and not held.result().reaches_store
+        # As long as nothing changes, later answers are held as before.
+        held = asyncio.create_task(peer_calls.serve_greeting(node, call))
+        await asyncio.sleep(0.1)
+        assert not held.done()
+        await held
+
+    job_cells.run(script)
+
+
+async def time_out(
+    call: platform_calls.Call, timeout_ms: int
+) -> platform_calls.NoAnswer:
+    await asyncio.sleep(timeout_ms / 1_000)
+    return platform_calls.NoAnswer(True, 'time-out')
+
+
 def test_dependent_steps_start_while_the_store_is_unreachable_for_all() -> None:
     """Guards against steps that wait for the end of a store outage.
 
