Outages: a restarted owner does not count itself as another instance

Cause: after a restart of all instances, the one at the last owner's address sent a greeting to that address, its own, before it had read its settings. Its answer was recorded as the report of another instance that reaches the store. Such a report counts for 10 s if no other follows, so that the owner lost its authority 0.85 s after the store fell silent for all. Change: no greeting is sent to an instance's own address. Test: tests/unit/jobs/test_outages.py, failing before.

--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -94,6 +94,11 @@
     owner = node.owner
     if owner is None or not owner.row.holder:
         return False
+    if owner.row.address == node.address:
+        # The row names an earlier process at this instance's address. A
+        # greeting would reach this instance itself, which would then count as
+        # another one that may reach the store.
+        return False
     if node.is_owner_silent and node.clock.now_ms() < node.next_greeting_ms:
         return False
     reply = await peer_calls.greet(node, owner.row.address)
--- a/tests/unit/jobs/test_outages.py
+++ b/tests/unit/jobs/test_outages.py
@@ -12,6 +12,7 @@
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import owner_election
 from nutmegknot._internal.jobs import owner_operations
+from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import peer_calls
 from nutmegknot._internal.jobs import store_routes
 from nutmegknot._internal.jobs import takeover
@@ -148,6 +149,53 @@
     job_cells.run(script)
 
 
+def test_a_restarted_owner_goes_on_while_the_store_is_silent() -> None:
+    """Guards against an owner that takes itself for another instance.
+
+    All instances restarted, and the owner took over from its earlier process.
+    It had sent a greeting to its own address before, and its own report that
+    the store was in reach kept it from acting in an outage for 10 s. Found in
+    inc-0aab of the site coopbien-rfp.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        earlier = await job_cells.start_owner(cell, 'one')
+        await owner_election.end_ownership(earlier)
+        node = job_cells.make_node(cell, 'one')
+        node.id = 'one-restarted'
+        node.routes = job_cells.make_routes(cell)
+        # It reads the owner row before the settings.
+        node.settings = None
+
+        async def greet(
+            caller: nodes.Node, address: str
+        ) -> jobs_pb2.GreetingReply:
+            # As the adapter does: every answer is a report of that address.
+            assert caller.routes is not None
+            store_routes.update_peer(caller.routes, address, True)
+            return jobs_pb2.GreetingReply(
+                instance=caller.id, reaches_store=True
+            )
+
+        with mock.patch.object(peer_calls, 'greet', greet):
+            tasks.spawn(node.tasks, owner_election.run_election(node), 'owner')
+            await asyncio.sleep(0.1)
+            node.settings = cell.settings
+            await asyncio.sleep(0.3)
+        ownership = job_views.get_ownership(node)
+        assert node.routes.peers == {}
+        node.routes.direct = time_out
+        await store_routes.probe_direct_route(node.routes)
+        cell.table.is_down = True
+        for _ in range(8):
+            store_routes.update_peer(node.routes, 'other', False)
+            await asyncio.sleep(0.4)
+            assert ownerships.may_act(ownership)
+
+    job_cells.run(script)
+
+
 def test_a_held_greeting_is_answered_when_the_owner_loses_the_store() -> None:
     """The other instances then find out at once whether they reach it."""
 
