Outages: jobs behind an unanswered write are refused in time

Cause: a write whose outcome is not known is repeated until it is settled. Tests: tests/unit/jobs/test_outages.py, the first failing before; a job that is in flight is still not refused.

--- a/tests/unit/jobs/test_outages.py
+++ b/tests/unit/jobs/test_outages.py
@@ -16,6 +16,7 @@
 from nutmegknot._internal.jobs import peer_calls
 from nutmegknot._internal.jobs import store_routes
 from nutmegknot._internal.jobs import takeover
+from nutmegknot._internal.jobs import writers
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.schema import jobs_pb2
@@ -42,6 +43,59 @@
     job_cells.run(script)
 
 
+def test_jobs_behind_an_unanswered_write_are_refused_in_time() -> None:
+    """Guards against unknown outcomes of jobs that were never sent.
+
+    The store fell silent while a write was under way. Jobs that arrived in the
+    next quarter of a second waited behind it until their callers' deadlines:
+    22 unknown outcomes, the last answer of each. Found in inc-0aab of the site
+    coopbien-rfp.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        node = await job_cells.start_owner(cell, 'one')
+        ownership = job_views.get_ownership(node)
+        await asyncio.sleep(0.5)
+        cell.table.faults = ['lost'] * 200
+        # A write is under way, and its outcome is not known.
+        assert await job_cells.wait_until(
+            cell, lambda: ownership.writer.failing_since_ms is not None
+        )
+        began_ms = cell.clock.now_ms()
+        refused = await owner_operations.submit(
+            ownership, job_cells.make_job_spec('a', job_cells.make_step())
+        )
+        assert isinstance(refused, outcomes.Refused)
+        assert refused.reason is outcomes.RefusalReason.UNAVAILABLE
+        assert refused.retry_after_ms > 0
+        assert cell.clock.now_ms() - began_ms < 1_000
+        cell.table.faults = []
+        await asyncio.sleep(2.0)
+        assert cell.starts == []
+        assert not any(key.endswith('/a') for key in cell.table.rows)
+
+    job_cells.run(script)
+
+
+def test_a_job_in_an_unanswered_write_is_not_refused() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        node = await job_cells.start_owner(cell, 'one')
+        ownership = job_views.get_ownership(node)
+        await asyncio.sleep(0.5)
+        cell.table.faults = ['lost'] * 6
+        began_ms = cell.clock.now_ms()
+        outcome = await owner_operations.submit(
+            ownership, job_cells.make_job_spec('a', job_cells.make_step())
+        )
+        assert outcome == outcomes.Accepted('a')
+        waited_ms = cell.clock.now_ms() - began_ms
+        assert waited_ms > writers.MAX_STORE_FAILURE_MS
+
+    job_cells.run(script)
+
+
 def test_a_repeated_submission_in_a_store_outage_undoes_nothing() -> None:
     """Guards against the loss of an accepted job that is submitted again.
 
