Workers' clocks: an estimate is limited by the newest call, and leases end by the newest answer

Cause: the estimate that keeps the best bound of earlier answers assumed that a worker's clock always goes on. In a machine that was suspended it stands still; the estimate would then have been ahead for minutes, and a lease would have counted as over while the worker still ran. Change: the estimate is at most the newest answer's time plus the duration of that call. Tests: tests/unit/jobs/test_leases.py; the two new ones failed before for want of the parameter.

--- a/src/nutmegknot/_internal/jobs/leases.py
+++ b/src/nutmegknot/_internal/jobs/leases.py
@@ -15,14 +15,17 @@
 def record_clock(
     info: cluster_state.WorkerInfo,
     clock_ms: int,
+    sent_ms: int,
     now_ms: int,
     max_clock_drift: float,
 ) -> None:
     """Records the time of a worker's clock from an answer of the worker.
 
     The answer was sent before it arrived at now_ms, so the worker's clock shows
-    at least clock_ms at that time. So does any earlier answer, less the drift
-    since then. The higher of the two bounds counts.
+    at least clock_ms at that time. A higher bound may follow from an earlier
+    answer, less the drift since then, but the clock was read after the call was
+    sent, so it can't have gone on for longer than the call took. A worker whose
+    clock has stood still, in a machine that was suspended, shows by that limit.
 
     Load pattern: this process has so much work that it reads answers late. Each
     answer by itself then makes the worker's clock look slow by that delay, and
@@ -31,21 +34,25 @@
     Args:
       info: The worker.
       clock_ms: Time of its clock as given in the answer.
+      sent_ms: When the call was sent, by this instance's clock.
       now_ms: Time now, by this instance's clock.
       max_clock_drift: Largest part by which the worker's clock may be slow.
     """
     lease = info.lease
+    estimate_ms = clock_ms
     if lease.clock_ms:
         age_ms = now_ms - lease.read_ms
-        bound_ms = lease.clock_ms + int(age_ms * (1 - max_clock_drift))
-        clock_ms = max(clock_ms, bound_ms)
+        earlier_ms = lease.estimate_ms + int(age_ms * (1 - max_clock_drift))
+        limit_ms = clock_ms + (now_ms - sent_ms)
+        estimate_ms = max(clock_ms, min(earlier_ms, limit_ms))
     lease.clock_ms = clock_ms
     lease.read_ms = now_ms
+    lease.estimate_ms = estimate_ms
 
 
 def estimate_clock(info: cluster_state.WorkerInfo, now_ms: int) -> int:
     """Returns a lower bound of a worker's clock now, apart from its drift."""
-    return info.lease.clock_ms + (now_ms - info.lease.read_ms)
+    return info.lease.estimate_ms + (now_ms - info.lease.read_ms)
 
 
 def extend_lease(
@@ -89,6 +96,9 @@
 ) -> int:
     """Returns when a worker's lease has certainly expired.
 
+    It follows from the newest answer alone, not from the estimate: the lowest
+    bound of the worker's clock gives the latest end.
+
     Returns:
       The time by this instance's clock, for a worker's clock that is slow by
       the allowed drift.
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -243,6 +243,7 @@
     leases.record_clock(
         info,
         inventory.clock_ms,
+        sent_ms,
         now_ms,
         ownership.limits.max_clock_drift,
     )
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -24,6 +24,8 @@
     Attributes:
       clock_ms: The worker's clock as given in its newest answer.
       read_ms: Monotonic time of the owner at which that answer arrived.
+      estimate_ms: Highest bound for its clock at that time that follows from
+        all answers; see leases.record_clock.
       until_ms: Time by the worker's clock at which the lease ends at the
         latest. Every call that may have extended the lease counts, also if it
         had no answer.
@@ -31,6 +33,7 @@
 
     clock_ms: int = 0
     read_ms: int = 0
+    estimate_ms: int = 0
     until_ms: int = 0
 
 
--- a/tests/unit/jobs/test_leases.py
+++ b/tests/unit/jobs/test_leases.py
@@ -23,11 +23,12 @@
     in quiet-1 --small of the site mvhd-sched-large.
     """
     info = cluster_state.WorkerInfo(job_cells.make_worker('w1'))
-    leases.record_clock(info, 500_000, 10_000, MAX_DRIFT)
+    leases.record_clock(info, 500_000, 9_990, 10_000, MAX_DRIFT)
     for second in range(1, 4):
-        # Sent at once, read 1.5 s later.
+        # The worker answers at once, and the answer is read 1.5 s later.
+        sent_ms = 10_000 + 1_000 * second
         leases.record_clock(
-            info, 500_000 + 1_000 * second, 11_500 + 1_000 * second, MAX_DRIFT
+            info, 490_000 + sent_ms, sent_ms, sent_ms + 1_500, MAX_DRIFT
         )
     assert leases.estimate_clock(info, 14_500) >= 504_500 - 90
 
@@ -52,15 +53,43 @@
     for pause_ms, delay_ms in readings:
         now_ms += pause_ms + delay_ms
         sent_clock_ms = int(700_000 + (now_ms - delay_ms) * rate)
-        leases.record_clock(info, sent_clock_ms, now_ms, MAX_DRIFT)
-        assert info.lease.clock_ms <= 700_000 + now_ms * rate
+        leases.record_clock(
+            info, sent_clock_ms, now_ms - delay_ms, now_ms, MAX_DRIFT
+        )
+        assert info.lease.estimate_ms <= 700_000 + now_ms * rate
+
+
+def test_a_clock_that_stood_still_is_noticed() -> None:
+    """A worker's machine was suspended for 3 s, and its clock with it."""
+    info = cluster_state.WorkerInfo(job_cells.make_worker('w1'))
+    leases.record_clock(info, 500_000, 9_990, 10_000, MAX_DRIFT)
+    leases.record_clock(info, 501_000, 13_700, 14_000, MAX_DRIFT)
+    assert info.lease.estimate_ms <= 501_300
+    leases.record_clock(info, 501_100, 14_090, 14_100, MAX_DRIFT)
+    assert info.lease.estimate_ms <= 501_110
+
+
+def test_the_end_of_a_lease_does_not_follow_from_the_estimate() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        node = await job_cells.start_owner(job_cells.make_cell(loop), 'one')
+        ownership = job_views.get_ownership(node)
+        info = cluster_state.WorkerInfo(job_cells.make_worker('w1'))
+        leases.record_clock(info, 500_000, 9_990, 10_000, MAX_DRIFT)
+        leases.record_clock(info, 501_000, 10_900, 12_500, MAX_DRIFT)
+        assert info.lease.estimate_ms > info.lease.clock_ms
+        info.lease.until_ms = 503_000
+        # 2,000 ms are left by the newest answer, and 2 % more if it is slow.
+        expiry_ms = leases.compute_expiry(info, ownership)
+        assert expiry_ms >= 12_500 + 2_000 / (1 - MAX_DRIFT)
+
+    job_cells.run(script)
 
 
 def test_a_new_life_of_a_worker_begins_with_a_new_estimate() -> None:
     info = cluster_state.WorkerInfo(job_cells.make_worker('w1'))
-    leases.record_clock(info, 500_000, 10_000, MAX_DRIFT)
+    leases.record_clock(info, 500_000, 9_990, 10_000, MAX_DRIFT)
     info.lease = cluster_state.WorkerLease()
-    leases.record_clock(info, 40, 11_000, MAX_DRIFT)
+    leases.record_clock(info, 40, 10_990, 11_000, MAX_DRIFT)
     assert leases.estimate_clock(info, 11_000) == 40
 
 
