Outages: jobs behind an unanswered write are refused after 1.5 s, not 0.25 s

Cause: the refusal after 0.25 s also met jobs behind a write to a store that was only slow. Change: a write must have had no answer for 1.5 s first; a store that refuses calls is treated as before.

--- a/src/nutmegknot/_internal/jobs/writers.py
+++ b/src/nutmegknot/_internal/jobs/writers.py
@@ -42,6 +42,10 @@
 ANSWER_TIME_SMOOTHING = 0.2
 # How long writes may fail before new jobs are refused.
 MAX_STORE_FAILURE_MS = 250
+# How long a write may have no answer before new jobs behind it are refused. A
+# store that is only slow answers before that, and most callers' deadlines are
+# later.
+MAX_UNANSWERED_MS = 1_500
 
 Encode = Callable[[], bytes | None]
 
@@ -303,7 +307,8 @@
                     _requeue(writer, batch)
                     await clock_lib.sleep(retries.advance_backoff(backoff))
                     return
-        _withdraw_writes(writer, frozenset(batch.writes))
+        if compute_store_failure_ms(writer) >= MAX_UNANSWERED_MS:
+            _withdraw_writes(writer, frozenset(batch.writes))
         await clock_lib.sleep(retries.advance_backoff(backoff))
     retries.reset_backoff(backoff)
     _notify_waiters(writer)
@@ -408,31 +413,33 @@
 
 
 def _requeue(writer: Writer, batch: Batch) -> None:
-    """Queues a batch again that was certainly not written."""
+    """Queues a batch again that was certainly not written.
+
+    Once the store has failed for MAX_STORE_FAILURE_MS, after which new jobs are
+    refused, those of the batch are refused too.
+    """
     newer = writer.queued_writes
     writer.queued_writes = dict(batch.writes)
     for key, queued in newer.items():
         earlier = writer.queued_writes.pop(key, queued)
         queued.first_number = min(queued.first_number, earlier.first_number)
         writer.queued_writes[key] = queued
-    _withdraw_writes(writer, frozenset())
+    if compute_store_failure_ms(writer) >= MAX_STORE_FAILURE_MS:
+        _withdraw_writes(writer, frozenset())
 
 
 def _withdraw_writes(writer: Writer, in_flight: frozenset[str]) -> None:
-    """Withdraws rows of new jobs once the store fails for too long.
+    """Withdraws the rows of new jobs, whose callers are then refused.
 
     Load pattern: new jobs arrive while a write has no answer. They wait behind
     it, and if the store stays silent, their callers would wait until their
-    deadlines for an unknown outcome. After MAX_STORE_FAILURE_MS new jobs are
-    refused; those that arrived before are refused then too, unless their rows
-    are in flight and may still be written.
+    deadlines for an unknown outcome.
 
     Args:
       writer: The writer.
-      in_flight: Keys of the rows in the write that has no answer yet.
+      in_flight: Keys of the rows in the write that has no answer yet. They may
+        still be written, so they are not withdrawn.
     """
-    if compute_store_failure_ms(writer) < MAX_STORE_FAILURE_MS:
-        return
     kept = []
     for waiter in writer.waiters:
         if not waiter.keys or not in_flight.isdisjoint(waiter.keys):
