Held calls spare a new owner until it has loaded the jobs

Cause: calls that were held during a takeover reached the new owner as soon as the owner row named it. Change: an owner is called once it has confirmed its ownership in an answer to a greeting, which it does when the jobs are loaded. Test: tests/unit/jobs/test_owner_calls.py, failing before.

--- a/src/nutmegknot/_internal/jobs/owner_calls.py
+++ b/src/nutmegknot/_internal/jobs/owner_calls.py
@@ -209,9 +209,11 @@
 ) -> Any:  # noqa: ANN401 - what the call returns, or NotDelivered or NoReply
     """Makes a call to the owner, here or at another instance, until it answers.
 
-    Load pattern: for some seconds the owner may not act, and all calls that
-    arrive meanwhile are held. Each is repeated more and more seldom, since
-    otherwise they would keep the owner too busy to become able to act again.
+    Load pattern: for some seconds no owner may act, and all calls that arrive
+    meanwhile are held. They would keep a new owner too busy to load the jobs,
+    so it is called only once it has confirmed its ownership, in its answer to a
+    greeting or a call. An owner that may not act for a while is called more and
+    more seldom.
 
     Args:
       node: This instance.
@@ -237,7 +239,7 @@
             if result is not None and not ownership.writer.is_lost:
                 return result
             may_be_delivered = True
-        elif node.owner is not None and node.owner.row.holder:
+        elif _is_owner_confirmed(node):
             reply = await _call_owner(
                 node, call_remote, min(left_ms, CALL_TIMEOUT_MS)
             )
@@ -258,6 +260,14 @@
         interval_ms = min(MAX_RETRY_INTERVAL_MS, 2 * interval_ms)
 
 
+def _is_owner_confirmed(node: nodes.Node) -> bool:
+    """Tells whether the known owner has confirmed its ownership."""
+    owner = node.owner
+    return (
+        owner is not None and bool(owner.row.holder) and owner.answered_ms > 0
+    )
+
+
 async def _call_with_timeout(
     call_local: LocalCall, ownership: ownerships.Ownership, left_ms: int
 ) -> Any:  # noqa: ANN401 - the result, or None if not done in time
--- a/tests/unit/jobs/test_owner_calls.py
+++ b/tests/unit/jobs/test_owner_calls.py
@@ -122,6 +122,8 @@
         owner_election.record_owner_row(
             node, takeover.VersionedOwnerRow(row, 7)
         )
+        assert node.owner is not None
+        node.owner.answered_ms = node.clock.now_ms()
         may_act = False
         calls = 0
 
@@ -155,6 +157,57 @@
     job_cells.run(script)
 
 
+def test_held_calls_spare_a_new_owner_until_it_has_loaded_the_jobs() -> None:
+    """Guards against a new owner that is kept from loading the jobs.
+
+    The calls that 35 instances had held during a takeover reached the new owner
+    all at once, again and again. Its reads of the store timed out, and it was
+    replaced 1 s later. Found in trouble-3 of the site coopbien-rfp-grown.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop)
+        node = job_cells.make_node(cell, 'me')
+        node.routes = job_cells.make_routes(cell)
+        calls = 0
+
+        async def answer(
+            call: jobs_pb2.SubmitJob, timeout: float
+        ) -> jobs_pb2.JobReply:
+            nonlocal calls
+            calls += 1
+            return jobs_pb2.JobReply(
+                epoch=2, answer=jobs_pb2.JobReply.Answer.DONE
+            )
+
+        stub = mock.Mock(Submit=answer)
+        with mock.patch.object(peer_calls, 'get_stub', lambda *_: stub):
+            for epoch in (1, 2):
+                row = jobs_pb2.JobsOwnerRow(
+                    epoch=epoch, holder=f'h{epoch}', address='one:1'
+                )
+                owner_election.record_owner_row(
+                    node, takeover.VersionedOwnerRow(row, 7 + epoch)
+                )
+                assert node.owner is not None
+                if epoch == 1:
+                    node.owner.answered_ms = node.clock.now_ms()
+            spec = job_cells.make_job_spec('a', job_cells.make_step())
+            submitted = asyncio.create_task(
+                owner_calls.submit(node, spec, 3_000)
+            )
+            await asyncio.sleep(1.0)
+            assert calls == 0
+            assert node.owner is not None
+            node.owner.answered_ms = node.clock.now_ms()
+            signals.notify(node.changed)
+            await asyncio.sleep(0.02)
+            assert calls == 1
+        assert await submitted == outcomes.Accepted('a')
+
+    job_cells.run(script)
+
+
 def test_calls_at_the_owner_are_answered_there() -> None:
     async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
