--- a/src/nutmegknot/_internal/jobs/peer_calls.py
+++ b/src/nutmegknot/_internal/jobs/peer_calls.py
@@ -154,7 +154,7 @@
 async def serve_greeting(
     node: nodes.Node, call: jobs_pb2.Greeting
 ) -> jobs_pb2.GreetingReply:
-    """Answers a greeting; the owner holds its answer until it has news."""
+    """Answers a greeting; the owner holds its answer while nothing changes."""
     node.known_revision = max(node.known_revision, call.configuration)
     if node.routes is not None:
         store_routes.update_peer(
@@ -168,7 +168,7 @@
     ownership = nodes.get_valid_ownership(node)
     if ownership is not None:
         _add_adviser(node, ownership, call.address)
-        await _wait_for_news(node, call)
+        await _wait_for_change(node, call)
         ownership = nodes.get_valid_ownership(node)
     return jobs_pb2.GreetingReply(
         epoch=0 if ownership is None else ownership.cluster.epoch,
@@ -189,12 +189,12 @@
     return max((peer.millicores for peer in standbys), default=0)
 
 
-async def _wait_for_news(node: nodes.Node, call: jobs_pb2.Greeting) -> None:
-    """Waits until there is news for the sender of a greeting.
+async def _wait_for_change(node: nodes.Node, call: jobs_pb2.Greeting) -> None:
+    """Waits for a change that the sender of a greeting has to know at once.
 
-    News are newer settings than those of the sender, and a change of whether
-    this instance reaches the store: in an outage for all, it may go on only if
-    every other instance reports soon that it does not reach the store either.
+    That is newer settings than those of the sender, or a change of whether this
+    instance reaches the store: in an outage for all, it may go on only if every
+    other instance reports soon that it does not reach the store either.
     The wait also ends when this instance is no longer the owner, and after the
     time that the sender allows.
     """
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -34,8 +34,8 @@
 # Number of calls in a row without an answer from which on a worker counts as
 # not answering.
 MIN_UNANSWERED_CALLS = 2
-# Largest number of calls a second, over all workers, that end without news. The
-# longest wait in a call, limits.poll_wait_ms, goes before it.
+# Largest number of polls a second, over all workers, that report no ended run.
+# The longest wait in a poll, limits.poll_wait_ms, goes before it.
 MAX_IDLE_POLLS_PER_S = 300
 # How long after a lost answer of any worker waits stay short.
 LOST_ANSWER_MEMORY_MS = 10_000
@@ -163,9 +163,9 @@
 def choose_busy_poll_wait(ownership: ownerships.Ownership) -> int:
     """Returns how long a worker with runs may wait for an end, in ms.
 
-    Load pattern: many workers run long tasks, and each call to them that ends
-    without news costs the owner as much as one with news. The waits grow with
-    the number of workers, so that such calls stay below MAX_IDLE_POLLS_PER_S.
+    Load pattern: many workers run long tasks, and a poll that reports no ended
+    run costs the owner as much as one that does. The waits grow with the number
+    of workers, so that such polls stay below MAX_IDLE_POLLS_PER_S.
     While answers are being lost, waits are short, since the ends in a lost
     answer are known only after the time-out of the call.
     """
--- a/tests/unit/jobs/test_loads.py
+++ b/tests/unit/jobs/test_loads.py
@@ -228,10 +228,10 @@
 
 
 def test_idle_polls_do_not_grow_with_the_number_of_workers() -> None:
-    """Guards against an owner that spends its time on calls without news.
+    """Guards against an owner that spends its time on polls without a result.
 
-    Of 628 polls a second at 271 workers, 440 brought no news. Found in quiet-1
-    of the site mvhd-sched-large.
+    There were 628 polls a second at 271 workers for about 190 ended runs. Found
+    in quiet-1 of the site mvhd-sched-large.
     """
 
     async def script(loop: asyncio.AbstractEventLoop) -> None:
