Logs: what ran on a worker that restarted, and why a stage goes on waiting

Cause: the logs of the crashing tasks could not tell the hypotheses apart. No line said what was on a worker when it ended, and a stage that waits was logged only when the reason changed, without the room that there was.

Change: worker_restarted names the newest runs with their ages; run_lost has the age of the run and how many runs of the task have been lost; stage_held comes again every 5 s and says whether advice is being asked for, on how many workers a task fits now, and on how many it would fit but for what is planned for other stages.

--- a/src/nutmegknot/_internal/jobs/reconciliation.py
+++ b/src/nutmegknot/_internal/jobs/reconciliation.py
@@ -265,6 +265,8 @@
     if stage is None:
         return
     task = stage.tasks[name.index]
+    task.lost_runs += 1
+    now_ms = ownership.clock.now_ms()
     logger.warning(
         'run_lost',
         extra={
@@ -273,6 +275,8 @@
             'worker': task.worker,
             'phase': task.phase.value,
             'why': why,
+            'age_ms': now_ms - (task.start_decided_ms or now_ms),
+            'lost_runs': task.lost_runs,
         },
     )
     cluster_state.release_run(ownership.cluster, name, ownership.clock.now_ms())
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -39,6 +39,8 @@
 MAX_IDLE_POLLS_PER_S = 300
 # How long after a lost answer of any worker waits stay short.
 LOST_ANSWER_MEMORY_MS = 10_000
+# Largest number of runs of a restarted worker that are logged with it.
+MAX_LOGGED_RUNS = 8
 # Longest wait for ended runs to be written; then the worker is polled again,
 # as its lease has to be renewed.
 MAX_END_WRITE_WAIT_MS = 300
@@ -327,6 +329,7 @@
             'why': why,
         },
     )
+    _log_restart(ownership, info, why)
     if life:
         worker = _with_life(worker, life)
     info.worker = worker
@@ -342,6 +345,38 @@
             stops.queue_stop(ownership, info, name, task.run)
 
 
+def _log_restart(
+    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo, why: str
+) -> None:
+    """Logs the runs that were on a worker that has restarted.
+
+    The run that started last comes first.
+    """
+    if not info.runs:
+        return
+    now_ms = ownership.clock.now_ms()
+    newest = sorted(
+        info.runs.items(),
+        key=lambda item: item[1].start_decided_ms,
+        reverse=True,
+    )
+    logger.warning(
+        'worker_restarted',
+        extra={
+            'worker': info.worker.id,
+            'state': info.worker.state.value,
+            'why': why,
+            'silent_ms': now_ms - (info.unanswered_since_ms or now_ms),
+            'runs': len(newest),
+            'newest': ' '.join(
+                f'{jobs.format_task(name)}#{task.run}'
+                f'@{now_ms - task.start_decided_ms}'
+                for name, task in newest[:MAX_LOGGED_RUNS]
+            ),
+        },
+    )
+
+
 def _mark_replaced(
     ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
 ) -> None:
@@ -351,7 +386,7 @@
     signals.notify(ownership.worker_claimed)
     if info.unanswered_since_ms is None:
         info.unanswered_since_ms = ownership.clock.now_ms()
-        logger.warning('address_taken', extra={'worker': info.worker.id})
+    _log_restart(ownership, info, 'address_taken')
     for name in list(info.runs):
         reconciliation.mark_run_lost(ownership, name, 'address_taken')
 
--- a/src/nutmegknot/_internal/jobs/task_scheduling.py
+++ b/src/nutmegknot/_internal/jobs/task_scheduling.py
@@ -17,6 +17,7 @@
 from nutmegknot._internal.jobs import writers
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import resources
 from nutmegknot._internal.utils import clock
 from nutmegknot._internal.utils import signals
 
@@ -29,6 +30,8 @@
 PASS_DURATION_FACTOR = 2
 # Interval between two searches for stuck runs.
 STUCK_CHECK_INTERVAL_MS = 250
+# Interval after which the reason why a stage waits is logged again.
+HELD_LOG_INTERVAL_MS = 5_000
 
 
 async def run_scheduling_loop(ownership: ownerships.Ownership) -> None:
@@ -125,13 +128,18 @@
 def _log_waiting_stages(
     ownership: ownerships.Ownership, plan: plans.Plan
 ) -> None:
-    """Logs why stages wait, each time that the reason changes."""
+    """Logs why stages wait, when the reason changes and at intervals."""
     now_ms = ownership.clock.now_ms()
     for turn, reason in plan.blocked:
         stage = turn.stage
-        if reason == stage.logged_blocker:
+        if (
+            reason == stage.logged_blocker
+            and now_ms - stage.blocker_logged_ms < HELD_LOG_INTERVAL_MS
+        ):
             continue
         stage.logged_blocker = reason
+        stage.blocker_logged_ms = now_ms
+        fitting, roomy = _count_fitting_workers(ownership, plan, turn)
         logger.info(
             'stage_held',
             extra={
@@ -141,10 +149,37 @@
                 'priority': turn.rank.priority,
                 'band': turn.rank.urgency_band,
                 'suited': len(stage.advice.tickets),
+                'asking': stage.advice.is_asking,
+                'fitting': fitting,
+                'roomy': roomy,
             },
         )
 
 
+def _count_fitting_workers(
+    ownership: ownerships.Ownership,
+    plan: plans.Plan,
+    ranked: plans.RankedStage,
+) -> tuple[int, int]:
+    """Counts the workers on which a task of a stage fits.
+
+    Returns:
+      The number of workers on which it fits after what the plan starts, holds
+      and reserves for other stages, and the number without that.
+    """
+    cluster, step = ownership.cluster, ranked.stage.step
+    pool = cluster_state.get_queue(cluster, ranked.job.spec).pool
+    infos = plans.find_eligible(plan, pool, step).infos
+    needed = jobs.get_reserved(step)
+    fitting = sum(
+        plans.can_start_task(plan, step, info.worker.id, {}) for info in infos
+    )
+    roomy = sum(
+        resources.fits(needed, cluster_state.get_free(info)) for info in infos
+    )
+    return fitting, roomy
+
+
 def open_due_occurrences(ownership: ownerships.Ownership) -> None:
     """Opens the occurrences of timed jobs that have come due."""
     wall_ms = ownership.clock.wall_ms()
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -140,6 +140,7 @@
       waiting_since_ms: Since when it has had no run.
       avoided_workers: Ids of workers on which a run of it failed, or was
         stopped as it took too long.
+      lost_runs: How many of its runs were lost, as this owner knows.
     """
 
     index: int
@@ -153,6 +154,7 @@
     pace_percent: int = 100
     waiting_since_ms: int = 0
     avoided_workers: set[str] = dataclasses.field(default_factory=set)
+    lost_runs: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -208,6 +210,7 @@
       stuck_runs: How many of its runs were stopped as they took too long.
       logged_blocker: The reason, as last logged, why its waiting tasks can't
         start; '' if none was logged.
+      blocker_logged_ms: When that was logged.
     """
 
     occurrence: int
@@ -221,6 +224,7 @@
     durations_ms: list[int] = dataclasses.field(default_factory=list)
     stuck_runs: int = 0
     logged_blocker: str = ''
+    blocker_logged_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
