KNOWN-RED: a task that crashes its workers is started again and again

The task starts three times more after three workers have crashed under it. Fails on the current code; the fake workers can crash now.

--- a/tests/lib/job_cells.py
+++ b/tests/lib/job_cells.py
@@ -32,6 +32,10 @@
 
 POLL_STEP_MS = 5
 STOP_DURATION_MS = 50
+# How long after the start of a run its worker crashes, if it crashes.
+CRASH_DELAY_MS = 10
+# How long after a crash a worker is back.
+RESTART_MS = 3_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,6 +73,8 @@
       last_end: Number of the newest end of a run; ends are counted from 1.
       is_silent: Whether calls reach it and get no answer.
       is_cut: Whether calls don't reach it.
+      is_down: Whether its process has ended and connections are refused.
+      is_replaced: Whether another worker answers at its address.
       lost_answers: How many of the next commands are carried out but not
         answered.
       refusals: Reasons with which the next starts are refused, in order.
@@ -85,6 +91,8 @@
     last_end: int = 0
     is_silent: bool = False
     is_cut: bool = False
+    is_down: bool = False
+    is_replaced: bool = False
     lost_answers: int = 0
     refusals: list[runners.Refusal] = dataclasses.field(default_factory=list)
     tail_ms: float = 0.0
@@ -109,6 +117,21 @@
     checkpoint: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Crash:
+    """A crash of a worker.
+
+    Attributes:
+      at_ms: When it crashed, by the clock of the tests.
+      worker: Id of the worker.
+      names: The tasks that it ran.
+    """
+
+    at_ms: int
+    worker: str
+    names: frozenset[jobs.TaskName]
+
+
 @dataclasses.dataclass(slots=True)
 class Cell:
     """Everything that the owner of the jobs depends on.
@@ -129,6 +152,11 @@
       suited: Workers that the adviser allows; None for all.
       asked: Ids of the workers in each call for advice.
       is_list_down: Whether the list of workers can't be read.
+      crashes_worker: Tells whether a task crashes each worker that starts it.
+      crash_delay_ms: How long after the start it does so.
+      keeps_id: Whether a crashed worker comes back under its id, in a new life;
+        otherwise another worker comes at its address.
+      crashes: All crashes of workers, in order.
     """
 
     clock: clock_lib.Clock
@@ -151,6 +179,10 @@
     suited: set[str] | None = None
     asked: list[list[str]] = dataclasses.field(default_factory=list)
     is_list_down: bool = False
+    crashes_worker: Callable[[jobs.TaskName], bool] = lambda name: False
+    crash_delay_ms: int = CRASH_DELAY_MS
+    keeps_id: bool = False
+    crashes: list[Crash] = dataclasses.field(default_factory=list)
 
 
 def make_worker(id: str, **changes: object) -> workers.Worker:
@@ -274,6 +306,31 @@
     target.ends.clear()
 
 
+def crash_worker(cell: Cell, target: FakeTarget) -> None:
+    """Ends a worker without notice; after RESTART_MS its process is back."""
+    if target.is_down or target.is_replaced:
+        return
+    cell.crashes.append(
+        Crash(cell.clock.now_ms(), target.worker.id, frozenset(target.runs))
+    )
+    target.runs.clear()
+    target.ends.clear()
+    target.is_down = True
+    asyncio.get_running_loop().call_later(
+        RESTART_MS / 1000, lambda: _bring_back(cell, target)
+    )
+
+
+def _bring_back(cell: Cell, target: FakeTarget) -> None:
+    target.is_down = False
+    if cell.keeps_id:
+        restart(target)
+        return
+    target.is_replaced = True
+    worker = dataclasses.replace(target.worker, id=f'{target.worker.id}+')
+    cell.targets[worker.id] = FakeTarget(worker)
+
+
 def _record_start(
     cell: Cell, target: FakeTarget, command: runners.StartCommand
 ) -> None:
@@ -317,10 +374,21 @@
     target = cell.targets.get(worker.id)
     if target is None or target.is_cut:
         return None
-    process_due_events(cell, target)
+    if not target.is_down:
+        process_due_events(cell, target)
     return target
 
 
+def _find_obstacle(
+    target: FakeTarget,
+) -> runners.Unreached | runners.Refused | None:
+    if target.is_down:
+        return runners.Unreached('refused')
+    if target.is_replaced:
+        return runners.Refused(runners.Refusal.OTHER_LIFE)
+    return None
+
+
 async def _reply(
     target: FakeTarget, result: runners.CommandResult, timeout_ms: int
 ) -> runners.CommandResult:
@@ -344,6 +412,9 @@
         if target is None:
             await asyncio.sleep(timeout_ms / 1000)
             return runners.Unanswered('cut')
+        obstacle = _find_obstacle(target)
+        if obstacle is not None:
+            return obstacle
         if token < target.token:
             return runners.Refused(runners.Refusal.FENCED)
         target.token = token
@@ -354,6 +425,8 @@
         while waited_ms < wait_ms and not target.ends:
             await asyncio.sleep(POLL_STEP_MS / 1000)
             waited_ms += POLL_STEP_MS
+            if target.is_down:
+                return runners.Unanswered('connection broke')
             process_due_events(cell, target)
         if target.is_silent or target.is_cut:
             await asyncio.sleep(timeout_ms / 1000)
@@ -382,6 +455,9 @@
         if target is None:
             await asyncio.sleep(timeout_ms / 1000)
             return runners.Unanswered('cut')
+        obstacle = _find_obstacle(target)
+        if obstacle is not None:
+            return obstacle
         refused = _refuse_start(cell, target, command)
         if refused is not None:
             return await _reply(target, runners.Refused(refused), timeout_ms)
@@ -394,6 +470,11 @@
                 now_ms + cell.run_ms(command.name),
                 command.checkpoint,
             )
+            if cell.crashes_worker(command.name):
+                asyncio.get_running_loop().call_later(
+                    cell.crash_delay_ms / 1000,
+                    lambda: crash_worker(cell, target),
+                )
         target.until_ms = max(target.until_ms, command.until_ms)
         return await _reply(target, runners.Taken(now_ms), timeout_ms)
 
@@ -412,6 +493,9 @@
         if target is None:
             await asyncio.sleep(timeout_ms / 1000)
             return runners.Unanswered('cut')
+        obstacle = _find_obstacle(target)
+        if obstacle is not None:
+            return obstacle
         if token < target.token:
             return runners.Refused(runners.Refusal.FENCED)
         target.token = token
@@ -484,7 +568,7 @@
             {
                 id: target.worker
                 for id, target in cell.targets.items()
-                if id not in cell.unlisted
+                if id not in cell.unlisted and not target.is_replaced
             }
         )
 
