A task that crashes its workers is given up; tasks beside it are not

What callers saw: one task ended one worker after another, and with each all runs of others there.

Cause: a run that was lost with its worker counted for nothing. Only ends that a worker reports counted against a task, and a worker that has crashed reports nothing, so such a task never used up its attempts. The class of the fault: a failure that its own report can't survive was taken for the environment's.

Evidence: worker_restarted of the logs shows the newest run on 90 of 93 workers to be at most 69 ms old; the same few tasks come back, to run 18.

Fix: a worker that answers in a new life, or whose address has been taken, has crashed unless it was leaving; one that is only silent has not. Runs that had just started there are suspects. A suspect starts again as a trial: on a worker where nothing has started for 0.5 s and nothing else starts meanwhile. If that worker crashes too, no other task can be the cause, and the job fails; its crashes are then taken from the records of all other tasks. Crashes are part of the job's progress row. A trial is in the table before it starts, and suspects on a silent worker are written at once, so the next owner knows them too. Tasks that crash workers later than at their start are on trial for longer after two crashes. A run of 10 s clears its task.

Why this works: a guilty task is alone on trial, so it is known after its second crash, and an innocent one has to meet an unrelated crash in the 0.5 s of its trial.

--- a/src/nutmegknot/_internal/decisions/plans.py
+++ b/src/nutmegknot/_internal/decisions/plans.py
@@ -8,6 +8,7 @@
 import dataclasses
 import operator
 
+from nutmegknot._internal.decisions import crash_trials
 from nutmegknot._internal.models import advice_requests as advice_requests_lib
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import job_settings
@@ -126,6 +127,10 @@
       eligibility: Eligible workers of recent steps.
       usage: Resources that each customer's tasks take, by customer.
       lag_ms: How late the commands that follow from the plan may be sent.
+      allows_trials: Whether tasks that are suspected of crashing workers may
+        start.
+      on_trial: Ids of the workers on which such a trial is in progress;
+        nothing else starts there.
       reserved: Ids of the workers that are reserved for a stage; stages of
         lower rank start nothing there.
       advice_requests: Requests for advice that are to be made.
@@ -143,6 +148,8 @@
     usage: dict[str, resources.Resources]
     eligibility: EligibilityCache
     lag_ms: int = 0
+    allows_trials: bool = True
+    on_trial: set[str] = dataclasses.field(default_factory=set)
     reserved: set[str] = dataclasses.field(default_factory=set)
     advice_requests: list[advice_requests_lib.AdviceRequest] = (
         dataclasses.field(default_factory=list)
@@ -183,7 +190,11 @@
     max_free = {
         pool: _find_max_free(infos, free) for pool, infos in by_pool.items()
     }
-    return Plan(by_pool, free, max_free, {}, dict(cluster.usage), eligibility)
+    plan = Plan(by_pool, free, max_free, {}, dict(cluster.usage), eligibility)
+    plan.on_trial = {
+        info.worker.id for info in usable if crash_trials.has_trial(info)
+    }
+    return plan
 
 
 def _find_max_free(
@@ -303,7 +314,7 @@
       id: Id of the worker.
       counts: Number of the stage's tasks on each worker, by worker id.
     """
-    if id not in plan.free or id in plan.reserved:
+    if id not in plan.free or id in plan.reserved or id in plan.on_trial:
         return False
     if step.max_per_worker and counts.get(id, 0) >= step.max_per_worker:
         return False
--- a/src/nutmegknot/_internal/decisions/task_placement.py
+++ b/src/nutmegknot/_internal/decisions/task_placement.py
@@ -9,6 +9,7 @@
 """
 
 from nutmegknot._internal.decisions import advice_selection
+from nutmegknot._internal.decisions import crash_trials
 from nutmegknot._internal.decisions import evictions
 from nutmegknot._internal.decisions import plans
 from nutmegknot._internal.decisions import stage_ranking
@@ -46,6 +47,8 @@
     wall_ms: int,
     eligibility: plans.EligibilityCache | None = None,
     lag_ms: int = 0,
+    *,
+    allows_trials: bool = True,
 ) -> plans.Plan:
     """Decides which waiting tasks start now.
 
@@ -56,6 +59,8 @@
       eligibility: Eligible workers of recent steps, as the pass before left
         them; None for an empty cache.
       lag_ms: How late the commands that follow may be sent.
+      allows_trials: Whether tasks that are suspected of crashing workers may
+        start.
 
     Returns:
       The tasks to start, runs to stop, requests for advice, and stages that
@@ -63,6 +68,7 @@
     """
     plan = plans.start_plan(cluster, now_ms, eligibility)
     plan.lag_ms = lag_ms
+    plan.allows_trials = allows_trials
     for ranked in rank_stages(cluster, now_ms, wall_ms):
         _plan_stage(cluster, plan, ranked, now_ms)
     return plan
@@ -102,10 +108,9 @@
         allowed = advice_selection.list_ticket_holders(
             plan, stage, eligible, now_ms
         )
-    place = _place_gang if step.is_gang else _place_tasks
     placed = []
     if plans.may_fit(plan, queue.pool, step):
-        placed = place(cluster, plan, job, stage, waiting, allowed)
+        placed = _place_stage(cluster, plan, ranked, waiting, allowed)
     unplaced = len(waiting) - len(placed)
     if not unplaced:
         return
@@ -151,6 +156,89 @@
     return 'room'
 
 
+def _place_stage(
+    cluster: cluster_state.ClusterState,
+    plan: plans.Plan,
+    ranked: plans.RankedStage,
+    waiting: list[jobs.Task],
+    allowed: list[cluster_state.WorkerInfo],
+) -> list[plans.Placement]:
+    """Places waiting tasks of a stage; suspected ones start as trials."""
+    job, stage = ranked.job, ranked.stage
+    suspects = [task for task in waiting if crash_trials.needs_trial(task)]
+    if not suspects:
+        place = _place_gang if stage.step.is_gang else _place_tasks
+        return place(cluster, plan, job, stage, waiting, allowed)
+    if stage.step.is_gang:
+        return _place_trials(cluster, plan, ranked, waiting, allowed)
+    others = [task for task in waiting if not crash_trials.needs_trial(task)]
+    placed = _place_tasks(cluster, plan, job, stage, others, allowed)
+    return placed + _place_trials(cluster, plan, ranked, suspects, allowed)
+
+
+def _place_trials(
+    cluster: cluster_state.ClusterState,
+    plan: plans.Plan,
+    ranked: plans.RankedStage,
+    tasks: list[jobs.Task],
+    allowed: list[cluster_state.WorkerInfo],
+) -> list[plans.Placement]:
+    """Places tasks of one stage on workers where nothing has started lately.
+
+    Workers with few runs go first, as a crash ends these runs too. Tasks of the
+    stage may share a worker: if it crashes, their job is the cause. If there is
+    no such worker, one is reserved, so that nothing more starts there.
+    """
+    if not plan.allows_trials:
+        return []
+    job, stage = ranked.job, ranked.stage
+    pool = cluster_state.get_queue(cluster, job.spec).pool
+    infos = plan.workers_by_pool.get(pool, [])
+    used = sum(info.worker.id in plan.on_trial for info in infos)
+    left = max(1, int(len(infos) * crash_trials.MAX_TRIAL_FRACTION)) - used
+    usable = [
+        info
+        for info in sorted(allowed, key=lambda info: len(info.runs))
+        if plans.can_start_task(plan, stage.step, info.worker.id, {})
+    ]
+    starting = {placement.info.worker.id for placement in plan.placed}
+    quiet = [
+        info
+        for info in usable
+        if crash_trials.compute_quiet_ms(info) >= crash_trials.STARTUP_MS
+        and info.worker.id not in starting
+    ]
+    placed = []
+    if stage.step.is_gang:
+        placed = _place_gang(cluster, plan, job, stage, tasks, quiet)
+        plan.on_trial.update(p.info.worker.id for p in placed)
+    else:
+        unplaced = tasks
+        for info in quiet[: max(0, left)]:
+            added = _place_tasks(cluster, plan, job, stage, unplaced, [info])
+            if added:
+                plan.on_trial.add(info.worker.id)
+            placed += added
+            unplaced = tasks[len(placed) :]
+            if not unplaced:
+                break
+    if len(placed) < len(tasks):
+        count = len(tasks) if stage.step.is_gang else int(left > 0)
+        _reserve_for_trials(plan, usable, count)
+    return placed
+
+
+def _reserve_for_trials(
+    plan: plans.Plan, usable: list[cluster_state.WorkerInfo], count: int
+) -> None:
+    """Reserves the workers on which no run has started for longest."""
+    candidates = [
+        info for info in usable if info.worker.id not in plan.on_trial
+    ]
+    candidates.sort(key=crash_trials.compute_quiet_ms, reverse=True)
+    plan.reserved.update(info.worker.id for info in candidates[:count])
+
+
 def _place_tasks(
     cluster: cluster_state.ClusterState,
     plan: plans.Plan,
@@ -325,7 +413,12 @@
         or stage.step.is_opportunistic
     ):
         return 0
-    infos = [info for info in allowed if info.worker.id not in plan.reserved]
+    infos = [
+        info
+        for info in allowed
+        if info.worker.id not in plan.reserved
+        and info.worker.id not in plan.on_trial
+    ]
     fitting = 0
     while fitting < unplaced and plans.is_within_limit(
         cluster, plan, job, stage.step
--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -15,6 +15,7 @@
 from nutmegknot._internal.jobs import peer_calls
 from nutmegknot._internal.jobs import retention
 from nutmegknot._internal.jobs import sessions
+from nutmegknot._internal.jobs import starts
 from nutmegknot._internal.jobs import store_routes
 from nutmegknot._internal.jobs import takeover
 from nutmegknot._internal.jobs import task_scheduling
@@ -348,6 +349,7 @@
     def process_completed_write() -> None:
         task_scheduling.process_durable_jobs(ownership)
         sessions.mark_registered_workers(ownership)
+        starts.send_durable_starts(ownership)
 
     writer.on_write_completed = process_completed_write
     _start_serving(node, ownership)
--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -37,6 +37,21 @@
     )
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class UnsentStart:
+    """A start command that waits for a write.
+
+    Attributes:
+      write: Number of the write that has to be in the table first.
+      worker: Id of the worker.
+      send: Sends the command.
+    """
+
+    write: int
+    worker: str
+    send: Callable[[], Awaitable[None]]
+
+
 @dataclasses.dataclass(slots=True)
 class Ownership:
     """One ownership of the jobs by this instance.
@@ -62,6 +77,7 @@
         gone.
       write_completed: Notified after each write that took effect.
       command_queues: Waiting commands by worker id.
+      unsent_starts: Start commands that wait for a write.
       advice_needed: Notified when a stage needs advice.
       unsaved_jobs: Ids of jobs whose newest write is not in the table yet.
       timed_jobs: Ids of jobs with due times to come.
@@ -99,6 +115,7 @@
     command_queues: dict[str, CommandQueue] = dataclasses.field(
         default_factory=dict
     )
+    unsent_starts: list[UnsentStart] = dataclasses.field(default_factory=list)
     advice_needed: signals.Signal = dataclasses.field(
         default_factory=signals.Signal
     )
--- a/src/nutmegknot/_internal/jobs/reconciliation.py
+++ b/src/nutmegknot/_internal/jobs/reconciliation.py
@@ -6,6 +6,7 @@
 import logging
 
 from nutmegknot._internal.backing import runners
+from nutmegknot._internal.decisions import crash_trials
 from nutmegknot._internal.decisions import outliers
 from nutmegknot._internal.decisions import stage_ranking
 from nutmegknot._internal.jobs import ownerships
@@ -64,8 +65,22 @@
     if end.checkpoint and task.phase is not jobs.TaskPhase.DONE:
         _save_checkpoint(ownership, job, stage, task, end.checkpoint)
     if is_current_run:
-        cluster_state.release_run(cluster, end.name, ownership.clock.now_ms())
-        requeue_stage(ownership, job, stage)
+        release_run(ownership, job, stage, end.name)
+
+
+def release_run(
+    ownership: ownerships.Ownership,
+    job: jobs.Job,
+    stage: jobs.Stage,
+    name: jobs.TaskName,
+) -> None:
+    """Releases the resources of a run that is over, and queues its task."""
+    was_trial = stage.tasks[name.index].trial is not None
+    cluster_state.release_run(ownership.cluster, name, ownership.clock.now_ms())
+    if was_trial and not jobs.is_final(job):
+        # A trial in the table is taken to be in progress by the next owner.
+        ownerships.queue_progress_write(ownership, job)
+    requeue_stage(ownership, job, stage)
 
 
 def requeue_stage(
@@ -279,8 +294,7 @@
             'lost_runs': task.lost_runs,
         },
     )
-    cluster_state.release_run(ownership.cluster, name, ownership.clock.now_ms())
-    requeue_stage(ownership, ownership.cluster.jobs[name.job], stage)
+    release_run(ownership, ownership.cluster.jobs[name.job], stage, name)
 
 
 def apply_inventory(
@@ -306,7 +320,7 @@
     listed = set()
     for row in inventory.runs:
         listed.add(row.name)
-        if not _apply_listed_run(ownership, info, row):
+        if not _apply_listed_run(ownership, info, row, inventory.clock_ms):
             text = jobs.format_task(row.name)
             info.unexpected_runs[text] = row.run
             if previous.get(text) != row.run:
@@ -329,9 +343,16 @@
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
     row: runners.ReportedRun,
+    clock_ms: int,
 ) -> bool:
     """Applies one listed run.
 
+    Args:
+      ownership: The ownership of the jobs.
+      info: The worker.
+      row: The run.
+      clock_ms: Time of the worker's clock at which it listed the run.
+
     Returns:
       Whether the owner wants the run there; another run has to be stopped.
     """
@@ -350,6 +371,8 @@
     if task.phase is jobs.TaskPhase.STARTING:
         task.phase = jobs.TaskPhase.RUNNING
         task.confirmed_ms = ownership.clock.now_ms()
+    if not task.started_clock_ms:
+        task.started_clock_ms = clock_ms
     stage.has_started = job.has_started = True
     task.pace_percent = row.pace_percent
     return True
@@ -368,6 +391,10 @@
     task.phase = jobs.TaskPhase.RUNNING
     task.confirmed_ms = ownership.clock.now_ms()
     task.start_decided_ms = 0
+    if crash_trials.is_trial_start(stage, task):
+        task.trial = jobs.Trial(
+            row.run, info.worker.id, info.worker.life, info.worker.address
+        )
     cluster_state.allocate_run(ownership.cluster, info, job, row.name, task)
     if job.state is jobs.JobState.QUEUED:
         job.state = jobs.JobState.RUNNING
--- a/src/nutmegknot/_internal/jobs/rows.py
+++ b/src/nutmegknot/_internal/jobs/rows.py
@@ -151,11 +151,13 @@
     """Returns the progress of a stage.
 
     Returns:
-      Which tasks are done, failed runs and checkpoints; None if there are none.
+      Which tasks are done, failed runs, checkpoints, crashes and trials; None
+      if there are none.
     """
     part = jobs_pb2.StageProgress(
         occurrence=stage.occurrence, step=stage.number
     )
+    empty_size = part.ByteSize()
     for task in stage.tasks:
         if task.phase is jobs.TaskPhase.DONE:
             part.done.append(task.index)
@@ -164,11 +166,35 @@
             part.failures[task.index].runs.extend(sorted(task.failed_runs))
         if task.checkpoint:
             part.checkpoints[task.index] = task.checkpoint
-    if part.done or part.failures or part.checkpoints:
+        _encode_crashes(part, task)
+    if part.ByteSize() > empty_size:
         return part
     return None
 
 
+def _encode_crashes(part: jobs_pb2.StageProgress, task: jobs.Task) -> None:
+    if task.crashes:
+        part.crashes[task.index].runs.extend(
+            jobs_pb2.CrashedRun(
+                run=run,
+                worker=crash.worker,
+                life=crash.life,
+                suspect=crash.is_suspect,
+                only_suspect=crash.is_only_suspect,
+            )
+            for run, crash in sorted(task.crashes.items())
+        )
+    if task.trial is not None:
+        part.trials[task.index].CopyFrom(
+            jobs_pb2.TrialRun(
+                run=task.trial.run,
+                worker=task.trial.worker,
+                life=task.trial.life,
+                address=task.trial.address,
+            )
+        )
+
+
 def encode_roster(roster: Iterable[workers.Worker]) -> bytes:
     """Returns the row of the workers on which the owner may start runs."""
     row = jobs_pb2.RosterRow(
@@ -256,3 +282,14 @@
         stage.tasks[index].failed_runs.update(failures.runs)
     for index, checkpoint in part.checkpoints.items():
         stage.tasks[index].checkpoint = checkpoint
+    for index, crashes in part.crashes.items():
+        stage.tasks[index].crashes = {
+            row.run: jobs.Crash(
+                row.worker, row.life, row.suspect, row.only_suspect
+            )
+            for row in crashes.runs
+        }
+    for index, trial in part.trials.items():
+        stage.tasks[index].trial = jobs.Trial(
+            trial.run, trial.worker, trial.life, trial.address
+        )
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -16,6 +16,7 @@
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import stops
 from nutmegknot._internal.jobs import throttling
+from nutmegknot._internal.jobs import worker_crashes
 from nutmegknot._internal.jobs import writers
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
@@ -128,7 +129,13 @@
             await clock.sleep(RETRY_INTERVAL_MS)
             continue
         sent_ms = ownership.clock.now_ms()
-        result = await _call_poll(ownership, info, sent_ms, unanswered_calls)
+        poll_ms = _choose_poll_wait(ownership, info)
+        timeout_ms = poll_ms + ownerships.compute_call_timeout(
+            ownership, unanswered_calls + 1
+        )
+        result = await _call_poll(
+            ownership, info, sent_ms, unanswered_calls, poll_ms, timeout_ms
+        )
         match result:
             case runners.Inventory():
                 unanswered_calls = 0
@@ -140,7 +147,18 @@
                 await clock.sleep(RETRY_INTERVAL_MS)
             case runners.Unanswered(detail) | runners.Unreached(detail):
                 unanswered_calls += 1
-                _mark_unanswered(ownership, info, detail, sent_ms)
+                has_ended_early = (
+                    ownership.clock.now_ms() < sent_ms + timeout_ms
+                )
+                _mark_unanswered(
+                    ownership,
+                    info,
+                    detail,
+                    sent_ms,
+                    isinstance(result, runners.Unanswered) and has_ended_early,
+                )
+                if has_ended_early or unanswered_calls >= MIN_UNANSWERED_CALLS:
+                    worker_crashes.put_on_trial(ownership, info)
                 await clock.sleep(
                     0 if unanswered_calls == 1 else RETRY_INTERVAL_MS
                 )
@@ -159,6 +177,8 @@
         return 0
     if not info.runs:
         return ownership.limits.poll_wait_ms
+    if info.trial_runs:
+        return ownership.limits.busy_poll_wait_ms
     return choose_busy_poll_wait(ownership)
 
 
@@ -185,6 +205,8 @@
     info: cluster_state.WorkerInfo,
     now_ms: int,
     unanswered_calls: int,
+    poll_ms: int,
+    timeout_ms: int,
 ) -> runners.PollResult:
     """Makes one polling call, which also renews the lease of a claimed worker.
 
@@ -193,9 +215,10 @@
       info: The worker.
       now_ms: Time of the call.
       unanswered_calls: How many calls in a row had no answer.
+      poll_ms: How long the worker may wait for an end.
+      timeout_ms: Time-out of the call.
     """
     limits = ownership.limits
-    poll_ms = _choose_poll_wait(ownership, info)
     until_ms = None
     # The lease of a worker that does not answer is not renewed, so that it
     # expires at a known time, after which its tasks may start elsewhere.
@@ -213,8 +236,7 @@
         info.persisted_end,
         until_ms,
         poll_ms,
-        poll_ms
-        + ownerships.compute_call_timeout(ownership, unanswered_calls + 1),
+        timeout_ms,
     )
 
 
@@ -240,6 +262,8 @@
         reset_for_new_life(
             ownership, info, info.worker, 'other_life_listed', inventory.life
         )
+    worker_crashes.record_answer(ownership, info, inventory.life)
+    info.alive_clock_ms = max(info.alive_clock_ms, inventory.clock_ms)
     info.last_answer_ms = now_ms
     info.unanswered_since_ms = None
     leases.record_clock(
@@ -330,9 +354,11 @@
         },
     )
     _log_restart(ownership, info, why)
+    worker_crashes.record_restart(ownership, info, why)
     if life:
         worker = _with_life(worker, life)
     info.worker = worker
+    info.alive_clock_ms = 0
     info.lease = cluster_state.WorkerLease()
     info.persisted_end = info.processed_end = 0
     info.unpersisted_ends.clear()
@@ -341,6 +367,7 @@
     # Other runs are kept until the first inventory of the new life: a start
     # command that arrived after the restart may have started one of them.
     for name, task in info.runs.items():
+        task.started_clock_ms = 0
         if task.phase is jobs.TaskPhase.STOPPING:
             stops.queue_stop(ownership, info, name, task.run)
 
@@ -381,12 +408,15 @@
     ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
 ) -> None:
     """Marks a worker as replaced: another one answers at its address."""
+    is_known = info.is_replaced
     info.is_claimed = False
     info.is_replaced = True
     signals.notify(ownership.worker_claimed)
     if info.unanswered_since_ms is None:
         info.unanswered_since_ms = ownership.clock.now_ms()
     _log_restart(ownership, info, 'address_taken')
+    if not is_known:
+        worker_crashes.record_restart(ownership, info, 'address_taken')
     for name in list(info.runs):
         reconciliation.mark_run_lost(ownership, name, 'address_taken')
 
@@ -400,10 +430,28 @@
     info: cluster_state.WorkerInfo,
     detail: str,
     sent_ms: int,
+    broke_early: bool,
 ) -> None:
-    ownership.last_lost_answer_ms = ownership.clock.now_ms()
+    """Records that a poll of a worker has no answer.
+
+    Args:
+      ownership: The ownership of the jobs.
+      info: The worker.
+      detail: Cause for the log.
+      sent_ms: When the poll was sent.
+      broke_early: Whether the connection broke before the time-out, so that the
+        worker was in operation until then.
+    """
+    now_ms = ownership.clock.now_ms()
+    ownership.last_lost_answer_ms = now_ms
     if info.unanswered_since_ms is None:
         info.unanswered_since_ms = sent_ms
+        info.silence_noticed_ms = now_ms
+        if broke_early and info.lease.clock_ms:
+            broke_ms = now_ms - int(ownership.lag.peak_ms)
+            info.alive_clock_ms = max(
+                info.alive_clock_ms, leases.estimate_clock(info, broke_ms)
+            )
         logger.warning(
             'worker_silent',
             extra={
@@ -423,6 +471,8 @@
     now_ms = ownership.clock.now_ms()
     if info.runs and now_ms < leases.compute_expiry(info, ownership):
         return
+    if info.runs:
+        worker_crashes.remember_runs(ownership, info)
     for name in list(info.runs):
         reconciliation.mark_run_lost(ownership, name, 'lease_lapsed')
     # A worker that has never answered this owner may run what an earlier owner
--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -4,6 +4,7 @@
 import logging
 
 from nutmegknot._internal.backing import runners
+from nutmegknot._internal.decisions import crash_trials
 from nutmegknot._internal.jobs import leases
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import reconciliation
@@ -61,6 +62,12 @@
     task.phase = jobs.TaskPhase.STARTING
     task.run = decision.run
     task.start_decided_ms = ownership.clock.now_ms()
+    worker = decision.info.worker
+    is_trial = crash_trials.is_trial_start(decision.stage, task)
+    if is_trial:
+        task.trial = jobs.Trial(
+            decision.run, worker.id, decision.life, worker.address
+        )
     name = cluster_state.make_task_name(
         decision.job, decision.stage, task.index
     )
@@ -77,15 +84,39 @@
         extra={
             'task': jobs.format_task(name),
             'run': decision.run,
-            'worker': decision.info.worker.id,
+            'worker': worker.id,
             'token': ownership.cluster.epoch,
             'waited_ms': task.start_decided_ms - task.waiting_since_ms,
+            'trial': is_trial,
         },
     )
-    commands = ownership.command_queues[decision.info.worker.id]
-    commands.queue.put_nowait(
-        lambda: _send_start_or_stop(ownership, decision, name)
+    number = 0
+    if is_trial:
+        ownerships.queue_progress_write(
+            ownership, decision.job, is_hurried=True
+        )
+        number = decision.job.latest_write
+    ownership.unsent_starts.append(
+        ownerships.UnsentStart(
+            number,
+            worker.id,
+            lambda: _send_start_or_stop(ownership, decision, name),
+        )
     )
+    send_durable_starts(ownership)
+
+
+def send_durable_starts(ownership: ownerships.Ownership) -> None:
+    """Queues the start commands that no longer wait for a write."""
+    waiting = []
+    for start in ownership.unsent_starts:
+        if start.write > ownership.writer.last_durable:
+            waiting.append(start)
+            continue
+        commands = ownership.command_queues.get(start.worker)
+        if commands is not None:
+            commands.queue.put_nowait(start.send)
+    ownership.unsent_starts = waiting
 
 
 async def _send_start_or_stop(
@@ -139,9 +170,9 @@
             ownership.metrics.start_ms, ownership.clock.now_ms() - sent_ms
         )
         match result:
-            case runners.Taken():
+            case runners.Taken(clock_ms):
                 instruments.increment(ownership.metrics.starts, 'taken')
-                _confirm_start(ownership, decision)
+                _confirm_start(ownership, decision, clock_ms or 0)
                 return
             case runners.Refused(reason):
                 instruments.increment(ownership.metrics.starts, reason.value)
@@ -208,8 +239,15 @@
 
 
 def _confirm_start(
-    ownership: ownerships.Ownership, decision: StartDecision
+    ownership: ownerships.Ownership, decision: StartDecision, clock_ms: int
 ) -> None:
+    """Records that the worker has accepted a start.
+
+    Args:
+      ownership: The ownership of the jobs.
+      decision: The start.
+      clock_ms: Time of the worker's clock in its answer; 0 if it gave none.
+    """
     task, job = decision.task, decision.job
     decision.stage.has_started = job.has_started = True
     if job.state is jobs.JobState.QUEUED:
@@ -217,6 +255,9 @@
     if task.run == decision.run and task.phase is jobs.TaskPhase.STARTING:
         task.phase = jobs.TaskPhase.RUNNING
         task.confirmed_ms = ownership.clock.now_ms()
+        task.started_clock_ms = task.started_clock_ms or clock_ms
+        info = decision.info
+        info.alive_clock_ms = max(info.alive_clock_ms, clock_ms)
 
 
 def _handle_refused_start(
@@ -251,8 +292,7 @@
     if may_have_started or reason is runners.Refusal.STALE_RUN:
         _stop_unsettled_start(ownership, decision, name)
         return
-    cluster_state.release_run(ownership.cluster, name, ownership.clock.now_ms())
-    reconciliation.requeue_stage(ownership, decision.job, decision.stage)
+    reconciliation.release_run(ownership, decision.job, decision.stage, name)
     _stop_gang(ownership, decision)
 
 
--- a/src/nutmegknot/_internal/jobs/takeover.py
+++ b/src/nutmegknot/_internal/jobs/takeover.py
@@ -11,6 +11,8 @@
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import workers
 from nutmegknot._internal.schema import jobs_pb2
 
 logger = logging.getLogger(__name__)
@@ -161,9 +163,45 @@
     max_earlier_run = (cluster.epoch - 1) * starts.RUN_NUMBERS_PER_EPOCH
     for stage in job.stages.values():
         for task in stage.tasks:
-            task.run = max(task.failed_runs, default=0)
+            name = cluster_state.make_task_name(job, stage, task.index)
+            _add_crashes(cluster, name, task, now_ms)
+            task.run = max((*task.failed_runs, *task.crashes), default=0)
             if task.run > max_earlier_run:
                 logger.error(
                     'run_number_ahead',
                     extra={'job': job.spec.id, 'run': task.run},
                 )
+
+
+def _add_crashes(
+    cluster: cluster_state.ClusterState,
+    name: jobs.TaskName,
+    task: jobs.Task,
+    now_ms: int,
+) -> None:
+    """Registers the crashes of a task, and its trial if one was in progress.
+
+    Whether the worker of the trial has crashed shows when it answers.
+    """
+    for crash in task.crashes.values():
+        key = (crash.worker, crash.life)
+        cluster.tasks_by_crash.setdefault(key, set()).add(name)
+    trial, task.trial = task.trial, None
+    if trial is None:
+        return
+    missing = cluster.missing_workers.get(trial.worker)
+    if missing is None:
+        worker = workers.Worker(
+            trial.worker,
+            region='',
+            domain='',
+            rack='',
+            capacity=resources.ZERO,
+            address=trial.address,
+            life=trial.life,
+        )
+        missing = cluster_state.MissingWorker(worker, [], now_ms)
+        cluster.missing_workers[trial.worker] = missing
+    missing.runs.append(
+        cluster_state.InterruptedRun(name, trial.run, 0, is_on_trial=True)
+    )
--- a/src/nutmegknot/_internal/jobs/task_scheduling.py
+++ b/src/nutmegknot/_internal/jobs/task_scheduling.py
@@ -84,6 +84,8 @@
         ownership.clock.wall_ms(),
         ownership.eligibility,
         int(ownership.lag.peak_ms),
+        # Trials are written before they start.
+        allows_trials=not _is_store_unavailable(ownership),
     )
     gang_runs: dict[int, int] = {}
     for placement in plan.placed:
--- /dev/null
+++ b/src/nutmegknot/_internal/jobs/worker_crashes.py
@@ -0,0 +1,211 @@
+"""Records crashes of workers with the tasks that ran there.
+
+A worker that does not answer may have crashed or may be cut off. It has crashed
+if it answers in a new life, or if another worker answers at its address, unless
+it was leaving. Until then its runs are remembered.
+"""
+
+import logging
+
+from nutmegknot._internal.decisions import crash_trials
+from nutmegknot._internal.jobs import ownerships
+from nutmegknot._internal.jobs import reconciliation
+from nutmegknot._internal.models import cluster_state
+from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import workers
+
+logger = logging.getLogger(__name__)
+
+# How long the runs of a missing worker are remembered.
+MAX_MISSING_MS = 60_000
+
+
+def put_on_trial(
+    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
+) -> None:
+    """Puts the youngest runs on trial on a worker that may have crashed.
+
+    So they are in the table if the owner changes before the worker is back.
+    """
+    for name, task in info.runs.items():
+        survived_ms = crash_trials.compute_survived_ms(info, task)
+        if task.trial is not None or survived_ms >= crash_trials.STARTUP_MS:
+            continue
+        task.trial = jobs.Trial(
+            task.run, info.worker.id, info.worker.life, info.worker.address
+        )
+        info.trial_runs += 1
+        ownerships.queue_progress_write(
+            ownership, ownership.cluster.jobs[name.job], is_hurried=True
+        )
+
+
+def remember_runs(
+    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
+) -> None:
+    """Remembers the runs of a worker that are about to count as lost."""
+    cluster, now_ms = ownership.cluster, ownership.clock.now_ms()
+    for id, missing in list(cluster.missing_workers.items()):
+        if now_ms - missing.since_ms > MAX_MISSING_MS:
+            del cluster.missing_workers[id]
+    runs = crash_trials.list_interrupted(info)
+    if runs:
+        cluster.missing_workers[info.worker.id] = cluster_state.MissingWorker(
+            info.worker, runs, now_ms
+        )
+
+
+def record_answer(
+    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo, life: int
+) -> None:
+    """Records that a worker has answered in a life."""
+    missing = ownership.cluster.missing_workers.pop(info.worker.id, None)
+    if missing is not None and life > missing.worker.life:
+        _record_crash(ownership, missing.worker, missing.runs, 'new_life')
+
+
+def record_restart(
+    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo, why: str
+) -> None:
+    """Records that the process of a worker has ended, with all runs there."""
+    runs = crash_trials.list_interrupted(info)
+    missing = ownership.cluster.missing_workers.pop(info.worker.id, None)
+    if missing is not None:
+        runs += missing.runs
+    _record_crash(ownership, info.worker, runs, why)
+
+
+def record_replacements(
+    ownership: ownerships.Ownership, worker: workers.Worker
+) -> None:
+    """Records that a new worker is listed at the address of missing ones."""
+    missing_workers = ownership.cluster.missing_workers
+    for id, missing in list(missing_workers.items()):
+        if missing.worker.address == worker.address and id != worker.id:
+            del missing_workers[id]
+            _record_crash(
+                ownership, missing.worker, missing.runs, 'address_listed'
+            )
+
+
+def _record_crash(
+    ownership: ownerships.Ownership,
+    worker: workers.Worker,
+    runs: list[cluster_state.InterruptedRun],
+    why: str,
+) -> None:
+    if not runs or worker.state is workers.TargetState.LEAVING:
+        return
+    suspects = crash_trials.find_suspects(runs)
+    suspected_jobs = {run.name.job for run in suspects}
+    logger.warning(
+        'worker_crashed',
+        extra={
+            'worker': worker.id,
+            'life': worker.life,
+            'why': why,
+            'runs': len(runs),
+            'suspects': len(suspects),
+            'suspected_jobs': len(suspected_jobs),
+        },
+    )
+    for run in runs:
+        is_suspect = run in suspects
+        crash = jobs.Crash(
+            worker.id,
+            worker.life,
+            is_suspect,
+            is_suspect and len(suspected_jobs) == 1,
+        )
+        _add_crash(ownership, run, crash)
+    for job_id in suspected_jobs:
+        job = ownership.cluster.jobs.get(job_id)
+        if job is not None and not jobs.is_final(job):
+            _give_up_if_cause(ownership, job)
+
+
+def _add_crash(
+    ownership: ownerships.Ownership,
+    run: cluster_state.InterruptedRun,
+    crash: jobs.Crash,
+) -> None:
+    """Adds a crash to the task of a run that was on the worker."""
+    cluster = ownership.cluster
+    stage = cluster_state.find_stage(cluster, run.name)
+    job = cluster.jobs.get(run.name.job)
+    if stage is None or job is None or jobs.is_final(job):
+        return
+    task = stage.tasks[run.name.index]
+    if task.phase is jobs.TaskPhase.DONE:
+        return
+    if run.survived_ms >= crash_trials.MAX_TRIAL_MS:
+        if task.crashes:
+            task.crashes.clear()
+            ownerships.queue_progress_write(ownership, job)
+        return
+    task.crashes[run.run] = crash
+    key = (crash.worker, crash.life)
+    cluster.tasks_by_crash.setdefault(key, set()).add(run.name)
+    if crash.is_suspect:
+        logger.info(
+            'task_suspected',
+            extra={
+                'task': jobs.format_task(run.name),
+                'run': run.run,
+                'worker': crash.worker,
+                'survived_ms': run.survived_ms,
+                'crashes': len(task.crashes),
+                'is_only_suspect': crash.is_only_suspect,
+            },
+        )
+    ownerships.queue_progress_write(ownership, job)
+
+
+def _give_up_if_cause(ownership: ownerships.Ownership, job: jobs.Job) -> None:
+    """Ends a job of which a task is the cause of crashes.
+
+    The crashes no longer count against the other tasks that ran there.
+    """
+    causes = [
+        task
+        for stage in job.stages.values()
+        for task in stage.tasks
+        if crash_trials.is_cause(task)
+    ]
+    if not causes:
+        return
+    crashes = {
+        (crash.worker, crash.life)
+        for task in causes
+        for crash in task.crashes.values()
+    }
+    logger.warning(
+        'job_crashes_workers',
+        extra={
+            'job': job.spec.id,
+            'tasks': len(causes),
+            'workers': ' '.join(sorted(worker for worker, _ in crashes)),
+        },
+    )
+    reconciliation.finish_job(
+        ownership, job, jobs.JobState.FAILED, 'crashes_workers'
+    )
+    for key in crashes:
+        _clear_crash(ownership, key)
+
+
+def _clear_crash(ownership: ownerships.Ownership, key: tuple[str, int]) -> None:
+    """Removes a crash whose cause is known from the records of all tasks."""
+    cluster = ownership.cluster
+    for name in cluster.tasks_by_crash.pop(key, ()):
+        stage = cluster_state.find_stage(cluster, name)
+        job = cluster.jobs.get(name.job)
+        if stage is None or job is None or jobs.is_final(job):
+            continue
+        task = stage.tasks[name.index]
+        task.crashes = {
+            run: crash
+            for run, crash in task.crashes.items()
+            if (crash.worker, crash.life) != key
+        }
+        ownerships.queue_progress_write(ownership, job)
--- a/src/nutmegknot/_internal/jobs/worker_discovery.py
+++ b/src/nutmegknot/_internal/jobs/worker_discovery.py
@@ -8,6 +8,7 @@
 from nutmegknot._internal.jobs import leases
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import sessions
+from nutmegknot._internal.jobs import worker_crashes
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.utils import clock
 from nutmegknot._internal.utils import signals
@@ -109,6 +110,7 @@
                     'life': worker.life,
                 },
             )
+            worker_crashes.record_replacements(ownership, worker)
             sessions.open_session(ownership, worker)
             continue
         info.is_listed = True
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -82,6 +82,9 @@
       last_answer_ms: When it last answered; 0 if it never did.
       unanswered_since_ms: When the first call since then was sent that had no
         answer; None while calls are answered.
+      silence_noticed_ms: When that call was found to have no answer.
+      alive_clock_ms: Newest time of the worker's clock at which it is known to
+        have been in operation.
       recent_ends: Recent ends of runs there. A worker with too many failures
         among them is put in quarantine: for a time, no run is started there.
       consecutive_quarantines: Number of quarantines since a run there last
@@ -98,6 +101,7 @@
       opportunistic_runs: Number of runs there of opportunistic tasks.
       latency_sensitive_runs: Number of runs there of tasks with a tail latency
         target.
+      trial_runs: Number of runs there that started as trials.
     """
 
     worker: workers.Worker
@@ -123,6 +127,8 @@
     is_registered: bool = False
     last_answer_ms: int = 0
     unanswered_since_ms: int | None = None
+    silence_noticed_ms: int = 0
+    alive_clock_ms: int = 0
     recent_ends: list[RunEnd] = dataclasses.field(default_factory=list)
     consecutive_quarantines: int = 0
     no_starts_before_ms: int = 0
@@ -132,6 +138,39 @@
     known_since_ms: int = 0
     opportunistic_runs: int = 0
     latency_sensitive_runs: int = 0
+    trial_runs: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class InterruptedRun:
+    """A run that was on a worker when it was last known to be in operation.
+
+    Attributes:
+      name: The task.
+      run: Number of the run.
+      survived_ms: How long the worker is known to have executed it.
+      is_on_trial: Whether it was still on trial.
+    """
+
+    name: jobs_lib.TaskName
+    run: int
+    survived_ms: int
+    is_on_trial: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class MissingWorker:
+    """A worker of which it is not known whether it crashed or is cut off.
+
+    Attributes:
+      worker: The worker.
+      runs: The runs that it had.
+      since_ms: Since when they count as lost.
+    """
+
+    worker: workers.Worker
+    runs: list[InterruptedRun]
+    since_ms: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -155,6 +194,10 @@
         number of the occurrence and number of the step.
       run_time_ratios: Moving average of the run time divided by the caller's
         estimate, by pool and kind of worker.
+      missing_workers: Workers of which it is not known whether they crashed, by
+        id.
+      tasks_by_crash: Tasks that have a record of a crash, by id of the worker
+        and number of the life that ended.
     """
 
     epoch: int
@@ -177,6 +220,12 @@
     run_time_ratios: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
+    missing_workers: dict[str, MissingWorker] = dataclasses.field(
+        default_factory=dict
+    )
+    tasks_by_crash: dict[tuple[str, int], set[jobs_lib.TaskName]] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 def get_free(info: WorkerInfo) -> resources.Resources:
@@ -221,6 +270,7 @@
     info.used = resources.add(info.used, jobs_lib.get_reserved(step))
     info.opportunistic_runs += step.is_opportunistic
     info.latency_sensitive_runs += step.tail_latency_target_ms > 0
+    info.trial_runs += task.trial is not None
     customer = job.spec.customer
     usage = cluster.usage.get(customer, resources.ZERO)
     cluster.usage[customer] = resources.add(usage, step.size)
@@ -237,7 +287,10 @@
     job = cluster.jobs[name.job]
     task = job.stages[name.occurrence, name.step].tasks[name.index]
     info = cluster.workers_by_id.get(task.worker)
+    was_trial = task.trial is not None
     task.worker = ''
+    task.trial = None
+    task.started_clock_ms = 0
     if task.phase is not jobs_lib.TaskPhase.DONE:
         task.phase = jobs_lib.TaskPhase.WAITING
         task.waiting_since_ms = now_ms
@@ -247,6 +300,7 @@
     info.used = resources.subtract(info.used, jobs_lib.get_reserved(step))
     info.opportunistic_runs -= step.is_opportunistic
     info.latency_sensitive_runs -= step.tail_latency_target_ms > 0
+    info.trial_runs -= was_trial
     customer = job.spec.customer
     usage = cluster.usage.get(customer, resources.ZERO)
     cluster.usage[customer] = resources.subtract(usage, step.size)
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -117,6 +117,43 @@
     index: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Crash:
+    """The crash of a worker during a run of a task.
+
+    Attributes:
+      worker: Id of the worker.
+      life: Number of the life of the worker that ended.
+      is_suspect: Whether the run may be the cause.
+      is_only_suspect: Whether no run of another job may be the cause.
+    """
+
+    worker: str
+    life: int
+    is_suspect: bool
+    is_only_suspect: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Trial:
+    """A run of a task that is suspected of crashing workers.
+
+    Nothing else starts on its worker until it has run for a while, so that the
+    cause is known if the worker crashes.
+
+    Attributes:
+      run: Number of the run.
+      worker: Id of the worker.
+      life: Number of the worker's life.
+      address: Address of the worker.
+    """
+
+    run: int
+    worker: str
+    life: int
+    address: str
+
+
 @dataclasses.dataclass(slots=True)
 class Task:
     """One task and its current run.
@@ -141,6 +178,11 @@
       avoided_workers: Ids of workers on which a run of it failed, or was
         stopped as it took too long.
       lost_runs: How many of its runs were lost, as this owner knows.
+      crashes: Crashes of workers during its runs, by number of the run. Those
+        of which another task was found to be the cause are removed.
+      trial: The current run if it is a trial, otherwise None.
+      started_clock_ms: Time of the worker's clock from which on the current run
+        is known to be in progress; 0 if it is not known to be.
     """
 
     index: int
@@ -155,6 +197,9 @@
     waiting_since_ms: int = 0
     avoided_workers: set[str] = dataclasses.field(default_factory=set)
     lost_runs: int = 0
+    crashes: dict[int, Crash] = dataclasses.field(default_factory=dict)
+    trial: Trial | None = None
+    started_clock_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
