Worker rows: odd entries of other writers name no worker and stop no reader

Report: another writer left one odd entry in the list of workers, and the machines that read it ended again and again or stopped following the list.

It could happen here. An entry nested 50,000 deep raised RecursionError, which is not among the errors that were caught: each reading of the list failed, so no worker was found or missed any more. An entry with born = 10^30 was accepted; the owner then wrote it into its roster, whose field has 64 bits, and the error ended the writer and the process, then those of the next owner.

Fix: one module reads foreign JSON with checks of depth, type, range and text; the decoder of worker rows uses it for each field, and needs an IPv4 address with a port from 1 to 65535. An unusable row is logged once with the reason. Keys that can't be encoded are left out by the reader of rows.

--- a/src/nutmegknot/_internal/platform/metadata_store.py
+++ b/src/nutmegknot/_internal/platform/metadata_store.py
@@ -6,6 +6,7 @@
 
 from nutmegknot._internal.backing import platform_calls
 from nutmegknot._internal.backing import tables
+from nutmegknot._internal.platform import json_fields
 
 logger = logging.getLogger(__name__)
 
@@ -159,10 +160,12 @@
 def decode_rows(fields: dict[str, Any]) -> list[tables.Row]:
     """Decodes the rows of a reply; leaves out rows that can't be decoded."""
     rows = []
-    for row in fields.get('rows') or ():
+    listed = fields.get('rows')
+    for row in listed if isinstance(listed, list) else ():
         try:
+            key = json_fields.check_text(row['key'])
             value = base64.b64decode(row.get('value') or '')
-            rows.append(tables.Row(row['key'], value, int(row['rowVersion'])))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            rows.append(tables.Row(key, value, int(row['rowVersion'])))
+        except json_fields.ERRORS as error:
             logger.warning('row_unreadable', extra={'why': repr(error)})
     return rows
--- a/src/nutmegknot/_internal/platform/platform_listings.py
+++ b/src/nutmegknot/_internal/platform/platform_listings.py
@@ -3,9 +3,9 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import ipaddress
 import json
 import logging
-import re
 from typing import Any
 
 from nutmegknot._internal.backing import listings
@@ -14,6 +14,7 @@
 from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
+from nutmegknot._internal.platform import json_fields
 from nutmegknot._internal.platform import metadata_store
 
 logger = logging.getLogger(__name__)
@@ -28,6 +29,8 @@
 EVACUATION_KEY_PREFIX = 'evacuate/'
 # Prefix of the keys of the maintenance waves.
 WAVE_KEY_PREFIX = 'wave/'
+# Length to which the key of an unusable row is cut in the log.
+MAX_LOGGED_KEY = 40
 _GONE = 410
 _OK = 200
 _DECODE_ERRORS = (
@@ -129,6 +132,8 @@
 def _make_list_workers(
     fetch: platform_calls.Fetch, regions: dict[str, str]
 ) -> Callable[[int], Awaitable[listings.WorkerList | tables.Unavailable]]:
+    reported: dict[str, bytes] = {}
+
     async def list_workers(
         timeout_ms: int,
     ) -> listings.WorkerList | tables.Unavailable:
@@ -138,8 +143,10 @@
         if isinstance(rows, tables.Unavailable):
             return rows
         workers_by_id = {}
+        for key in reported.keys() - {row.key for row in rows}:
+            del reported[key]
         for row in rows:
-            worker = decode_worker(row.key, row.value, regions)
+            worker = decode_worker(row.key, row.value, regions, reported)
             if worker is not None:
                 workers_by_id[worker.id] = worker
         return listings.WorkerList(workers_by_id)
@@ -283,11 +290,15 @@
 
 
 def decode_resources(fields: dict[str, Any]) -> resources.Resources:
-    """Decodes an amount of resources; a missing resource counts as 0."""
+    """Decodes an amount of resources; a missing resource counts as 0.
+
+    Raises:
+      AttributeError, TypeError, ValueError: If the amount is malformed.
+    """
     return resources.Resources(
-        int(fields.get('cpu') or 0),
-        int(fields.get('memMb') or 0),
-        int(fields.get('gpu') or 0),
+        json_fields.check_integer(fields.get('cpu')),
+        json_fields.check_integer(fields.get('memMb')),
+        json_fields.check_integer(fields.get('gpu')),
     )
 
 
@@ -295,41 +306,72 @@
     'ready': workers.TargetState.LIVE,
     'draining': workers.TargetState.LEAVING,
 }
-_ADDRESS_PATTERN = re.compile(r'\d+\.\d+\.\d+\.\d+:\d+')
+_MAX_PORT = 65_535
+
+
+def _check_address(value: object) -> str:
+    """Returns the address of a worker, an IPv4 address with a port.
+
+    Raises:
+      TypeError, ValueError: If it is none.
+    """
+    text = json_fields.check_text(value)
+    host, _, port = text.rpartition(':')
+    ipaddress.IPv4Address(host)
+    if not (port.isascii() and port.isdecimal()):
+        raise ValueError('the port is no number')
+    if not 0 < int(port) <= _MAX_PORT:
+        raise ValueError('the port is out of range')
+    return text
 
 
 def decode_worker(
-    id: str, value: bytes, regions: dict[str, str]
+    id: str,
+    value: bytes,
+    regions: dict[str, str],
+    reported: dict[str, bytes] | None = None,
 ) -> workers.Worker | None:
     """Decodes a row of the list of workers; returns None if it is unusable.
 
-    Other programs write the rows too, so fields may be missing or of other
-    types.
+    Other programs write the rows too, so fields may be missing, of other types
+    or out of range.
+
+    Args:
+      id: Key of the row.
+      value: Its value.
+      regions: Region of each failure domain.
+      reported: Unusable rows by key; those that were logged are not logged
+        again. None to log each.
     """
     try:
-        fields = json.loads(value)
-        labels = [str(label) for label in fields.get('labels') or ()]
-        domain, pool, address = (
-            fields['zone'],
-            fields['service'],
-            fields['address'],
-        )
-        has_pool_and_region = isinstance(pool, str) and domain in regions
-        if not has_pool_and_region or not _ADDRESS_PATTERN.fullmatch(address):
-            return None
+        fields = json_fields.decode_object(value)
+        labels = [
+            json_fields.check_text(label)
+            for label in json_fields.check_list(fields.get('labels'))
+        ]
+        domain = fields['zone']
         return workers.Worker(
-            id=id,
+            id=json_fields.check_text(id),
             region=regions[domain],
             domain=domain,
             # The first label is the kind of machine, the second is the rack.
             rack=labels[1] if len(labels) > 1 else '',
             capacity=decode_resources(fields['capacity']),
-            address=address,
+            address=_check_address(fields['address']),
             state=_TARGET_STATES[fields['state']],
-            pool=pool,
+            pool=json_fields.check_text(fields['service']),
             kind=labels[0] if labels else '',
             labels=frozenset(labels),
-            life=int(fields.get('born') or 0),
+            life=json_fields.check_integer(
+                fields.get('born'), json_fields.MAX_INTEGER
+            ),
         )
-    except _DECODE_ERRORS:
+    except json_fields.ERRORS as error:
+        if reported is None or reported.get(id) != value:
+            logger.warning(
+                'worker_row_unusable',
+                extra={'key': id[:MAX_LOGGED_KEY], 'why': repr(error)},
+            )
+        if reported is not None:
+            reported[id] = value
         return None
