Workers' answers: odd numbers and texts do not reach what the owner writes

The cause of the odd worker rows, in the next reader: numbers and texts of a worker's answer were taken without a range. A failed run with the number 10^30, or a checkpoint with half of a surrogate pair, became part of the job's progress row, whose encoding then failed; the error ended the writer and the process. The worker lists the end until it is acknowledged, so each next owner met it too.

Numbers, texts and lists are now read by the same functions as worker rows. One malformed run in an answer counts as a run that the owner does not know, instead of making the whole answer unusable. Task names with numbers of more than nine digits name no task. A call to an address that can't be used counts as not sent, where the error left the client before.

--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -345,6 +345,8 @@
     critical_path_ms: int = 0
 
 
+# Longest number in the text form of a task's name.
+MAX_DIGITS = 9
 FINAL_STATES = frozenset(
     (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 )
@@ -361,7 +363,10 @@
     if len(parts) != 4:
         return None
     job, *numbers = parts
-    if not all(number.isdecimal() for number in numbers):
+    if not all(
+        number.isascii() and number.isdecimal() and len(number) <= MAX_DIGITS
+        for number in numbers
+    ):
         return None
     return TaskName(job, int(numbers[0]), int(numbers[1]), int(numbers[2]))
 
--- a/src/nutmegknot/_internal/platform/http_client.py
+++ b/src/nutmegknot/_internal/platform/http_client.py
@@ -72,7 +72,7 @@
                 timeout=_NO_TIMEOUT,
             ) as response:
                 return decode_reply(response.status, await response.read())
-    except aiohttp.ClientConnectorError as error:
+    except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
         return platform_calls.NoAnswer(
             False, f'{address}: {type(error).__name__}'
         )
--- a/src/nutmegknot/_internal/platform/platform_workers.py
+++ b/src/nutmegknot/_internal/platform/platform_workers.py
@@ -11,6 +11,7 @@
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.platform import http_client
+from nutmegknot._internal.platform import json_fields
 
 logger = logging.getLogger(__name__)
 
@@ -28,13 +29,6 @@
     'room': runners.Refusal.NO_ROOM,
     'ticket': runners.Refusal.NO_TICKET,
 }
-_DECODE_ERRORS = (
-    AttributeError,
-    LookupError,
-    OverflowError,
-    TypeError,
-    ValueError,
-)
 _END_KINDS = {
     'done': jobs.EndKind.DONE,
     'failed': jobs.EndKind.FAILED,
@@ -170,11 +164,9 @@
         if reply.was_sent:
             return runners.Unanswered(reply.detail)
         return runners.Unreached(reply.detail)
-    reported_clock = reply.fields.get('clockMs')
-    clock_ms = reported_clock if isinstance(reported_clock, int) else None
+    clock_ms = _read_time(reply.fields, 'clockMs')
     if reply.status == _OK:
-        life = reply.fields.get('born')
-        return runners.Taken(clock_ms, life if isinstance(life, int) else 0)
+        return runners.Taken(clock_ms, _read_time(reply.fields, 'born') or 0)
     if reply.status == _MISDIRECTED_REQUEST:
         return runners.Refused(runners.Refusal.OTHER_LIFE, clock_ms)
     if reply.status in _UNHEALTHY_STATUSES:
@@ -190,48 +182,70 @@
     return runners.Refused(runners.Refusal.INVALID_COMMAND, clock_ms, detail)
 
 
+def _read_time(fields: dict[str, Any], name: str) -> int | None:
+    """Returns a time in ms, or None if there is none that can be read."""
+    value = fields.get(name)
+    if isinstance(value, int) and 0 <= value <= json_fields.MAX_INTEGER:
+        return value
+    return None
+
+
 def _decode_inventory(
     fields: dict[str, Any],
 ) -> runners.Inventory | runners.Unanswered:
     try:
         runs, unreadable_runs = [], 0
-        for row in fields.get('running') or ():
+        for row in json_fields.check_list(fields.get('running')):
             run = _decode_run(row)
             if run is None:
                 unreadable_runs += 1
             else:
                 runs.append(run)
-        ends = [_decode_end(row) for row in fields.get('ended') or ()]
+        ends = [
+            _decode_end(row)
+            for row in json_fields.check_list(fields.get('ended'))
+        ]
         return runners.Inventory(
-            int(fields['clockMs']),
-            int(fields.get('born') or 0),
+            json_fields.check_integer(
+                fields['clockMs'], json_fields.MAX_INTEGER
+            ),
+            json_fields.check_integer(
+                fields.get('born'), json_fields.MAX_INTEGER
+            ),
             runs,
             ends,
             unreadable_runs,
             has_more_ends=len(ends) >= _MAX_LISTED_ENDS,
         )
-    except _DECODE_ERRORS as error:
+    except json_fields.ERRORS as error:
         return runners.Unanswered(f'malformed inventory: {error!r}')
 
 
 def _decode_run(row: list[Any]) -> runners.ReportedRun | None:
-    """Decodes a run; returns None if its task's name can't be parsed."""
-    name = jobs.parse_task(row[0])
-    if name is None:
+    """Decodes a run; returns None if it is malformed."""
+    try:
+        name = jobs.parse_task(row[0])
+        if name is None:
+            return None
+        return runners.ReportedRun(
+            name,
+            json_fields.check_integer(row[1]),
+            json_fields.check_text(row[2]),
+            json_fields.check_integer(row[3]),
+            json_fields.check_number(row[4]) if len(row) > 4 else 0.0,
+        )
+    except json_fields.ERRORS as error:
+        logger.warning('run_unreadable', extra={'why': repr(error)})
         return None
-    load = float(row[4]) if len(row) > 4 and row[4] else 0.0
-    return runners.ReportedRun(
-        name, int(row[1]), str(row[2] or ''), int(row[3]), load
-    )
 
 
 def _decode_end(row: list[Any]) -> runners.ReportedEnd:
     return runners.ReportedEnd(
-        int(row[0]),
+        json_fields.check_integer(row[0]),
         jobs.parse_task(row[1]),
-        int(row[2]),
+        json_fields.check_integer(row[2]),
         _END_KINDS[row[3]],
-        str(row[4] or ''),
+        json_fields.check_text(row[4]),
     )
 
 
@@ -259,10 +273,11 @@
             return advisers.Unadvised(f'status {reply.status}')
         try:
             tickets = {
-                str(id): str(ticket) for id, ticket in reply.fields['good']
+                json_fields.check_text(id): json_fields.check_text(ticket)
+                for id, ticket in reply.fields['good']
             }
-            valid_ms = int(reply.fields['validMs'])
-        except _DECODE_ERRORS as error:
+            valid_ms = json_fields.check_integer(reply.fields['validMs'])
+        except json_fields.ERRORS as error:
             return advisers.Unadvised(f'malformed reply: {error!r}')
         return advisers.Advised(tickets, valid_ms)
 
--- a/tests/unit/platform/test_worker_answers.py
+++ b/tests/unit/platform/test_worker_answers.py
@@ -14,6 +14,7 @@
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.platform import http_client
 from nutmegknot._internal.platform import platform_workers
+from nutmegknot._internal.schema import jobs_pb2
 
 NAME = 'a' * 16 + '.0.0.0'
 JSON_TEXTS = strategies.recursive(
@@ -145,3 +146,82 @@
     assert isinstance(partial, runners.Inventory)
     assert full.has_more_ends
     assert not partial.has_more_ends
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        '{"clockMs":1,"ended":[[1,"' + NAME + '",HUGE,"failed",""]]}',
+        '{"clockMs":1,"ended":[[HUGE,"' + NAME + '",1,"failed",""]]}',
+        '{"clockMs":1,"ended":[[1,"' + NAME + '",-1,"failed",""]]}',
+        '{"clockMs":1,"ended":[[1,"' + NAME + '",1,"done","\\ud800"]]}',
+        '{"clockMs":1,"running":[["' + NAME + '",HUGE,"",100]]}',
+        '{"clockMs":1,"running":[["' + NAME + '",1,"\\ud800",100]]}',
+        '{"clockMs":1,"running":[["' + NAME + '",1,"",HUGE]]}',
+        '{"clockMs":1,"running":[["' + NAME + '",1,"",100,HUGE]]}',
+        '{"clockMs":1,"running":[["\\ud800.0.0.0",1,"",100]]}',
+        '{"clockMs":1,"running":[["a.0.0.HUGE",1,"",100]]}',
+        '{"clockMs":HUGE}',
+        '{"clockMs":-1}',
+        '{"clockMs":1,"born":HUGE}',
+        '{"clockMs":1,"good":[["w1","\\ud800"]],"validMs":1000}',
+        '{"clockMs":1,"good":[["w1","t"]],"validMs":HUGE}',
+    ],
+)
+async def test_no_odd_answer_reaches_what_the_owner_writes(
+    answers: list[platform_calls.Reply], text: str
+) -> None:
+    """Guards against an answer that ends each owner that polls its worker.
+
+    A failed run with the number 10^30 was kept in the job's progress, whose
+    numbers have 32 bits; the error ended the writer, and with it the process.
+    """
+    raw = text.replace('HUGE', '1' + '0' * 30).encode()
+    answers.append(http_client.decode_reply(200, raw))
+    session: Any = None
+    result, started, advised = await call_all(http_client.Client(session))
+    if isinstance(result, runners.Inventory):
+        jobs_pb2.RosterWorker(life=result.life)
+        jobs_pb2.RosterWorker(life=result.clock_ms)
+        for row in (*result.runs, *result.ends):
+            jobs_pb2.RunNumbers(runs=[row.run])
+            jobs_pb2.StageProgress(checkpoints={0: row.checkpoint})
+            assert row.name is None or row.name.index < 2**31
+        jobs_pb2.RunNumbers(runs=[end.number for end in result.ends])
+    assert isinstance(started, runners.Taken)
+    jobs_pb2.RosterWorker(life=started.life)
+    jobs_pb2.RosterWorker(life=started.clock_ms)
+    if isinstance(advised, advisers.Advised):
+        jobs_pb2.AdviceReply(
+            valid_ms=advised.valid_ms,
+            tickets=[
+                jobs_pb2.TicketPart(worker=id, ticket=ticket)
+                for id, ticket in advised.tickets.items()
+            ],
+        )
+        assert advised.valid_ms < 2**53
+
+
+@pytest.mark.parametrize('row', ['5', '[]', '["a.0.0.0",null]', '{"a":1}'])
+async def test_an_odd_run_in_an_answer_leaves_the_others(
+    answers: list[platform_calls.Reply], row: str
+) -> None:
+    """It counts as one that the owner does not know."""
+    text = '{"clockMs":1,"running":[' + row + ',["' + NAME + '",1,"",100]]}'
+    answers.append(http_client.decode_reply(200, text.encode()))
+    session: Any = None
+    result, _, _ = await call_all(http_client.Client(session))
+    assert isinstance(result, runners.Inventory)
+    assert [jobs.format_task(run.name) for run in result.runs] == [NAME]
+    assert result.unreadable_runs == 1
+
+
+async def test_an_odd_address_is_a_call_that_was_not_sent() -> None:
+    client = http_client.make_client()
+    for address in ('127.0.0.1:99999', '127.0.0.1:x', '[', 'a b'):
+        reply = await http_client.send_call(
+            client, address, platform_calls.Call('GET', '/'), 1_000
+        )
+        assert isinstance(reply, platform_calls.NoAnswer), address
+        assert not reply.was_sent, address
+    await http_client.close(client)
