Operators' rows: odd settings and waves leave those in force

The cause of the odd worker rows, in the reader of the operators' rows. A wave or configuration nested too deeply raised RecursionError, which is not among the errors that were caught, so the settings were not followed any more. A configuration with an infinite stretch, a negative limit or 10^30 attempts came into force; the first raised in each scheduling pass, the last in each acceptance of a job.

The rows and the settings file of the process are now read with the checks that worker rows have. An odd wave is left out, an odd configuration changes nothing.

--- a/src/nutmegknot/_internal/platform/platform_listings.py
+++ b/src/nutmegknot/_internal/platform/platform_listings.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 import dataclasses
 import ipaddress
-import json
 import logging
 from typing import Any
 
@@ -33,13 +32,6 @@
 MAX_LOGGED_KEY = 40
 _GONE = 410
 _OK = 200
-_DECODE_ERRORS = (
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    OverflowError,
-)
 
 
 @dataclasses.dataclass(slots=True)
@@ -191,9 +183,9 @@
     raw = cache.rows.get(CONFIGURATION_KEY)
     if raw is not None and raw != cache.raw_configuration:
         try:
-            cache.settings = decode_settings(json.loads(raw))
+            cache.settings = decode_settings(json_fields.decode_object(raw))
             cache.raw_configuration = raw
-        except _DECODE_ERRORS as error:
+        except json_fields.ERRORS as error:
             logger.error('settings_unreadable', extra={'why': repr(error)})
     if cache.settings is not None:
         cache.settings = dataclasses.replace(
@@ -216,15 +208,20 @@
         if not key.startswith(WAVE_KEY_PREFIX):
             continue
         try:
-            fields = json.loads(value)
+            fields = json_fields.decode_object(value)
             wave = job_settings.MaintenanceWave(
-                int(fields['wave']),
-                tuple(fields['machines']),
-                int(fields['durationS'] * 1000),
+                json_fields.check_integer(fields['wave']),
+                tuple(
+                    json_fields.check_text(machine)
+                    for machine in json_fields.check_list(fields['machines'])
+                ),
+                json_fields.check_integer(
+                    json_fields.check_number(fields['durationS']) * 1000
+                ),
                 # 'cap' is the largest number of machines down at a time.
-                int(fields['cap']),
+                json_fields.check_integer(fields['cap']),
             )
-        except _DECODE_ERRORS as error:
+        except json_fields.ERRORS as error:
             logger.error(
                 'wave_unreadable', extra={'key': key, 'why': repr(error)}
             )
@@ -237,15 +234,22 @@
     """Decodes the queues and customers of a configuration.
 
     Raises:
-      KeyError, TypeError, ValueError: If the configuration is malformed.
+      AttributeError, KeyError, TypeError, ValueError: If the configuration is
+        malformed.
     """
-    queues = [_decode_queue(route) for route in fields.get('routes') or ()]
+    queues = [
+        _decode_queue(route)
+        for route in json_fields.check_list(fields.get('routes'))
+    ]
     customers = [
-        _decode_customer(tenant) for tenant in fields.get('tenants') or ()
+        _decode_customer(tenant)
+        for tenant in json_fields.check_list(fields.get('tenants'))
     ]
     limits = fields.get('limits') or {}
     return job_settings.JobSettings(
-        revision=int(fields['version']),
+        revision=json_fields.check_integer(
+            fields['version'], json_fields.MAX_INTEGER
+        ),
         queues={queue.name: queue for queue in queues},
         customers={customer.name: customer for customer in customers},
         customer_by_key={
@@ -253,37 +257,45 @@
             for customer in customers
             for key in customer.keys
         },
-        max_body_bytes=int(limits.get('maxBodyBytes') or 262_144),
+        max_body_bytes=json_fields.check_integer(limits.get('maxBodyBytes'))
+        or 262_144,
     )
 
 
 def _decode_queue(route: dict[str, Any]) -> job_settings.JobQueue:
     advice = route.get('advice')
     return job_settings.JobQueue(
-        name=route['name'],
-        host=route.get('host') or '',
-        prefix=route['pathPrefix'],
-        pool=route['service'],
-        priority=int(route.get('priority') or 0),
-        max_failed_runs=int(route.get('attempts') or 1),
-        objective_factor=float(route.get('stretch') or 1.0),
-        objective_base_ms=int(route.get('targetLatencyMs') or 0),
+        name=json_fields.check_text(route['name']),
+        host=json_fields.check_text(route.get('host')),
+        prefix=json_fields.check_text(route['pathPrefix']),
+        pool=json_fields.check_text(route['service']),
+        priority=json_fields.check_integer(route.get('priority')),
+        max_failed_runs=json_fields.check_integer(route.get('attempts')) or 1,
+        objective_factor=json_fields.check_number(route.get('stretch')) or 1.0,
+        objective_base_ms=json_fields.check_integer(
+            route.get('targetLatencyMs')
+        ),
         is_open=bool(route.get('public')),
         needs_tickets=advice is not None,
-        advice_base_ms=float(advice['decideMs']) if advice else 0.0,
+        advice_base_ms=json_fields.check_number(advice['decideMs'])
+        if advice
+        else 0.0,
         # 'periodMs' is the time that each worker adds to a call for advice.
-        advice_per_worker_us=float(advice['periodMs']) * 1000
+        advice_per_worker_us=json_fields.check_number(advice['periodMs']) * 1000
         if advice
         else 0.0,
-        timeout_ms=int(route.get('timeoutMs') or 3000),
+        timeout_ms=json_fields.check_integer(route.get('timeoutMs')) or 3000,
     )
 
 
 def _decode_customer(tenant: dict[str, Any]) -> job_settings.Customer:
     return job_settings.Customer(
-        name=tenant['name'],
-        keys=frozenset(tenant.get('apiKeys') or ()),
-        weight=float(tenant.get('weight') or 1.0),
+        name=json_fields.check_text(tenant['name']),
+        keys=frozenset(
+            json_fields.check_text(key)
+            for key in json_fields.check_list(tenant.get('apiKeys'))
+        ),
+        weight=json_fields.check_number(tenant.get('weight')) or 1.0,
         # 'cap' limits the resources of all running tasks of the customer.
         limit=decode_resources(tenant.get('cap') or {}),
     )
--- a/src/nutmegknot/_internal/platform/process_settings.py
+++ b/src/nutmegknot/_internal/platform/process_settings.py
@@ -1,12 +1,12 @@
 """The settings file that the platform writes for each instance process."""
 
 import dataclasses
-import json
 import os
 import pathlib
 from typing import Any
 
 from nutmegknot._internal.jobs import time_limits
+from nutmegknot._internal.platform import json_fields
 
 SETTINGS_VARIABLE = 'NUTMEGKNOT_CONFIG'
 # Must equal the metrics port in deploy/system.toml, which never changes.
@@ -55,9 +55,9 @@
     """Reads the settings file whose path NUTMEGKNOT_CONFIG gives."""
     path = os.environ.get(SETTINGS_VARIABLE, '')
     try:
-        fields = json.loads(pathlib.Path(path).read_text(encoding='utf-8'))
+        fields = json_fields.decode_object(pathlib.Path(path).read_bytes())
         return _decode_settings(fields)
-    except (OSError, ValueError, KeyError, TypeError) as error:
+    except (OSError, *json_fields.ERRORS) as error:
         return InvalidSettings(f'{path or SETTINGS_VARIABLE}: {error!r}')
 
 
