Callers' jobs: odd numbers, texts and repetitions are refused at once

The cause of the odd worker rows, in the reader of callers' calls. A body nested too deeply, or a number that the row of the job has no room for, was answered with an unknown outcome (504) after an unexpected error, so callers sent it again; a step after step -1 waited for ever. A job that is due a thousand million times without an interval was accepted, and the owner then made all of its stages at once, as each next owner would have.

Bodies are read with the checks that worker rows have, and a job has at most 10,000 tasks over all occurrences. All of these are BAD_REQUEST now.

--- a/src/nutmegknot/_internal/decisions/feasibility.py
+++ b/src/nutmegknot/_internal/decisions/feasibility.py
@@ -15,6 +15,9 @@
 # below the store's limit of 64 KiB for a row: a task's checkpoint and failures
 # take 45 bytes.
 MAX_TASKS_PER_JOB = 1_000
+# The same for a job with due times, over all its occurrences. Of most of them
+# only the ends of the tasks are left, at about two bytes each.
+MAX_TASKS_OF_ALL_OCCURRENCES = 10_000
 
 
 def find_refusal(
@@ -26,6 +29,11 @@
     counts = [step.count for step in spec.steps]
     if not counts or min(counts) < 1 or sum(counts) > MAX_TASKS_PER_JOB:
         return _refuse(outcomes.RefusalReason.BAD_REQUEST, 'number of tasks')
+    total = sum(counts) * jobs.count_occurrences(spec)
+    if total > MAX_TASKS_OF_ALL_OCCURRENCES:
+        return _refuse(
+            outcomes.RefusalReason.BAD_REQUEST, 'number of occurrences'
+        )
     customer = cluster.settings.customers.get(spec.customer)
     infos = [
         info
--- a/src/nutmegknot/_internal/platform/caller_api.py
+++ b/src/nutmegknot/_internal/platform/caller_api.py
@@ -14,8 +14,9 @@
 from nutmegknot._internal.jobs import owner_operations
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
-from nutmegknot._internal.models import resources
 from nutmegknot._internal.network import channels
+from nutmegknot._internal.platform import json_fields
+from nutmegknot._internal.platform import platform_listings
 from nutmegknot._internal.telemetry import instruments
 from nutmegknot._internal.utils import clock
 
@@ -43,13 +44,6 @@
 }
 # Operation on a job by HTTP method.
 _OPERATIONS = {'POST': 'submit', 'GET': 'look', 'DELETE': 'cancel'}
-_DECODE_ERRORS = (
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    OverflowError,
-)
 
 
 async def serve(
@@ -263,8 +257,8 @@
 ) -> jobs.JobSpec | outcomes.Refused:
     """Decodes the body of a submitted job; refuses a malformed body."""
     try:
-        fields = json.loads(raw)
-        payload = fields['spec']
+        fields = json_fields.decode_object(raw)
+        payload = json_fields.check_text(fields['spec'])
         if len(payload.encode()) > MAX_PAYLOAD_BYTES:
             raise ValueError('the description is too long')
         return jobs.JobSpec(
@@ -272,40 +266,46 @@
             queue=authorized.queue.name,
             customer=authorized.customer,
             payload=payload,
-            steps=tuple(_decode_step(step) for step in fields['steps']),
-            start_at_ms=int(fields.get('startAtMs') or 0),
-            interval_ms=int(fields.get('intervalMs') or 0),
-            occurrences=int(fields.get('repeatCount') or 0),
+            steps=tuple(
+                _decode_step(step)
+                for step in json_fields.check_list(fields['steps'])
+            ),
+            start_at_ms=json_fields.check_integer(
+                fields.get('startAtMs'), json_fields.MAX_INTEGER
+            ),
+            interval_ms=json_fields.check_integer(fields.get('intervalMs')),
+            occurrences=json_fields.check_integer(fields.get('repeatCount')),
         )
-    except _DECODE_ERRORS as error:
+    except json_fields.ERRORS as error:
         reason = outcomes.RefusalReason.BAD_REQUEST
         return outcomes.Refused(reason, repr(error))
 
 
 def _decode_step(fields: dict[str, Any]) -> jobs.Step:
-    max_unavailable = fields.get('mayMiss')
+    max_unavailable = json_fields.check_integer(fields.get('mayMiss'))
     is_long_running = bool(fields.get('longRunning'))
     # Callers leave out fields whose value is 0, so for a long-running task a
     # missing 'mayMiss' is a limit of 0; other tasks have no such limit.
     return jobs.Step(
-        count=int(fields['count']),
-        size=resources.Resources(
-            int(fields.get('cpu') or 0),
-            int(fields.get('memMb') or 0),
-            int(fields.get('gpu') or 0),
+        count=json_fields.check_integer(fields['count']),
+        size=platform_listings.decode_resources(fields),
+        estimate_ms=json_fields.check_integer(fields.get('estimateMs')),
+        depends_on=tuple(
+            json_fields.check_integer(number)
+            for number in json_fields.check_list(fields.get('after'))
         ),
-        estimate_ms=int(fields.get('estimateMs') or 0),
-        depends_on=tuple(int(number) for number in fields.get('after') or ()),
         makes_checkpoints=bool(fields.get('savesProgress')),
         is_gang=bool(fields.get('gang')),
         same_rack=bool(fields.get('sameRack')),
-        required_label=fields.get('requires') or '',
-        data_rack=fields.get('dataRack') or '',
-        max_per_worker=int(fields.get('antiAffinity') or 0),
+        required_label=json_fields.check_text(fields.get('requires')),
+        data_rack=json_fields.check_text(fields.get('dataRack')),
+        max_per_worker=json_fields.check_integer(fields.get('antiAffinity')),
         speculative=bool(fields.get('speculative')),
         is_long_running=is_long_running,
-        image=fields.get('image') or '',
-        tail_latency_target_ms=int(fields.get('targetMs') or 0),
+        image=json_fields.check_text(fields.get('image')),
+        tail_latency_target_ms=json_fields.check_integer(
+            fields.get('targetMs')
+        ),
         is_opportunistic=bool(fields.get('fills')),
-        max_unavailable=int(max_unavailable or 0) if is_long_running else None,
+        max_unavailable=max_unavailable if is_long_running else None,
     )
