Progress rows: an index that a job does not have ends no takeover

The cause of the odd worker rows, in the reader of the system's own rows: an index beyond a step's tasks raised IndexError while a new owner loaded the jobs, so that each instance that took over would have ended. Such a row is now reported as unreadable, as one that can't be decoded is. A step that the job does not have was passed over silently, and is reported as well.

--- a/src/nutmegknot/_internal/jobs/rows.py
+++ b/src/nutmegknot/_internal/jobs/rows.py
@@ -261,12 +261,27 @@
         job.state = job.persisted_final_state = state
         job.ended_ms = row.ended_ms
         return True
+    if not all(_is_applicable(job, part) for part in row.stages):
+        return False
     for part in row.stages:
-        if part.step < len(job.spec.steps):
-            _apply_stage(job, part)
+        _apply_stage(job, part)
     return True
 
 
+def _is_applicable(job: jobs.Job, part: jobs_pb2.StageProgress) -> bool:
+    """Tells whether a job has the tasks that the progress of a stage names."""
+    if part.step >= len(job.spec.steps):
+        return False
+    indexes = {
+        *part.done,
+        *part.failures,
+        *part.checkpoints,
+        *part.crashes,
+        *part.trials,
+    }
+    return max(indexes, default=0) < job.spec.steps[part.step].count
+
+
 def _apply_stage(job: jobs.Job, part: jobs_pb2.StageProgress) -> None:
     key = (part.occurrence, part.step)
     stage = job.stages.get(key)
--- a/tests/unit/jobs/test_rows.py
+++ b/tests/unit/jobs/test_rows.py
@@ -1,10 +1,12 @@
 """Encoding of the rows of jobs."""
 
 from lib import job_cells
+import pytest
 
 from nutmegknot._internal.decisions import feasibility
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.schema import jobs_pb2
 
 MAX_ROW_BYTES = 65_536
 
@@ -45,3 +47,22 @@
 def test_a_row_that_cannot_be_decoded_is_reported() -> None:
     assert rows.decode_job(b'\xff\xff') is None
     assert not rows.apply_progress(make_largest_job(), b'\xff\xff')
+
+
+@pytest.mark.parametrize(
+    'part',
+    [
+        jobs_pb2.StageProgress(step=5_000),
+        jobs_pb2.StageProgress(done=[7]),
+        jobs_pb2.StageProgress(checkpoints={7: 'c'}),
+        jobs_pb2.StageProgress(failures={7: jobs_pb2.RunNumbers(runs=[1])}),
+        jobs_pb2.StageProgress(crashes={7: jobs_pb2.Crashes()}),
+        jobs_pb2.StageProgress(trials={7: jobs_pb2.TrialRun()}),
+    ],
+)
+def test_progress_of_tasks_that_a_job_does_not_have_is_reported(
+    part: jobs_pb2.StageProgress,
+) -> None:
+    """Guards against a row that ends each instance that takes over."""
+    row = jobs_pb2.ProgressRow(stages=[part])
+    assert not rows.apply_progress(make_largest_job(), row.SerializeToString())
