Crash records: what is kept of crashes is limited

The progress row of a job holds at most 64 KiB, and what is remembered in memory has to have an end as well. Of a task the last four crashes are kept, of a job the crashes and trials of 60 tasks are written, those with the most crashes first, and the tasks of 2,000 crashes can be found. The test with the largest job has crashes and a trial on each task now; without the limit its progress row is too long.

--- a/src/nutmegknot/_internal/jobs/rows.py
+++ b/src/nutmegknot/_internal/jobs/rows.py
@@ -13,6 +13,9 @@
 JOB_PREFIX = 'jobs/job/'
 PROGRESS_PREFIX = 'jobs/progress/'
 ROSTER_KEY = 'jobs/roster'
+# Largest number of tasks of a job whose crashes and trials are written. It
+# keeps the progress of the largest job below the store's limit for a row.
+MAX_WRITTEN_SUSPECTS = 60
 
 _STATES_BY_NUMBER = {
     jobs_pb2.ProgressRow.COMPLETED: jobs.JobState.COMPLETED,
@@ -140,16 +143,42 @@
         ended_ms=job.ended_ms,
     )
     if not jobs.is_final(job):
+        suspects = _choose_suspects(job)
         for stage in job.stages.values():
-            part = _encode_stage(stage)
+            part = _encode_stage(stage, suspects)
             if part is not None:
                 row.stages.append(part)
     return row.SerializeToString()
 
 
-def _encode_stage(stage: jobs.Stage) -> jobs_pb2.StageProgress | None:
+def _choose_suspects(job: jobs.Job) -> set[int]:
+    """Chooses the tasks whose crashes and trials are written.
+
+    Returns:
+      Their identities; at most MAX_WRITTEN_SUSPECTS of the job.
+    """
+    suspects = [
+        task
+        for stage in job.stages.values()
+        for task in stage.tasks
+        if task.crashes or task.trial is not None
+    ]
+    suspects.sort(
+        key=lambda task: (len(task.crashes), task.trial is not None),
+        reverse=True,
+    )
+    return {id(task) for task in suspects[:MAX_WRITTEN_SUSPECTS]}
+
+
+def _encode_stage(
+    stage: jobs.Stage, suspects: set[int]
+) -> jobs_pb2.StageProgress | None:
     """Returns the progress of a stage.
 
+    Args:
+      stage: The stage.
+      suspects: Identities of the tasks whose crashes and trials are written.
+
     Returns:
       Which tasks are done, failed runs, checkpoints, crashes and trials; None
       if there are none.
@@ -166,7 +195,8 @@
             part.failures[task.index].runs.extend(sorted(task.failed_runs))
         if task.checkpoint:
             part.checkpoints[task.index] = task.checkpoint
-        _encode_crashes(part, task)
+        if id(task) in suspects:
+            _encode_crashes(part, task)
     if part.ByteSize() > empty_size:
         return part
     return None
--- a/src/nutmegknot/_internal/jobs/worker_crashes.py
+++ b/src/nutmegknot/_internal/jobs/worker_crashes.py
@@ -16,6 +16,11 @@
 
 logger = logging.getLogger(__name__)
 
+# Largest number of crashes that are kept for a task.
+MAX_CRASHES = 4
+# Largest number of crashes whose tasks can be found; later crashes replace the
+# oldest.
+MAX_INDEXED_CRASHES = 2_000
 # How long the runs of a missing worker are remembered.
 MAX_MISSING_MS = 60_000
 
@@ -144,8 +149,12 @@
             ownerships.queue_progress_write(ownership, job)
         return
     task.crashes[run.run] = crash
+    if len(task.crashes) > MAX_CRASHES:
+        del task.crashes[next(iter(task.crashes))]
     key = (crash.worker, crash.life)
     cluster.tasks_by_crash.setdefault(key, set()).add(run.name)
+    if len(cluster.tasks_by_crash) > MAX_INDEXED_CRASHES:
+        del cluster.tasks_by_crash[next(iter(cluster.tasks_by_crash))]
     if crash.is_suspect:
         logger.info(
             'task_suspected',
--- a/tests/unit/jobs/test_rows.py
+++ b/tests/unit/jobs/test_rows.py
@@ -21,6 +21,13 @@
         stage = jobs.make_stage(0, number, step)
         stage.tasks[0].checkpoint = 'c' * 16
         stage.tasks[0].failed_runs = {10_001, 20_002, 30_003}
+        stage.tasks[0].crashes = {
+            run: jobs.Crash('i-0123456789', 1_777_729_273_594, True, True)
+            for run in (40_004, 50_005, 60_006, 70_007)
+        }
+        stage.tasks[0].trial = jobs.Trial(
+            80_008, 'i-0123456789', 1_777_729_273_594, '10.128.100.100:65535'
+        )
         job.stages[0, number] = stage
     return job
 
@@ -42,6 +49,8 @@
     task = decoded.stages[0, 4].tasks[0]
     assert task.failed_runs == {10_001, 20_002, 30_003}
     assert task.checkpoint == 'c' * 16
+    assert len(task.crashes) == 4
+    assert task.trial is not None
 
 
 def test_a_row_that_cannot_be_decoded_is_reported() -> None:
