Advice: a request that has waited for long is sent before more urgent ones

Cause: starvation. Each instance asks the advice service for one request at a time, always for the most urgent stage. Urgent stages ask about each new worker, and while workers crash and come back as new ones, that never ends. The class of the fault: a strict order without a limit of the wait.

Evidence: stage_held says of these stages by=ticket asking=True fitting=3 to 9, again every 5 s until the end: the request is queued, and there is room.

Fix: every other request of an instance is the oldest one, if that has waited for 1.5 s. With few requests waiting nothing changes.

--- a/src/nutmegknot/_internal/jobs/advice_calls.py
+++ b/src/nutmegknot/_internal/jobs/advice_calls.py
@@ -18,6 +18,8 @@
 logger = logging.getLogger(__name__)
 
 CALL_TIMEOUT_MS = 4_000
+# Wait of a request after which it may go before more urgent ones.
+MAX_REQUEST_WAIT_MS = 1_500
 # Longest wait for a request before it is checked whether the adviser is still
 # usable.
 MAX_IDLE_WAIT_MS = 1_000
@@ -35,6 +37,7 @@
     advice.is_asking = True
     name = jobs.format_stage(request.job.spec.id, request.stage)
     ownership.advice_queue.waiting[name] = request
+    ownership.advice_queue.queued_ms[name] = ownership.clock.now_ms()
     signals.notify(ownership.advice_needed)
 
 
@@ -46,13 +49,14 @@
     """Calls one adviser with the most urgent requests while it is usable."""
     while is_usable():
         count = ownership.advice_needed.count
-        name = _choose_request(ownership.advice_queue)
+        name = _choose_request(ownership.advice_queue, ownership.clock.now_ms())
         if name is None:
             await signals.wait_with_timeout(
                 ownership.advice_needed, count, MAX_IDLE_WAIT_MS
             )
             continue
         request = ownership.advice_queue.waiting.pop(name)
+        del ownership.advice_queue.queued_ms[name]
         try:
             await _call_adviser(ownership, advise, name, request)
         finally:
@@ -60,8 +64,15 @@
         signals.notify(ownership.scheduling_needed)
 
 
-def _choose_request(queue: advice_requests.AdviceQueue) -> str | None:
-    """Returns the name of the stage with the most urgent request, or None.
+def _choose_request(
+    queue: advice_requests.AdviceQueue, now_ms: int
+) -> str | None:
+    """Returns the name of the stage whose request is sent next, or None.
+
+    It is the most urgent one. Load pattern: urgent stages need new advice again
+    and again, for instance as their workers are replaced, and less urgent ones
+    would never be asked about. So every other time, the oldest request goes
+    first if it has waited for long.
 
     Requests of jobs that have ended are removed.
     """
@@ -69,7 +80,16 @@
         if jobs.is_final(request.job):
             request.stage.advice.is_asking = False
             del queue.waiting[name]
+            del queue.queued_ms[name]
     waiting = queue.waiting
+    oldest = next(iter(waiting), None)
+    queue.was_oldest_chosen = (
+        oldest is not None
+        and not queue.was_oldest_chosen
+        and now_ms - queue.queued_ms[oldest] >= MAX_REQUEST_WAIT_MS
+    )
+    if queue.was_oldest_chosen:
+        return oldest
     return min(waiting, key=lambda name: waiting[name].rank, default=None)
 
 
--- a/src/nutmegknot/_internal/models/advice_requests.py
+++ b/src/nutmegknot/_internal/models/advice_requests.py
@@ -51,7 +51,12 @@
     """Requests that wait for an adviser.
 
     Attributes:
-      waiting: Newest request of each stage, by the stage's name.
+      waiting: Newest request of each stage, by the stage's name; the oldest
+        comes first.
+      queued_ms: When each of them was queued, by the stage's name.
+      was_oldest_chosen: Whether the last request was chosen by its age.
     """
 
     waiting: dict[str, AdviceRequest] = dataclasses.field(default_factory=dict)
+    queued_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    was_oldest_chosen: bool = False
