Stuck runs: a run on a worker that does not answer is not stuck

Cause: a crashed worker's runs did not end in the time that runs of their stage take, so they were stopped as stuck while the worker was away. That gave later runs of the stage twice the time before they count as stuck, let the task avoid the worker, and counted as failures of the worker, up to a quarantine. Blame for something that nobody had observed.

Fix: the search leaves out workers that have not answered the last call. Their runs are lost, or found again, when more is known.

The test failed before: four stuck runs in a stage of which none was.

--- a/src/nutmegknot/_internal/decisions/outliers.py
+++ b/src/nutmegknot/_internal/decisions/outliers.py
@@ -38,9 +38,14 @@
 def find_stuck_runs(
     cluster: cluster_state.ClusterState, now_ms: int
 ) -> list[jobs.TaskName]:
-    """Returns the tasks whose runs take far longer than expected."""
+    """Returns the tasks whose runs take far longer than expected.
+
+    A run on a worker that does not answer may have ended long ago.
+    """
     stuck = []
     for info in cluster.workers_by_id.values():
+        if info.unanswered_since_ms is not None:
+            continue
         for name, task in info.runs.items():
             if task.phase is jobs.TaskPhase.RUNNING and _is_stuck(
                 cluster, info, name, task, now_ms
--- a/tests/unit/jobs/test_crashing_tasks.py
+++ b/tests/unit/jobs/test_crashing_tasks.py
@@ -324,3 +324,35 @@
         assert job_views.get_state(node, 'a') is jobs.JobState.RUNNING
 
     job_cells.run(script)
+
+
+def test_a_run_on_a_worker_that_does_not_answer_is_not_stuck() -> None:
+    """Guards against the blame of tasks and workers for a crash beside them.
+
+    The runs on a crashed worker did not end in time, so they were stopped as
+    stuck: their stages' later runs were given twice the time, and the worker
+    counted three failures. Found in the day of issue 25.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = make_cell(loop, 2)
+        cell.keeps_id = True
+        cell.run_ms = lambda name: 600
+        node = await job_cells.start_owner(cell, 'one')
+        await asyncio.sleep(0.5)
+        await submit_jobs(
+            node, ['a'], 0, job_cells.make_step(8, estimate_ms=200)
+        )
+        await wait_for_starts(cell, 8)
+        await asyncio.sleep(0.3)
+        job_cells.crash_worker(cell, cell.targets['w0'])
+        await wait_for_starts(cell, 12)
+        stage = job_views.get_ownership(node).cluster.jobs['a'].stages[0, 0]
+        assert stage.stuck_runs == 0
+        info = job_views.get_ownership(node).cluster.workers_by_id['w0']
+        assert info.recent_ends == []
+        assert await job_cells.wait_until(
+            cell, lambda: are_all(node, ['a'], jobs.JobState.COMPLETED)
+        )
+
+    job_cells.run(script)
