Quarantine: workers are not avoided for tasks that fail everywhere

What callers saw: after jobs whose tasks fail wherever they run, others found no room for 2 to 8 s, as sound workers were in quarantine.

Fix: failures of one job alone count for the worker only if tasks of the same stage have succeeded; otherwise it takes failures of a second job. Once a job has used up its attempts on several workers, its failures are taken off all workers, and a quarantine that rests on them ends.

--- a/src/nutmegknot/_internal/decisions/outliers.py
+++ b/src/nutmegknot/_internal/decisions/outliers.py
@@ -98,14 +98,24 @@
 
 
 def record_run_end(
-    info: cluster_state.WorkerInfo, is_failure: bool, now_ms: int
+    info: cluster_state.WorkerInfo,
+    job: str,
+    is_failure: bool,
+    now_ms: int,
+    *,
+    succeeds_elsewhere: bool = False,
 ) -> bool:
     """Records how a run ended, and quarantines a worker with many failures.
 
+    Failures of one job alone are taken for its own fault, unless tasks like the
+    failed one have succeeded.
+
     Args:
       info: The worker; nothing starts on it while it is in quarantine.
+      job: Id of the job.
       is_failure: Whether the run failed or was stuck.
       now_ms: Monotonic time in ms.
+      succeeds_elsewhere: Whether tasks of the run's stage have succeeded.
 
     Returns:
       Whether a quarantine begins now.
@@ -115,21 +125,56 @@
         for end in info.recent_ends
         if now_ms - end.ended_ms < RECENT_ENDS_MS
     ][-MAX_EARLIER_ENDS:]
-    info.recent_ends.append(cluster_state.RunEnd(now_ms, is_failure))
+    info.recent_ends.append(cluster_state.RunEnd(now_ms, is_failure, job))
     if not is_failure:
         info.consecutive_quarantines = 0
         return False
-    failures = sum(end.is_failure for end in info.recent_ends)
-    if failures < MIN_FAILURES or failures < MIN_FAILED_FRACTION * len(
-        info.recent_ends
+    failures = [end for end in info.recent_ends if end.is_failure]
+    if (
+        len(failures) < MIN_FAILURES
+        or len(failures) < MIN_FAILED_FRACTION * len(info.recent_ends)
+        or not (succeeds_elsewhere or _is_of_several_jobs(failures))
     ):
         return False
     quarantine_ms = min(
         MAX_QUARANTINE_MS, FIRST_QUARANTINE_MS << info.consecutive_quarantines
     )
     info.consecutive_quarantines += 1
-    info.no_starts_before_ms = max(
-        info.no_starts_before_ms, now_ms + quarantine_ms
-    )
+    info.quarantine_until_ms = now_ms + quarantine_ms
+    info.quarantine_failures = failures
     info.recent_ends.clear()
     return True
+
+
+def _is_of_several_jobs(failures: list[cluster_state.RunEnd]) -> bool:
+    return len({end.job for end in failures}) > 1
+
+
+def discount_failures(
+    cluster: cluster_state.ClusterState, job: str
+) -> list[cluster_state.WorkerInfo]:
+    """Removes the failures of a job that is their cause from all workers.
+
+    Returns:
+      The workers whose quarantine ends by that.
+    """
+    released = []
+    for info in cluster.workers_by_id.values():
+        info.recent_ends = [
+            end
+            for end in info.recent_ends
+            if end.job != job or not end.is_failure
+        ]
+        left = [end for end in info.quarantine_failures if end.job != job]
+        is_changed = len(left) < len(info.quarantine_failures)
+        info.quarantine_failures = left
+        is_upheld = len(left) >= MIN_FAILURES and _is_of_several_jobs(left)
+        if is_changed and not is_upheld:
+            info.quarantine_until_ms = 0
+            info.quarantine_failures = []
+            info.consecutive_quarantines = max(
+                0, info.consecutive_quarantines - 1
+            )
+            info.recent_ends += left
+            released.append(info)
+    return released
--- a/src/nutmegknot/_internal/decisions/plans.py
+++ b/src/nutmegknot/_internal/decisions/plans.py
@@ -279,7 +279,7 @@
         and not info.unexpected_runs
         and info.worker.state is workers.TargetState.LIVE
         and info.worker.domain not in cluster.settings.closed_domains
-        and now_ms >= info.no_starts_before_ms
+        and now_ms >= max(info.no_starts_before_ms, info.quarantine_until_ms)
         and (
             info.unanswered_since_ms is None
             or now_ms - info.unanswered_since_ms < MAX_SILENCE_MS
--- a/src/nutmegknot/_internal/jobs/reconciliation.py
+++ b/src/nutmegknot/_internal/jobs/reconciliation.py
@@ -56,12 +56,12 @@
     is_current_run = task.worker == info.worker.id and task.run == end.run
     if end.kind is jobs.EndKind.DONE and not stage.step.is_long_running:
         _update_run_time_ratio(
-            cluster, info, stage, task, ownership.clock.now_ms()
+            cluster, info, stage, end.name, ownership.clock.now_ms()
         )
         _complete_task(ownership, job, stage, end.name, end.run)
         return
     if end.kind is jobs.EndKind.FAILED:
-        _record_failure(ownership, info, job, stage, task, end.run)
+        _record_failure(ownership, info, job, stage, end.name, end.run)
     if end.checkpoint and task.phase is not jobs.TaskPhase.DONE:
         _save_checkpoint(ownership, job, stage, task, end.checkpoint)
     if is_current_run:
@@ -116,10 +116,11 @@
     info: cluster_state.WorkerInfo,
     job: jobs.Job,
     stage: jobs.Stage,
-    task: jobs.Task,
+    name: jobs.TaskName,
     run: int,
 ) -> None:
-    record_bad_run(ownership, info, task)
+    record_bad_run(ownership, info, name, stage)
+    task = stage.tasks[name.index]
     if stage.step.is_long_running or run in task.failed_runs:
         return
     task.failed_runs.add(run)
@@ -129,26 +130,44 @@
     )
     if count_failures(stage, task) >= attempts and not jobs.is_final(job):
         finish_job(ownership, job, jobs.JobState.FAILED, 'attempts_used')
+        if len(task.avoided_workers) > 1:
+            _discount_failures(ownership, job)
+
+
+def _discount_failures(ownership: ownerships.Ownership, job: jobs.Job) -> None:
+    """Takes the failures of a job off the workers on which it failed."""
+    for info in outliers.discount_failures(ownership.cluster, job.spec.id):
+        logger.info(
+            'worker_released',
+            extra={'worker': info.worker.id, 'job': job.spec.id},
+        )
 
 
 def record_bad_run(
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
-    task: jobs.Task,
+    name: jobs.TaskName,
+    stage: jobs.Stage,
 ) -> None:
     """Records that a run failed or was stuck on a worker.
 
     The task avoids the worker from then on. After several such runs, nothing is
     started on the worker for a while (a quarantine).
     """
-    task.avoided_workers.add(info.worker.id)
+    stage.tasks[name.index].avoided_workers.add(info.worker.id)
     now_ms = ownership.clock.now_ms()
-    if outliers.record_run_end(info, True, now_ms):
+    if outliers.record_run_end(
+        info,
+        name.job,
+        True,
+        now_ms,
+        succeeds_elsewhere=stage.done_count > 0,
+    ):
         logger.warning(
             'worker_rests',
             extra={
                 'worker': info.worker.id,
-                'for_ms': info.no_starts_before_ms - now_ms,
+                'for_ms': info.quarantine_until_ms - now_ms,
                 'rests': info.consecutive_quarantines,
             },
         )
@@ -248,14 +267,15 @@
     cluster: cluster_state.ClusterState,
     info: cluster_state.WorkerInfo,
     stage: jobs.Stage,
-    task: jobs.Task,
+    name: jobs.TaskName,
     now_ms: int,
 ) -> None:
     """Records a completed run and updates the ratio of its kind of worker.
 
     The ratio is the moving average of run time against the callers' estimate.
     """
-    outliers.record_run_end(info, False, now_ms)
+    outliers.record_run_end(info, name.job, False, now_ms)
+    task = stage.tasks[name.index]
     if not task.start_decided_ms:
         return
     stage.durations_ms.append(now_ms - task.start_decided_ms)
--- a/src/nutmegknot/_internal/jobs/state_dump.py
+++ b/src/nutmegknot/_internal/jobs/state_dump.py
@@ -156,7 +156,11 @@
                 'claimed': info.is_claimed,
                 'listed': info.is_listed,
                 'silent_ms': _get_age_ms(info.unanswered_since_ms, now_ms),
-                'rests_ms': max(0, info.no_starts_before_ms - now_ms),
+                'rests_ms': max(
+                    0,
+                    max(info.no_starts_before_ms, info.quarantine_until_ms)
+                    - now_ms,
+                ),
                 'lease_left_ms': leases.compute_expiry(info, ownership)
                 - now_ms,
                 'ends_seen': info.persisted_end,
--- a/src/nutmegknot/_internal/jobs/task_scheduling.py
+++ b/src/nutmegknot/_internal/jobs/task_scheduling.py
@@ -72,7 +72,7 @@
         task = stage.tasks[name.index]
         stage.stuck_runs += 1
         reconciliation.record_bad_run(
-            ownership, cluster.workers_by_id[task.worker], task
+            ownership, cluster.workers_by_id[task.worker], name, stage
         )
         stops.stop_run(ownership, name, task, 'stuck')
 
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -44,10 +44,12 @@
     Attributes:
       ended_ms: Monotonic time of the owner at which it learned of the end.
       is_failure: Whether the run failed, or was stopped as it took too long.
+      job: Id of the job.
     """
 
     ended_ms: int
     is_failure: bool
+    job: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,6 +92,8 @@
       consecutive_quarantines: Number of quarantines since a run there last
         succeeded.
       no_starts_before_ms: No run is started there before this time.
+      quarantine_until_ms: When its quarantine ends.
+      quarantine_failures: The failures that led to its quarantine.
       unexpected_runs: Runs there that the owner did not expect, which hold an
         unknown amount of resources: number of the run by name of the task. The
         value for the name '' is the count of runs whose task can't be read.
@@ -132,6 +136,8 @@
     recent_ends: list[RunEnd] = dataclasses.field(default_factory=list)
     consecutive_quarantines: int = 0
     no_starts_before_ms: int = 0
+    quarantine_until_ms: int = 0
+    quarantine_failures: list[RunEnd] = dataclasses.field(default_factory=list)
     unexpected_runs: dict[str, int] = dataclasses.field(default_factory=dict)
     pace_percent: int = 100
     over_target_since_ms: int | None = None
