Trials: a connection that breaks does not stop starts on the worker

The runs that had just started on a worker whose poll broke off were put on trial, so that the next owner knows them, and nothing else started there until they had run for 0.5 s. A reset of all connections would have stopped starts on all workers for that long. Runs without a suspected crash are now only recorded.

--- a/src/nutmegknot/_internal/decisions/crash_trials.py
+++ b/src/nutmegknot/_internal/decisions/crash_trials.py
@@ -60,8 +60,12 @@
 
 
 def is_on_trial(info: cluster_state.WorkerInfo, task: jobs.Task) -> bool:
-    """Returns whether the run of a task on a worker is a trial in progress."""
-    if task.trial is None:
+    """Returns whether the run of a task on a worker is a trial in progress.
+
+    Runs that are only recorded as trials, as their worker has fallen silent or
+    another member of their gang is a suspect, are not.
+    """
+    if task.trial is None or not needs_trial(task):
         return False
     is_long = len(task.crashes) >= MIN_CRASHES_FOR_LONG_TRIAL
     trial_ms = MAX_TRIAL_MS if is_long else STARTUP_MS
--- a/src/nutmegknot/_internal/jobs/takeover.py
+++ b/src/nutmegknot/_internal/jobs/takeover.py
@@ -6,6 +6,7 @@
 from google.protobuf import message as message_lib
 
 from nutmegknot._internal.backing import tables
+from nutmegknot._internal.decisions import crash_trials
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import starts
 from nutmegknot._internal.models import cluster_state
@@ -203,5 +204,7 @@
         missing = cluster_state.MissingWorker(worker, [], now_ms)
         cluster.missing_workers[trial.worker] = missing
     missing.runs.append(
-        cluster_state.InterruptedRun(name, trial.run, 0, is_on_trial=True)
+        cluster_state.InterruptedRun(
+            name, trial.run, 0, is_on_trial=crash_trials.needs_trial(task)
+        )
     )
--- a/tests/unit/jobs/test_crashing_tasks.py
+++ b/tests/unit/jobs/test_crashing_tasks.py
@@ -284,6 +284,29 @@
     job_cells.run(script)
 
 
+def test_a_broken_connection_does_not_stop_starts() -> None:
+    """Each poll breaks off once, as when all connections are reset."""
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = make_cell(loop, 1)
+        cell.run_ms = lambda name: 5_000
+        node = await job_cells.start_owner(cell, 'one')
+        await asyncio.sleep(0.5)
+        await submit_jobs(node, ['a'], 0, job_cells.make_step(2))
+        await wait_for_starts(cell, 2)
+        for target in cell.targets.values():
+            target.is_down = True
+        await asyncio.sleep(0.05)
+        for target in cell.targets.values():
+            target.is_down = False
+        began_ms = cell.clock.now_ms()
+        await submit_jobs(node, ['b'], 0, job_cells.make_step(2))
+        await wait_for_starts(cell, 4)
+        assert cell.clock.now_ms() - began_ms < 250
+
+    job_cells.run(script)
+
+
 def test_a_task_that_crashes_workers_late_is_given_up() -> None:
     """It crashes each worker 2 s after the start, while others come and go."""
 
