Crash records: a start that came after the crash does not count

Another task had just crashed the worker, which was taken for a crash under this one as well. Together with its real crash on trial that made two. The class of the fault: an order without an answer was taken for one that was carried out.

Fix: a crash is confirmed if the worker had answered the start or listed the run. Rows of trials tell the next owner which are confirmed, so a confirmed trial is written again.

With this, a trial of a worker's present life no longer counts as crashed when an earlier life of the worker is found to be over.

--- a/src/nutmegknot/_internal/jobs/rows.py
+++ b/src/nutmegknot/_internal/jobs/rows.py
@@ -211,6 +211,7 @@
                 life=crash.life,
                 suspect=crash.is_suspect,
                 only_suspect=crash.is_only_suspect,
+                confirmed=crash.is_confirmed,
             )
             for run, crash in sorted(task.crashes.items())
         )
@@ -221,6 +222,7 @@
                 worker=task.trial.worker,
                 life=task.trial.life,
                 address=task.trial.address,
+                confirmed=task.started_clock_ms > 0,
             )
         )
 
@@ -330,11 +332,15 @@
     for index, crashes in part.crashes.items():
         stage.tasks[index].crashes = {
             row.run: jobs.Crash(
-                row.worker, row.life, row.suspect, row.only_suspect
+                row.worker,
+                row.life,
+                row.suspect,
+                row.only_suspect,
+                row.confirmed,
             )
             for row in crashes.runs
         }
     for index, trial in part.trials.items():
         stage.tasks[index].trial = jobs.Trial(
-            trial.run, trial.worker, trial.life, trial.address
+            trial.run, trial.worker, trial.life, trial.address, trial.confirmed
         )
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -354,7 +354,7 @@
         },
     )
     _log_restart(ownership, info, why)
-    worker_crashes.record_restart(ownership, info, why)
+    worker_crashes.record_restart(ownership, info, why, life or worker.life)
     if life:
         worker = _with_life(worker, life)
     info.worker = worker
--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -258,6 +258,8 @@
         task.started_clock_ms = task.started_clock_ms or clock_ms
         info = decision.info
         info.alive_clock_ms = max(info.alive_clock_ms, clock_ms)
+        if task.trial is not None:
+            ownerships.queue_progress_write(ownership, job)
 
 
 def _handle_refused_start(
--- a/src/nutmegknot/_internal/jobs/takeover.py
+++ b/src/nutmegknot/_internal/jobs/takeover.py
@@ -205,6 +205,10 @@
         cluster.missing_workers[trial.worker] = missing
     missing.runs.append(
         cluster_state.InterruptedRun(
-            name, trial.run, 0, is_on_trial=crash_trials.needs_trial(task)
+            name,
+            trial.run,
+            survived_ms=0,
+            is_on_trial=crash_trials.needs_trial(task),
+            is_confirmed=trial.was_confirmed,
         )
     )
--- a/src/nutmegknot/_internal/jobs/worker_crashes.py
+++ b/src/nutmegknot/_internal/jobs/worker_crashes.py
@@ -70,13 +70,27 @@
 
 
 def record_restart(
-    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo, why: str
+    ownership: ownerships.Ownership,
+    info: cluster_state.WorkerInfo,
+    why: str,
+    new_life: int | None = None,
 ) -> None:
-    """Records that the process of a worker has ended, with all runs there."""
+    """Records that the process of a worker has ended, with all runs there.
+
+    Args:
+      ownership: The ownership of the jobs.
+      info: The worker as it was known.
+      why: How that was noticed, for the log.
+      new_life: Number of its new life; None if another worker has its address.
+    """
+    cluster = ownership.cluster
     runs = crash_trials.list_interrupted(info)
-    missing = ownership.cluster.missing_workers.pop(info.worker.id, None)
-    if missing is not None:
+    missing = cluster.missing_workers.get(info.worker.id)
+    if missing is not None and (
+        new_life is None or new_life > missing.worker.life
+    ):
         runs += missing.runs
+        del cluster.missing_workers[info.worker.id]
     _record_crash(ownership, info.worker, runs, why)
 
 
@@ -121,6 +135,7 @@
             worker.life,
             is_suspect,
             is_suspect and len(suspected_jobs) == 1,
+            run.is_confirmed,
         )
         _add_crash(ownership, run, crash)
     for job_id in suspected_jobs:
@@ -165,6 +180,7 @@
                 'survived_ms': run.survived_ms,
                 'crashes': len(task.crashes),
                 'is_only_suspect': crash.is_only_suspect,
+                'is_confirmed': crash.is_confirmed,
             },
         )
     ownerships.queue_progress_write(ownership, job)
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -156,12 +156,14 @@
       run: Number of the run.
       survived_ms: How long the worker is known to have executed it.
       is_on_trial: Whether it was still on trial.
+      is_confirmed: Whether the worker is known to have begun it.
     """
 
     name: jobs_lib.TaskName
     run: int
     survived_ms: int
     is_on_trial: bool
+    is_confirmed: bool
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -126,12 +126,15 @@
       life: Number of the life of the worker that ended.
       is_suspect: Whether the run may be the cause.
       is_only_suspect: Whether no run of another job may be the cause.
+      is_confirmed: Whether the worker is known to have begun the run. A start
+        without an answer may have come too late.
     """
 
     worker: str
     life: int
     is_suspect: bool
     is_only_suspect: bool
+    is_confirmed: bool
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -146,12 +149,14 @@
       worker: Id of the worker.
       life: Number of the worker's life.
       address: Address of the worker.
+      was_confirmed: Whether an earlier owner knew that the worker had begun it.
     """
 
     run: int
     worker: str
     life: int
     address: str
+    was_confirmed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
