Soak: tasks that crash their workers, and odd entries in the list of workers

One job in 25 has a task that crashes each worker that starts it; its job must fail, and no other may, through kills and pauses of owners and outages of the store. Three odd entries stand in the list of workers.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -17,3 +17,15 @@
     observations = asyncio.run(soak.run_seed(seed, DURATION_S, tmp_path))
     assert observations.violations == []
     assert observations.accepted
+
+
+def test_no_promise_is_broken_while_tasks_crash_workers(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The list of workers has odd entries of another writer as well."""
+    observations = asyncio.run(
+        soak.run_seed(100, 2 * DURATION_S, tmp_path, has_crashes=True)
+    )
+    assert observations.violations == []
+    assert observations.accepted
+    assert observations.crashes
--- a/tests/lib/job_platform.py
+++ b/tests/lib/job_platform.py
@@ -175,10 +175,19 @@
     }
 
 
+def put_worker_row(platform: Platform, key: str, text: str) -> None:
+    """Writes an entry of any text into the list of workers."""
+    _put_text(platform.store, 'servers', key, text)
+
+
 def _put_row(
     store: Store, table: str, key: str, fields: dict[str, Any]
 ) -> None:
-    value = base64.b64encode(json.dumps(fields).encode()).decode()
+    _put_text(store, table, key, json.dumps(fields))
+
+
+def _put_text(store: Store, table: str, key: str, text: str) -> None:
+    value = base64.b64encode(text.encode()).decode()
     store.version += 1
     _apply_row(store, {'table': table, 'part': '', 'key': key, 'value': value})
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,10 +5,13 @@
 faults: instances are killed, paused, or stopped and started again; the store
 rejects calls, does not answer, or executes calls and loses the answers; workers
 become unreachable, stop answering, restart or lose answers. Jobs are submitted
-during the faults. After the last fault, every accepted job must complete, and
-no guarantee may have been violated, as seen by callers and workers.
+during the faults; some have a task that crashes each worker that starts it.
+Another writer leaves odd entries in the list of workers. After the last fault,
+every accepted job must complete, or fail if it crashes workers, and no
+guarantee may have been violated, as seen by callers and workers.
 
 Usage: python tools/soak.py [--seeds N] [--first N] [--seconds S]
+                            [--without-crashes]
 Exits with 1 if a seed failed, and prints the folder that keeps its logs.
 """
 
@@ -23,6 +26,7 @@
 import tempfile
 
 import aiohttp
+from lib import job_cells
 from lib import job_platform
 
 from nutmegknot._internal.models import jobs
@@ -30,6 +34,21 @@
 INSTANCES = 4
 WORKERS = 5
 SUBMIT_INTERVAL_S = 0.15
+# One of so many jobs crashes the workers that start its first task.
+CRASH_INTERVAL = 25
+# How long after the start the worker crashes, and after the crash it is back.
+CRASH_DELAY_S = 0.01
+CRASH_DURATION_S = 2.0
+CRASH_CHECK_INTERVAL_S = 0.005
+# A task is given up before it has started so often after that many crashes.
+MAX_CRASHES = 3
+ODD_ROWS = (
+    '[' * 50_000 + ']' * 50_000,
+    f'{{"service":"pool","zone":"{job_platform.DOMAINS[0]}","state":"ready",'
+    '"capacity":{"cpu":1000,"memMb":1000},"address":"127.0.0.1:99999"}',
+    f'{{"service":"pool","zone":"{job_platform.DOMAINS[0]}","state":"ready",'
+    '"capacity":{"cpu":1000},"address":"127.0.0.1:9","born":1e30}',
+)
 # Limit for the first acceptance after the last fault, and then for the
 # completion of all accepted jobs.
 RECOVERY_LIMIT_S = 30.0
@@ -56,12 +75,16 @@
       accepted: Identifiers of jobs whose submission was answered with 200.
       refused: Identifiers of jobs for which every attempt to submit was
         answered with 429 or 503.
+      crashing: Identifiers of jobs that crash the workers that start them.
+      crashes: When workers have crashed, in ms, by the job that did it.
       faults: Kinds of the injected faults, in order.
       violations: Descriptions of violated guarantees.
     """
 
     accepted: set[str] = dataclasses.field(default_factory=set)
     refused: set[str] = dataclasses.field(default_factory=set)
+    crashing: set[str] = dataclasses.field(default_factory=set)
+    crashes: dict[str, list[int]] = dataclasses.field(default_factory=dict)
     faults: list[str] = dataclasses.field(default_factory=list)
     violations: list[str] = dataclasses.field(default_factory=list)
 
@@ -70,6 +93,7 @@
     platform: job_platform.Platform,
     observations: Observations,
     rng: random.Random,
+    has_crashes: bool,
 ) -> None:
     """Submits jobs to randomly chosen instances until cancelled."""
     number = 0
@@ -77,6 +101,8 @@
         while True:
             number += 1
             id = f'{number:016x}'
+            if has_crashes and number % CRASH_INTERVAL == 0:
+                observations.crashing.add(id)
             step = {'count': rng.randint(1, 4), 'cpu': 1_000, 'memMb': 64}
             step['estimateMs'] = 400
             body = {'spec': id, 'steps': [step, {**step, 'after': [0]}]}
@@ -95,6 +121,46 @@
             await asyncio.sleep(SUBMIT_INTERVAL_S)
 
 
+async def crash_workers(
+    platform: job_platform.Platform, observations: Observations
+) -> None:
+    """Crashes the workers that start certain tasks, until cancelled."""
+    running: set[asyncio.Task[None]] = set()
+    seen = 0
+    try:
+        while True:
+            for start in platform.cell.starts[seen:]:
+                name = start.name
+                is_first = name.step == name.index == 0
+                if is_first and name.job in observations.crashing:
+                    crash = asyncio.create_task(
+                        _crash_worker(platform, observations, start)
+                    )
+                    running.add(crash)
+                    crash.add_done_callback(running.discard)
+            seen = len(platform.cell.starts)
+            await asyncio.sleep(CRASH_CHECK_INTERVAL_S)
+    except asyncio.CancelledError:
+        await asyncio.gather(*running)
+        raise
+
+
+async def _crash_worker(
+    platform: job_platform.Platform,
+    observations: Observations,
+    start: job_cells.StartedRun,
+) -> None:
+    await asyncio.sleep(CRASH_DELAY_S)
+    target = platform.cell.targets[start.worker]
+    ends = observations.crashes.setdefault(start.name.job, [])
+    ends.append(platform.cell.clock.now_ms())
+    target.is_cut = True
+    target.runs.clear()
+    await asyncio.sleep(CRASH_DURATION_S)
+    target.is_cut = False
+    job_platform.restart_worker(platform, start.worker)
+
+
 async def inject_fault(
     platform: job_platform.Platform,
     observations: Observations,
@@ -172,9 +238,16 @@
                     platform, session, instance, 'GET', id
                 )
                 state = fields.get('state')
-                if state == jobs.JobState.COMPLETED.value:
+                wanted = jobs.JobState.COMPLETED
+                if id in observations.crashing:
+                    wanted = jobs.JobState.FAILED
+                if state == wanted.value:
                     open_jobs.discard(id)
-                elif status == 410 or state in ('failed', 'cancelled'):
+                elif status == 410 or state in (
+                    'completed',
+                    'failed',
+                    'cancelled',
+                ):
                     observations.violations.append(f'{id}: {status} {state}')
                     open_jobs.discard(id)
             round_count += 1
@@ -186,9 +259,29 @@
     observations.violations += [
         f'{id}: refused, but ran' for id in observations.refused & started
     ]
+    observations.violations += list_late_starts(platform, observations)
     observations.violations += platform.cell.violations
 
 
+def list_late_starts(
+    platform: job_platform.Platform, observations: Observations
+) -> list[str]:
+    """Describes jobs that were started too often after crashes."""
+    late = []
+    for id, ends in observations.crashes.items():
+        if len(ends) < MAX_CRASHES:
+            continue
+        count = sum(
+            start.name.job == id
+            and start.name.step == start.name.index == 0
+            and start.at_ms > ends[MAX_CRASHES - 1]
+            for start in platform.cell.starts
+        )
+        if count >= MAX_CRASHES:
+            late.append(f'{id}: started {count} times after {MAX_CRASHES}')
+    return late
+
+
 async def cancel_task(task: asyncio.Task[None]) -> None:
     """Cancels a task and waits until it has ended.
 
@@ -202,19 +295,37 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, folder: pathlib.Path
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    *,
+    has_crashes: bool = False,
 ) -> Observations:
-    """Runs the test with one seed and returns the observations."""
+    """Runs the test with one seed and returns the observations.
+
+    Args:
+      seed: The seed.
+      seconds: For how long faults are injected.
+      folder: Where the instances write.
+      has_crashes: Whether some jobs crash workers, and the list of workers has
+        odd entries.
+    """
     rng = random.Random(seed)
     observations = Observations()
     platform = await job_platform.start(folder, WORKERS, rng)
     platform.cell.run_ms = lambda name: 400
+    if has_crashes:
+        for number, text in enumerate(ODD_ROWS):
+            job_platform.put_worker_row(platform, f'odd{number}', text)
     try:
         job_platform.add_instances(platform, INSTANCES)
         await asyncio.sleep(2.0)
         submission = asyncio.create_task(
-            submit_jobs(platform, observations, random.Random(seed))
+            submit_jobs(
+                platform, observations, random.Random(seed), has_crashes
+            )
         )
+        crashing = asyncio.create_task(crash_workers(platform, observations))
         fault_injection = asyncio.create_task(
             inject_faults(platform, observations, rng)
         )
@@ -230,6 +341,7 @@
             await asyncio.sleep(0.1)
         await cancel_task(submission)
         await check_guarantees(platform, observations)
+        await cancel_task(crashing)
     finally:
         await job_platform.stop(platform)
     return observations
@@ -243,16 +355,25 @@
     parser.add_argument('--seeds', type=int, default=5)
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=15.0)
+    parser.add_argument('--without-crashes', action='store_true')
     args = parser.parse_args()
     failed = 0
     for seed in range(args.first, args.first + args.seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        observations = asyncio.run(run_seed(seed, args.seconds, folder))
+        observations = asyncio.run(
+            run_seed(
+                seed,
+                args.seconds,
+                folder,
+                has_crashes=not args.without_crashes,
+            )
+        )
         result = 'broken' if observations.violations else 'ok'
         print(
             f'seed={seed} result={result} '
             f'accepted={len(observations.accepted)} '
             f'refused={len(observations.refused)} '
+            f'crashes={sum(map(len, observations.crashes.values()))} '
             f'faults={",".join(observations.faults)}',
             flush=True,
         )
