Crash records: clearer names; runs of jobs that have ended are not written

A run that is still being stopped may belong to a job that has ended or has been forgotten, which raised KeyError in the session of a worker that fell silent.

--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -158,7 +158,7 @@
                     isinstance(result, runners.Unanswered) and has_ended_early,
                 )
                 if has_ended_early or unanswered_calls >= MIN_UNANSWERED_CALLS:
-                    worker_crashes.put_on_trial(ownership, info)
+                    worker_crashes.write_young_runs(ownership, info)
                 await clock.sleep(
                     0 if unanswered_calls == 1 else RETRY_INTERVAL_MS
                 )
--- a/src/nutmegknot/_internal/jobs/worker_crashes.py
+++ b/src/nutmegknot/_internal/jobs/worker_crashes.py
@@ -25,24 +25,29 @@
 MAX_MISSING_MS = 60_000
 
 
-def put_on_trial(
+def write_young_runs(
     ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
 ) -> None:
-    """Puts the youngest runs on trial on a worker that may have crashed.
+    """Writes the runs that had just started on a worker that fell silent.
 
-    So they are in the table if the owner changes before the worker is back.
+    If the owner changes before the worker is back, the next owner then knows
+    which runs are suspects if it has crashed.
     """
     for name, task in info.runs.items():
+        job = ownership.cluster.jobs.get(name.job)
         survived_ms = crash_trials.compute_survived_ms(info, task)
-        if task.trial is not None or survived_ms >= crash_trials.STARTUP_MS:
+        if (
+            job is None
+            or jobs.is_final(job)
+            or task.trial is not None
+            or survived_ms >= crash_trials.STARTUP_MS
+        ):
             continue
         task.trial = jobs.Trial(
             task.run, info.worker.id, info.worker.life, info.worker.address
         )
         info.trial_runs += 1
-        ownerships.queue_progress_write(
-            ownership, ownership.cluster.jobs[name.job], is_hurried=True
-        )
+        ownerships.queue_progress_write(ownership, job, is_hurried=True)
 
 
 def remember_runs(
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -139,10 +139,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Trial:
-    """A run of a task that is suspected of crashing workers.
+    """A run that is a suspect if its worker turns out to have crashed.
 
-    Nothing else starts on its worker until it has run for a while, so that the
-    cause is known if the worker crashes.
+    It is a run of a task that was a suspect before, or one that had just
+    started on a worker that does not answer. In the first case nothing else
+    starts on its worker until it has run for a while.
 
     Attributes:
       run: Number of the run.
@@ -185,7 +186,8 @@
       lost_runs: How many of its runs were lost, as this owner knows.
       crashes: Crashes of workers during its runs, by number of the run. Those
         of which another task was found to be the cause are removed.
-      trial: The current run if it is a trial, otherwise None.
+      trial: The current run, if the next owner has to know of it as a suspect;
+        otherwise None.
       started_clock_ms: Time of the worker's clock from which on the current run
         is known to be in progress; 0 if it is not known to be.
     """
