--- a/tools/soak.py
+++ b/tools/soak.py
@@ -34,8 +34,10 @@
 INSTANCES = 4
 WORKERS = 5
 SUBMIT_INTERVAL_S = 0.15
-# One of so many jobs crashes the workers that start its first task.
-CRASH_INTERVAL = 25
+# One of so many jobs crashes the workers that start its first task, from the
+# first one of them on.
+CRASH_INTERVAL = 10
+FIRST_CRASH = 5
 # How long after the start the worker crashes, and after the crash it is back.
 CRASH_DELAY_S = 0.01
 CRASH_DURATION_S = 2.0
@@ -101,7 +103,7 @@
         while True:
             number += 1
             id = f'{number:016x}'
-            if has_crashes and number % CRASH_INTERVAL == 0:
+            if has_crashes and number % CRASH_INTERVAL == FIRST_CRASH:
                 observations.crashing.add(id)
             step = {'count': rng.randint(1, 4), 'cpu': 1_000, 'memMb': 64}
             step['estimateMs'] = 400
