serve: an odd entry in the list of workers leaves the others

The cause of the odd worker rows, in the reader of serve: the list was decoded as a whole, so that one entry without a field, or in an unknown state, made all of it unavailable, and workers that came or went were not noticed. An answer nested too deeply raised RecursionError, which was not caught; a capacity of texts was accepted, and would have raised where it is added up.

Entries are decoded one by one, and malformed ones are logged and left out. An answer nested too deeply counts as one without a known effect.

--- a/src/nutmegknot/_internal/backing/http_calls.py
+++ b/src/nutmegknot/_internal/backing/http_calls.py
@@ -11,7 +11,14 @@
 from nutmegknot._internal.backing import tables
 from nutmegknot._internal.utils import clock
 
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+# What decoding of malformed fields can raise.
+DECODE_ERRORS = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 _OK = 200
 _NOT_MODIFIED = 304
 _CLIENT_ERROR_STATUSES = range(400, 500)
@@ -105,7 +112,10 @@
 async def _read_json_object(response: aiohttp.ClientResponse) -> JsonResult:
     if response.status != _OK:
         return classify_status(str(response.url), response.status)
-    body = await response.json()
+    try:
+        body = await response.json()
+    except RecursionError:
+        return tables.Uncertain(f'{response.url}: nested too deeply')
     if not isinstance(body, dict):
         return tables.Uncertain(
             f'{response.url}: the response is not a JSON object'
@@ -148,7 +158,7 @@
     """Decodes a response body; returns Uncertain if the body is malformed."""
     try:
         return decoder(body)
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         return tables.Uncertain(
             f'malformed response: {type(error).__name__} {error}'
         )
--- a/src/nutmegknot/_internal/backing/http_worker_clients.py
+++ b/src/nutmegknot/_internal/backing/http_worker_clients.py
@@ -7,6 +7,7 @@
 import base64
 import dataclasses
 import functools
+import logging
 from typing import Any
 
 import aiohttp
@@ -22,6 +23,10 @@
 # instances and the processes that replace them may be connected to it at the
 # same time.
 MAX_CONNECTIONS_PER_WORKER = 4
+# Largest amount of a resource that a worker may say to have.
+MAX_AMOUNT = 2**31 - 1
+
+logger = logging.getLogger(__name__)
 
 
 def connect(
@@ -254,17 +259,32 @@
 
 
 def _decode_workers(fields: dict[str, Any]) -> list[workers.Worker]:
-    return [_decode_worker(item) for item in fields['workers']]
+    """Decodes the list of workers; leaves out malformed entries."""
+    found = []
+    for item in fields['workers']:
+        try:
+            found.append(_decode_worker(item))
+        except http_calls.DECODE_ERRORS as error:
+            logger.warning('worker_entry_unusable', extra={'why': repr(error)})
+    return found
 
 
 def _decode_worker(item: dict[str, Any]) -> workers.Worker:
+    names = ('id', 'region', 'domain', 'rack', 'address')
+    texts = {name: item[name] for name in names}
+    if not all(isinstance(text, str) for text in texts.values()):
+        raise TypeError('a name is no text')
+    for text in texts.values():
+        text.encode()
+    capacity = item['capacity']
+    if not all(
+        isinstance(amount, int) and 0 <= amount <= MAX_AMOUNT
+        for amount in capacity
+    ):
+        raise ValueError('capacity out of range')
     return workers.Worker(
-        id=item['id'],
-        region=item['region'],
-        domain=item['domain'],
-        rack=item['rack'],
-        capacity=resources.Resources(*item['capacity']),
-        address=item['address'],
+        **texts,
+        capacity=resources.Resources(*capacity),
         state=workers.TargetState(item['state']),
     )
 
--- a/tests/unit/backing/test_http_adapters.py
+++ b/tests/unit/backing/test_http_adapters.py
@@ -2,8 +2,11 @@
 
 import dataclasses
 import itertools
+import json
 
 import aiohttp
+from aiohttp import test_utils
+from aiohttp import web
 from lib import standins
 import pytest
 
@@ -242,3 +245,57 @@
     manual_time.at_ms = 1_500
     machines.stop_expired_tasks(machine)
     assert machines.list_running(machine) == {}
+
+
+WORKER_ENTRY = {
+    'id': 'w1',
+    'region': 'r',
+    'domain': 'a',
+    'rack': 'r1',
+    'capacity': [1_000, 1_000, 0, 4],
+    'address': 'http://127.0.0.1:1',
+    'state': 'live',
+}
+
+
+async def list_from(text: str) -> list[workers.Worker] | tables.Unavailable:
+    """Returns the list of workers from a service that answers with a text."""
+
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(text=text, content_type='application/json')
+
+    app = web.Application()
+    app.router.add_get('/fleet/workers', answer)
+    async with (
+        test_utils.TestServer(app) as server,
+        aiohttp.ClientSession() as session,
+    ):
+        url = str(server.make_url('')).rstrip('/')
+        directory = http_worker_clients.connect(session, url, TIMEOUT_MS)
+        return await directory.list_workers(TIMEOUT_MS)
+
+
+async def test_an_odd_entry_of_the_list_leaves_the_other_workers() -> None:
+    """Guards against a list that is not followed for one odd entry."""
+    odd: list[object] = [
+        None,
+        [],
+        {},
+        {**WORKER_ENTRY, 'id': 7},
+        {**WORKER_ENTRY, 'id': '\ud800'},
+        {**WORKER_ENTRY, 'state': 'resting'},
+        {**WORKER_ENTRY, 'capacity': 5},
+        {**WORKER_ENTRY, 'capacity': [10**30, 1, 0, 4]},
+        {**WORKER_ENTRY, 'capacity': [-1, 1, 0, 4]},
+        {**WORKER_ENTRY, 'capacity': ['1', 1, 0, 4]},
+        {**WORKER_ENTRY, 'capacity': [1, 1, 0, 4, 5]},
+    ]
+    listed = await list_from(json.dumps({'workers': [*odd, WORKER_ENTRY]}))
+    assert isinstance(listed, list)
+    assert [worker.id for worker in listed] == ['w1']
+
+
+async def test_a_list_that_is_nested_too_deeply_is_unavailable() -> None:
+    deep = '[' * 50_000 + ']' * 50_000
+    listed = await list_from(f'{{"workers":[{deep}]}}')
+    assert isinstance(listed, tables.Unavailable)
