Relayed calls: an odd body or reply ends no call of the instance

The cause of the odd worker rows, in the reader of relayed calls to the store: a reply that is no JSON object, or nested too deeply, raised an error in whatever had called the store. It counts as a call without an answer now, and an odd body is not sent on. The reader of foreign JSON moves from platform/ to utils/, as jobs/ uses it too; it knows no word of the platform.

Before: the four cases failed.

--- a/src/nutmegknot/_internal/jobs/peer_calls.py
+++ b/src/nutmegknot/_internal/jobs/peer_calls.py
@@ -28,6 +28,7 @@
 from nutmegknot._internal.schema import jobs_grpc
 from nutmegknot._internal.schema import jobs_pb2
 from nutmegknot._internal.utils import clock
+from nutmegknot._internal.utils import json_fields
 from nutmegknot._internal.utils import processor_speed
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
@@ -236,12 +237,17 @@
 ) -> jobs_pb2.RelayReply:
     if node.routes is None:
         return jobs_pb2.RelayReply(detail='no relay')
+    try:
+        body = json_fields.decode_object(call.body) if call.body else None
+    except ValueError as error:
+        logger.warning('relay_call_unreadable', extra={'why': repr(error)})
+        return jobs_pb2.RelayReply(detail='malformed body')
     reply = await node.routes.direct(
         platform_calls.Call(
             call.method,
             call.path,
             dict(call.params),
-            json.loads(call.body) if call.body else None,
+            body,
         ),
         call.timeout_ms,
     )
@@ -282,7 +288,11 @@
     record_answer(node, address)
     if not reply.is_answered:
         return platform_calls.NoAnswer(reply.was_sent, reply.detail)
-    return platform_calls.Reply(reply.status, json.loads(reply.fields))
+    try:
+        fields = json_fields.decode_object(reply.fields)
+    except ValueError as error:
+        return platform_calls.NoAnswer(True, f'{address}: {error!r}')
+    return platform_calls.Reply(reply.status, fields)
 
 
 def encode_outcome(
--- a/src/nutmegknot/_internal/platform/caller_api.py
+++ b/src/nutmegknot/_internal/platform/caller_api.py
@@ -15,10 +15,10 @@
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.network import channels
-from nutmegknot._internal.platform import json_fields
 from nutmegknot._internal.platform import platform_listings
 from nutmegknot._internal.telemetry import instruments
 from nutmegknot._internal.utils import clock
+from nutmegknot._internal.utils import json_fields
 
 logger = logging.getLogger(__name__)
 
--- a/src/nutmegknot/_internal/platform/metadata_store.py
+++ b/src/nutmegknot/_internal/platform/metadata_store.py
@@ -6,7 +6,7 @@
 
 from nutmegknot._internal.backing import platform_calls
 from nutmegknot._internal.backing import tables
-from nutmegknot._internal.platform import json_fields
+from nutmegknot._internal.utils import json_fields
 
 logger = logging.getLogger(__name__)
 
--- a/src/nutmegknot/_internal/platform/platform_listings.py
+++ b/src/nutmegknot/_internal/platform/platform_listings.py
@@ -13,8 +13,8 @@
 from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
-from nutmegknot._internal.platform import json_fields
 from nutmegknot._internal.platform import metadata_store
+from nutmegknot._internal.utils import json_fields
 
 logger = logging.getLogger(__name__)
 
--- a/src/nutmegknot/_internal/platform/platform_workers.py
+++ b/src/nutmegknot/_internal/platform/platform_workers.py
@@ -11,7 +11,7 @@
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.platform import http_client
-from nutmegknot._internal.platform import json_fields
+from nutmegknot._internal.utils import json_fields
 
 logger = logging.getLogger(__name__)
 
--- a/src/nutmegknot/_internal/platform/process_settings.py
+++ b/src/nutmegknot/_internal/platform/process_settings.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from nutmegknot._internal.jobs import time_limits
-from nutmegknot._internal.platform import json_fields
+from nutmegknot._internal.utils import json_fields
 
 SETTINGS_VARIABLE = 'NUTMEGKNOT_CONFIG'
 # Must equal the metrics port in deploy/system.toml, which never changes.
--- a/tests/unit/jobs/test_peer_calls.py
+++ b/tests/unit/jobs/test_peer_calls.py
@@ -3,9 +3,12 @@
 import asyncio
 
 from lib import job_cells
+import pytest
 
+from nutmegknot._internal.backing import platform_calls
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import peer_calls
+from nutmegknot._internal.schema import jobs_pb2
 from nutmegknot._internal.utils import event_loop_lag
 
 ADDRESS = '127.0.0.1:1'
@@ -73,3 +76,26 @@
         )
 
     job_cells.run(script)
+
+
+@pytest.mark.parametrize('fields', [b'[' * 50_000, b'\xff', b'[]', b''])
+def test_an_odd_reply_to_a_relayed_call_counts_as_none(
+    fields: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    class Stub:
+        async def Relay(  # noqa: N802
+            self, request: jobs_pb2.RelayCall, timeout: float
+        ) -> jobs_pb2.RelayReply:
+            return jobs_pb2.RelayReply(
+                is_answered=True, status=200, fields=fields
+            )
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        node = job_cells.make_node(job_cells.make_cell(loop), 'me')
+        monkeypatch.setattr(peer_calls, 'get_stub', lambda *_: Stub())
+        call = platform_calls.Call('GET', '/')
+        reply = await peer_calls.relay_call(node, ADDRESS, call, 100)
+        assert isinstance(reply, platform_calls.NoAnswer)
+        assert reply.was_sent
+
+    job_cells.run(script)
