--- a/src/nutmegknot/_internal/decisions/crash_trials.py
+++ b/src/nutmegknot/_internal/decisions/crash_trials.py
@@ -72,7 +72,7 @@
 def is_on_trial(info: cluster_state.WorkerInfo, task: jobs.Task) -> bool:
     """Returns whether the run of a task on a worker is a trial in progress.
 
-    Runs that are only recorded as trials, as their worker has fallen silent or
+    Runs that are only recorded as trials, as their worker does not answer or
     another member of their gang is a suspect, are not.
     """
     if task.trial is None or not needs_trial(task):
@@ -103,7 +103,7 @@
 def list_interrupted(
     info: cluster_state.WorkerInfo,
 ) -> list[cluster_state.InterruptedRun]:
-    """Returns the runs that a worker may have executed when it fell silent."""
+    """Returns the runs that a worker may have had when it stopped answering."""
     return [
         cluster_state.InterruptedRun(
             name,
--- a/src/nutmegknot/_internal/jobs/worker_crashes.py
+++ b/src/nutmegknot/_internal/jobs/worker_crashes.py
@@ -28,7 +28,7 @@
 def write_young_runs(
     ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
 ) -> None:
-    """Writes the runs that had just started on a worker that fell silent.
+    """Writes the runs that had just started on a silent worker.
 
     If the owner changes before the worker is back, the next owner then knows
     which runs are suspects if it has crashed.
