--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -12,6 +12,7 @@
 from nutmegknot._internal.jobs import stops
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import resources
 from nutmegknot._internal.telemetry import instruments
 from nutmegknot._internal.utils import clock
 
@@ -88,6 +89,7 @@
             'token': ownership.cluster.epoch,
             'waited_ms': task.start_decided_ms - task.waiting_since_ms,
             'trial': is_trial,
+            **describe_usage(ownership.cluster, decision.job),
         },
     )
     number = 0
@@ -106,6 +108,21 @@
     send_durable_starts(ownership)
 
 
+def describe_usage(
+    cluster: cluster_state.ClusterState, job: jobs.Job
+) -> dict[str, str]:
+    """Returns usage and limit of a job's customer as fields of a log line."""
+    customer = job.spec.customer
+    known = cluster.settings.customers.get(customer)
+    limit = resources.ZERO if known is None else known.limit
+    used = cluster.usage.get(customer, resources.ZERO)
+    return {
+        'customer': customer,
+        'used': resources.format_amount(used),
+        'limit': resources.format_amount(limit),
+    }
+
+
 def send_durable_starts(ownership: ownerships.Ownership) -> None:
     """Queues the start commands that no longer wait for a write."""
     waiting = []
@@ -172,6 +189,8 @@
         match result:
             case runners.Taken(clock_ms):
                 instruments.increment(ownership.metrics.starts, 'taken')
+                if attempt > 1:
+                    _log_repeated_start(ownership, decision, name, attempt)
                 _confirm_start(ownership, decision, clock_ms or 0)
                 return
             case runners.Refused(reason):
@@ -210,6 +229,27 @@
         _stop_unsettled_start(ownership, decision, name)
 
 
+def _log_repeated_start(
+    ownership: ownerships.Ownership,
+    decision: StartDecision,
+    name: jobs.TaskName,
+    attempts: int,
+) -> None:
+    """Logs a start that took several attempts, with the limit as it is now."""
+    task = decision.task
+    logger.info(
+        'start_repeated',
+        extra={
+            'task': jobs.format_task(name),
+            'run': decision.run,
+            'worker': decision.info.worker.id,
+            'attempts': attempts,
+            'after_ms': ownership.clock.now_ms() - task.start_decided_ms,
+            **describe_usage(ownership.cluster, decision.job),
+        },
+    )
+
+
 def _is_current(
     ownership: ownerships.Ownership, decision: StartDecision
 ) -> bool:
--- a/src/nutmegknot/_internal/jobs/state_dump.py
+++ b/src/nutmegknot/_internal/jobs/state_dump.py
@@ -115,7 +115,7 @@
             'confirmed_ms_ago': now_ms - writer.confirmed_ms,
             'rows_unwritten': len(writer.queued_writes),
             'store_failing_ms': writers.compute_store_failure_ms(writer),
-            'settled': cluster.takeover_complete_ms is not None,
+            'settled': cluster.is_takeover_complete,
             'jobs': len(cluster.jobs),
             'stages_waiting': len(cluster.waiting_stages),
             'advisers': len(ownership.advisers),
--- a/src/nutmegknot/_internal/jobs/stops.py
+++ b/src/nutmegknot/_internal/jobs/stops.py
@@ -55,12 +55,15 @@
     run: int,
 ) -> None:
     """Stops a run that a worker lists and the owner does not know."""
+    job = ownership.cluster.jobs.get(name.job)
     logger.warning(
         'run_unwanted',
         extra={
             'task': jobs.format_task(name),
             'run': run,
             'worker': info.worker.id,
+            'customer': '' if job is None else job.spec.customer,
+            'state': 'unknown' if job is None else job.state.value,
         },
     )
     queue_stop(ownership, info, name, run)
--- a/src/nutmegknot/_internal/jobs/worker_discovery.py
+++ b/src/nutmegknot/_internal/jobs/worker_discovery.py
@@ -60,7 +60,9 @@
         while now_ms < due_ms:
             _update_settled_time(ownership, now_ms)
             claims = await signals.wait_with_timeout(
-                ownership.worker_claimed, claims, due_ms - now_ms
+                ownership.worker_claimed,
+                claims,
+                _choose_settled_check(ownership, due_ms) - now_ms,
             )
             now_ms = ownership.clock.now_ms()
 
@@ -140,6 +142,19 @@
         )
 
 
+def _choose_settled_check(ownership: ownerships.Ownership, due_ms: int) -> int:
+    """Returns when to check next whether the runs of earlier owners are known.
+
+    Args:
+      ownership: The ownership of the jobs.
+      due_ms: When the list of workers is read again.
+    """
+    cluster = ownership.cluster
+    if cluster.is_takeover_complete or cluster.takeover_complete_ms is None:
+        return due_ms
+    return min(due_ms, cluster.takeover_complete_ms)
+
+
 def _update_settled_time(ownership: ownerships.Ownership, now_ms: int) -> None:
     """Updates the time from which no unknown run of an earlier owner is left.
 
@@ -148,22 +163,37 @@
     given to a worker.
     """
     cluster = ownership.cluster
-    if (
-        cluster.takeover_complete_ms is not None
-        and now_ms >= cluster.takeover_complete_ms
-    ):
+    if cluster.is_takeover_complete:
         return
-    infos = cluster.workers_by_id.values()
-    if all(info.is_claimed or info.is_replaced for info in infos):
-        cluster.takeover_complete_ms = now_ms
-        logger.info(
-            'runs_settled',
-            extra={
-                'epoch': cluster.epoch,
-                'after_ms': now_ms - cluster.owned_since_ms,
-                'workers': len(cluster.workers_by_id),
-            },
-        )
-        signals.notify(ownership.scheduling_needed)
+    unanswered = [
+        id
+        for id, info in cluster.workers_by_id.items()
+        if not (info.is_claimed or info.is_replaced)
+    ]
+    expiry_ms = leases.compute_earlier_runs_expiry(ownership)
+    if unanswered and now_ms < expiry_ms:
+        if cluster.takeover_complete_ms is None:
+            logger.info(
+                'runs_unsettled',
+                extra={
+                    'epoch': cluster.epoch,
+                    'workers': len(cluster.workers_by_id),
+                    'unanswered': len(unanswered),
+                    'for_ms': expiry_ms - now_ms,
+                },
+            )
+        cluster.takeover_complete_ms = expiry_ms
         return
-    cluster.takeover_complete_ms = leases.compute_earlier_runs_expiry(ownership)
+    cluster.is_takeover_complete = True
+    cluster.takeover_complete_ms = now_ms
+    logger.info(
+        'runs_settled',
+        extra={
+            'epoch': cluster.epoch,
+            'why': 'lease_lapsed' if unanswered else 'all_answered',
+            'after_ms': now_ms - cluster.owned_since_ms,
+            'workers': len(cluster.workers_by_id),
+            'unanswered': ' '.join(unanswered),
+        },
+    )
+    signals.notify(ownership.scheduling_needed)
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -193,6 +193,7 @@
       takeover_complete_ms: Monotonic time from which no run of an earlier
         owner can be left that this owner does not know of. It may be in the
         future; None before it has been computed.
+      is_takeover_complete: Whether that time was reached and logged.
       jobs: Jobs by id.
       workers_by_id: Workers by id.
       predecessor_workers: Workers on which an earlier owner may have started
@@ -212,6 +213,7 @@
     owned_since_ms: int
     settings: job_settings.JobSettings
     takeover_complete_ms: int | None = None
+    is_takeover_complete: bool = False
     jobs: dict[str, jobs_lib.Job] = dataclasses.field(default_factory=dict)
     workers_by_id: dict[str, WorkerInfo] = dataclasses.field(
         default_factory=dict
--- a/src/nutmegknot/_internal/models/resources.py
+++ b/src/nutmegknot/_internal/models/resources.py
@@ -23,6 +23,11 @@
 ZERO = Resources()
 
 
+def format_amount(amount: Resources) -> str:
+    """Returns an amount as millicores/MiB/accelerators."""
+    return f'{amount.millicores}/{amount.memory_mib}/{amount.accelerators}'
+
+
 def add(left: Resources, right: Resources) -> Resources:
     """Returns the sum of two amounts."""
     return Resources(
