Tests: customers over their limit around takeovers, as they fail today

The fakes checked capacity, runs and run numbers at each start, but no limit of a customer, so no test could see QUOTA. They check it now, for all tests of jobs; a start may follow earlier settings for 2 s, as on the users' pages.

A failed script now cancels its tasks, so that the next test is not blamed.

--- a/tests/lib/job_cells.py
+++ b/tests/lib/job_cells.py
@@ -36,6 +36,8 @@
 CRASH_DELAY_MS = 10
 # How long after a crash a worker is back.
 RESTART_MS = 3_000
+# How long after new settings were stored a start may still follow older ones.
+SETTINGS_APPLY_MS = 2_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -147,8 +149,11 @@
         like.
       run_ms: Returns how long a task runs in ms.
       outcome: Returns how a run ends by itself.
-      held: Returns the resources that a task reserves on its worker.
+      find_job: Returns the accepted job with an id, or None.
       sizes: Resources that tasks have reserved, by task that has started.
+      usage: Customer and resources of each task that has started.
+      past_settings: Earlier settings, each with the time until which a start
+        may still rely on it.
       suited: Workers that the adviser allows; None for all.
       asked: Ids of the workers in each call for advice.
       is_list_down: Whether the list of workers can't be read.
@@ -170,12 +175,16 @@
     outcome: Callable[[jobs.TaskName, int], jobs.EndKind] = lambda name, run: (
         jobs.EndKind.DONE
     )
-    held: Callable[[jobs.TaskName], resources.Resources] = lambda name: (
-        resources.ZERO
-    )
+    find_job: Callable[[str], jobs.Job | None] = lambda id: None
     sizes: dict[jobs.TaskName, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
+    usage: dict[jobs.TaskName, tuple[str, resources.Resources]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    past_settings: list[tuple[job_settings.JobSettings, int]] = (
+        dataclasses.field(default_factory=list)
+    )
     suited: set[str] | None = None
     asked: list[list[str]] = dataclasses.field(default_factory=list)
     is_list_down: bool = False
@@ -343,11 +352,13 @@
         cell.violations.append(
             f'run {command.run} of {command.name} is not new'
         )
-    used = cell.sizes[command.name] = cell.held(command.name)
+    _record_size(cell, command.name)
+    used = cell.sizes[command.name]
     for name in target.runs:
         used = resources.add(used, cell.sizes[name])
     if not resources.fits(used, target.worker.capacity):
         cell.violations.append(f'{target.worker.id} is over its capacity')
+    _check_limit(cell, command.name)
     cell.starts.append(
         StartedRun(
             cell.clock.now_ms(),
@@ -359,6 +370,53 @@
     )
 
 
+def _record_size(cell: Cell, name: jobs.TaskName) -> None:
+    """Records the customer and the resources of a task that starts."""
+    job = cell.find_job(name.job)
+    if job is None or name.step >= len(job.spec.steps):
+        cell.sizes[name] = resources.ZERO
+        return
+    step = job.spec.steps[name.step]
+    cell.sizes[name] = jobs.get_reserved(step)
+    cell.usage[name] = (job.spec.customer, step.size)
+
+
+def _check_limit(cell: Cell, name: jobs.TaskName) -> None:
+    """Records a violation if a start brings its customer over its limit."""
+    if name not in cell.usage:
+        return
+    customer, used = cell.usage[name]
+    for target in cell.targets.values():
+        for other in target.runs:
+            owner, size = cell.usage.get(other, ('', resources.ZERO))
+            if owner == customer:
+                used = resources.add(used, size)
+    now_ms = cell.clock.now_ms()
+    valid = [cell.settings] + [
+        settings
+        for settings, until_ms in cell.past_settings
+        if now_ms <= until_ms
+    ]
+    limited = [s.customers.get(customer) for s in valid]
+    if not any(
+        found is None or job_settings.is_within(used, found.limit)
+        for found in limited
+    ):
+        cell.violations.append(f'{customer} is over its limit with {used}')
+
+
+def replace_customers(cell: Cell, *customers: job_settings.Customer) -> None:
+    """Puts other customers in force, in place of the present ones."""
+    cell.past_settings.append(
+        (cell.settings, cell.clock.now_ms() + SETTINGS_APPLY_MS)
+    )
+    cell.settings = dataclasses.replace(
+        cell.settings,
+        revision=cell.settings.revision + 1,
+        customers={customer.name: customer for customer in customers},
+    )
+
+
 def connect_runners(cell: Cell) -> runners.Runners:
     """Returns access to the fake workers."""
     return runners.Runners(
@@ -625,27 +683,21 @@
     )
 
 
-def _make_held(
-    node: nodes.Node,
-) -> Callable[[jobs.TaskName], resources.Resources]:
-    """Returns a function that looks up what tasks reserve in accepted jobs."""
+def _make_find_job(node: nodes.Node) -> Callable[[str], jobs.Job | None]:
+    """Returns a function that looks up the jobs that an instance owns."""
 
-    def find_held(name: jobs.TaskName) -> resources.Resources:
-        if (
-            node.ownership is None
-            or name.job not in node.ownership.cluster.jobs
-        ):
-            return resources.ZERO
-        steps = node.ownership.cluster.jobs[name.job].spec.steps
-        return jobs.get_reserved(steps[name.step])
+    def find_job(id: str) -> jobs.Job | None:
+        if node.ownership is None:
+            return None
+        return node.ownership.cluster.jobs.get(id)
 
-    return find_held
+    return find_job
 
 
 async def start_owner(cell: Cell, id: str) -> nodes.Node:
     """Returns an instance that has become the owner of the jobs."""
     node = make_node(cell, id)
-    cell.held = _make_held(node)
+    cell.find_job = _make_find_job(node)
     table = node.backends.table
     found = await takeover.read_owner(table, 100)
     assert found is not None
@@ -683,8 +735,11 @@
     script: Callable[[asyncio.AbstractEventLoop], Awaitable[None]],
     loop: asyncio.AbstractEventLoop,
 ) -> None:
-    await script(loop)
-    others = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
-    for task in others:
-        task.cancel()
-    await asyncio.gather(*others, return_exceptions=True)
+    try:
+        await script(loop)
+    finally:
+        current = asyncio.current_task()
+        others = [t for t in asyncio.all_tasks() if t is not current]
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
