Limits of customers hold while runs of earlier owners are unknown

Callers saw: a customer got more running than it may (QUOTA), up to twice its limit, for up to 5 s after a change of owner while workers were cut off.

Cause: a new owner took for unused what it had not found. Jobs that it accepted itself start at once, and their customer's usage counted only the runs on workers that had answered. Runs that it finds and does not adopt, as their job has ended, counted for no customer either.

Change: the owner writes a ceiling for the usage of each customer, an eighth or two of the limit above it, and starts nothing beyond it. The next owner counts as used what it has found and the ceiling less all that it has found, until all workers have answered or their leases are over and no stopped run is left. So a found run that ends is replaced at once, and customers below their limits go on. Reasons of stage_held say when that holds a stage. An owner of an earlier version, or a row that can't be read, makes limits count as used in full.

Why it works: the sum of all runs of a customer was at most its ceiling when the owner before ended, and found runs are part of that sum, also across several changes of owner and lowered limits.

--- a/src/nutmegknot/_internal/decisions/plans.py
+++ b/src/nutmegknot/_internal/decisions/plans.py
@@ -9,11 +9,12 @@
 import operator
 
 from nutmegknot._internal.decisions import crash_trials
+from nutmegknot._internal.decisions import usage_bounds
 from nutmegknot._internal.models import advice_requests as advice_requests_lib
 from nutmegknot._internal.models import cluster_state
-from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import usage_ceilings
 from nutmegknot._internal.models import workers
 
 # Time without an answer after which a worker gets no new tasks, in ms.
@@ -125,7 +126,11 @@
         have ended, by worker id. A worker is added when it is first needed; see
         get_releasing.
       eligibility: Eligible workers of recent steps.
-      usage: Resources that each customer's tasks take, by customer.
+      usage: The most that each customer's tasks can take, by customer.
+      ceilings: The most that they may take until higher ceilings are in the
+        table, by customer.
+      needed_usage: Usage of customers with tasks that could start if their
+        ceilings allowed it.
       lag_ms: How late the commands that follow from the plan may be sent.
       allows_trials: Whether tasks that are suspected of crashing workers may
         start.
@@ -146,7 +151,11 @@
     max_free: dict[str, resources.Resources]
     releasing: dict[str, resources.Resources]
     usage: dict[str, resources.Resources]
+    ceilings: usage_ceilings.Ceilings
     eligibility: EligibilityCache
+    needed_usage: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
     lag_ms: int = 0
     allows_trials: bool = True
     on_trial: set[str] = dataclasses.field(default_factory=set)
@@ -190,7 +199,15 @@
     max_free = {
         pool: _find_max_free(infos, free) for pool, infos in by_pool.items()
     }
-    plan = Plan(by_pool, free, max_free, {}, dict(cluster.usage), eligibility)
+    plan = Plan(
+        by_pool,
+        free,
+        max_free,
+        {},
+        usage_bounds.compute_bounds(cluster),
+        usage_bounds.get_ceilings(cluster.ceilings),
+        eligibility,
+    )
     plan.on_trial = {
         info.worker.id for info in usable if crash_trials.has_trial(info)
     }
@@ -348,24 +365,3 @@
     plan.free[id] = resources.compute_minimum(plan.free[id], left)
     plan.releasing[id] = resources.subtract(left, plan.free[id])
     return True
-
-
-def is_within_limit(
-    cluster: cluster_state.ClusterState,
-    plan: Plan,
-    job: jobs.Job,
-    step: jobs.Step,
-) -> bool:
-    """Returns whether one more task keeps its customer within its limit."""
-    customer = cluster.settings.customers.get(job.spec.customer)
-    if customer is None:
-        return True
-    usage = plan.usage.get(job.spec.customer, resources.ZERO)
-    after = resources.add(usage, step.size)
-    return job_settings.is_within(after, customer.limit)
-
-
-def add_usage(plan: Plan, job: jobs.Job, step: jobs.Step) -> None:
-    """Adds one more task to its customer's usage."""
-    usage = plan.usage.get(job.spec.customer, resources.ZERO)
-    plan.usage[job.spec.customer] = resources.add(usage, step.size)
--- a/src/nutmegknot/_internal/decisions/task_placement.py
+++ b/src/nutmegknot/_internal/decisions/task_placement.py
@@ -10,6 +10,7 @@
 
 from nutmegknot._internal.decisions import advice_selection
 from nutmegknot._internal.decisions import crash_trials
+from nutmegknot._internal.decisions import customer_limits
 from nutmegknot._internal.decisions import evictions
 from nutmegknot._internal.decisions import plans
 from nutmegknot._internal.decisions import stage_ranking
@@ -144,8 +145,10 @@
     allowed: list[cluster_state.WorkerInfo],
 ) -> str:
     """Returns why a stage's tasks can't start, as the word to be logged."""
-    if not plans.is_within_limit(cluster, plan, ranked.job, ranked.stage.step):
-        return 'limit'
+    if not customer_limits.is_within_limit(
+        cluster, plan, ranked.job, ranked.stage.step
+    ):
+        return customer_limits.find_reason(cluster, plan, ranked)
     if not eligible:
         return 'no_worker'
     if not allowed:
@@ -252,14 +255,14 @@
     counts = plans.count_tasks_by_worker(stage)
     placed = []
     for task in waiting:
-        if not plans.is_within_limit(cluster, plan, job, stage.step):
+        if not customer_limits.is_within_limit(cluster, plan, job, stage.step):
             break
         info = _choose_worker(cluster, plan, stage, task, allowed, counts)
         if info is None:
             break
         id = info.worker.id
         plans.deduct_free(plan, id, needed)
-        plans.add_usage(plan, job, stage.step)
+        customer_limits.add_usage(plan, job, stage.step)
         counts[id] = counts.get(id, 0) + 1
         placed.append(_make_placement(job, stage, task, info))
     plan.placed += placed
@@ -420,14 +423,14 @@
         and info.worker.id not in plan.on_trial
     ]
     fitting = 0
-    while fitting < unplaced and plans.is_within_limit(
+    while fitting < unplaced and customer_limits.is_within_limit(
         cluster, plan, job, stage.step
     ):
         if not evictions.plan_evictions(
             cluster, plan, stage.step, rank.priority, infos, now_ms
         ):
             break
-        plans.add_usage(plan, job, stage.step)
+        customer_limits.add_usage(plan, job, stage.step)
         fitting += 1
     return fitting
 
--- /dev/null
+++ b/src/nutmegknot/_internal/jobs/ceiling_updates.py
@@ -0,0 +1,128 @@
+"""Keeps the ceilings of customers' usage in the table up to date.
+
+See models/usage_ceilings.py for what they are for.
+"""
+
+from collections.abc import Mapping
+import logging
+
+from nutmegknot._internal.decisions import usage_bounds
+from nutmegknot._internal.jobs import ownerships
+from nutmegknot._internal.jobs import rows
+from nutmegknot._internal.jobs import writers
+from nutmegknot._internal.models import cluster_state
+from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import usage_ceilings
+from nutmegknot._internal.utils import signals
+
+logger = logging.getLogger(__name__)
+
+# Interval between two comparisons of the ceilings with the usage, unless tasks
+# wait for higher ones.
+CHECK_INTERVAL_MS = 25
+# Shortest interval between two writes that only lower ceilings.
+LOWERING_INTERVAL_MS = 1_000
+
+
+def apply_completed_write(ownership: ownerships.Ownership) -> None:
+    """Lets usage grow to the ceilings that are in the table now."""
+    ceilings = ownership.cluster.ceilings
+    if (
+        ceilings.pending is not None
+        and ceilings.pending_write <= ownership.writer.last_durable
+    ):
+        ceilings.stored = ceilings.pending
+        ceilings.pending = None
+        signals.notify(ownership.scheduling_needed)
+
+
+def check_found_runs(ownership: ownerships.Ownership) -> None:
+    """Checks whether unknown runs of earlier owners can be left.
+
+    Such a run is on a worker that has not answered this owner, or it is an
+    unexpected one, which is being stopped. A run that goes on for longer than a
+    lease after it was to be stopped was not started by an owner.
+    """
+    cluster = ownership.cluster
+    if cluster.ceilings.inherited is None or not cluster.is_takeover_complete:
+        return
+    now_ms = ownership.clock.now_ms()
+    settled_ms = cluster.takeover_complete_ms or 0
+    unexpected = [
+        info.worker.id
+        for info in cluster.workers_by_id.values()
+        if info.unexpected_runs
+    ]
+    if unexpected and now_ms < settled_ms + ownership.limits.worker_lease_ms:
+        return
+    logger.info(
+        'usage_known',
+        extra={
+            'epoch': cluster.epoch,
+            'after_ms': now_ms - cluster.owned_since_ms,
+            'unexpected': ' '.join(unexpected),
+            **_describe_unfound(cluster),
+        },
+    )
+    usage_ceilings.record_all_found(cluster.ceilings)
+
+
+def _describe_unfound(cluster: cluster_state.ClusterState) -> dict[str, str]:
+    """Returns what was taken for used by unknown runs, for the log."""
+    parts = []
+    for name, customer in sorted(cluster.settings.customers.items()):
+        unfound = usage_bounds.compute_unfound(
+            cluster.ceilings, name, customer.limit
+        )
+        parts.append(f'{name}={resources.format_amount(unfound)}')
+    return {'unfound': ' '.join(parts)}
+
+
+def update_ceilings(
+    ownership: ownerships.Ownership, needed: Mapping[str, resources.Resources]
+) -> None:
+    """Queues a write of ceilings that suit the present usage, if it is due.
+
+    Args:
+      ownership: The ownership of the jobs.
+      needed: Usage with tasks that could start if the ceilings allowed it, by
+        customer.
+    """
+    cluster, now_ms = ownership.cluster, ownership.clock.now_ms()
+    ceilings = cluster.ceilings
+    is_due = needed or now_ms - ceilings.checked_ms >= CHECK_INTERVAL_MS
+    if ceilings.pending is not None or not is_due:
+        return
+    ceilings.checked_ms = now_ms
+    bounds = usage_bounds.compute_bounds(cluster)
+    expected = usage_bounds.record_peaks(ceilings, bounds, now_ms)
+    for name, amount in needed.items():
+        expected[name] = resources.compute_maximum(
+            amount, expected.get(name, resources.ZERO)
+        )
+    chosen = usage_bounds.choose_ceilings(
+        cluster.settings.customers, bounds, expected, ceilings.stored
+    )
+    if chosen == ceilings.stored or (
+        now_ms - ceilings.queued_ms < LOWERING_INTERVAL_MS
+        and not _has_raised(ceilings.stored, chosen)
+    ):
+        return
+    ceilings.queued_ms = now_ms
+    ceilings.pending = chosen
+    ceilings.pending_write = writers.queue_write(
+        ownership.writer,
+        rows.CEILINGS_KEY,
+        lambda: rows.encode_ceilings(chosen),
+        is_hurried=bool(needed),
+    )
+
+
+def _has_raised(
+    before: usage_ceilings.Ceilings, after: usage_ceilings.Ceilings
+) -> bool:
+    """Tells whether a ceiling is higher than before, or new."""
+    return any(
+        name not in before or not resources.fits(ceiling, before[name])
+        for name, ceiling in after.items()
+    )
--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -10,6 +10,7 @@
 
 from nutmegknot._internal.backing import tables
 from nutmegknot._internal.jobs import advice_calls
+from nutmegknot._internal.jobs import ceiling_updates
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import peer_calls
@@ -346,15 +347,18 @@
         node.lateness,
     )
 
-    def process_completed_write() -> None:
-        task_scheduling.process_durable_jobs(ownership)
-        sessions.mark_registered_workers(ownership)
-        starts.send_durable_starts(ownership)
-
-    writer.on_write_completed = process_completed_write
+    writer.on_write_completed = lambda: _process_completed_write(ownership)
     _start_serving(node, ownership)
 
 
+def _process_completed_write(ownership: ownerships.Ownership) -> None:
+    """Does what had to wait for a write that is in the table now."""
+    task_scheduling.process_durable_jobs(ownership)
+    sessions.mark_registered_workers(ownership)
+    starts.send_durable_starts(ownership)
+    ceiling_updates.apply_completed_write(ownership)
+
+
 async def _load_cluster(
     node: nodes.Node, writer: writers.Writer
 ) -> cluster_state.ClusterState | None:
--- a/src/nutmegknot/_internal/jobs/reconciliation.py
+++ b/src/nutmegknot/_internal/jobs/reconciliation.py
@@ -13,6 +13,7 @@
 from nutmegknot._internal.jobs import stops
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import usage_ceilings
 from nutmegknot._internal.telemetry import instruments
 from nutmegknot._internal.utils import signals
 
@@ -416,6 +417,9 @@
             row.run, info.worker.id, info.worker.life, info.worker.address
         )
     cluster_state.allocate_run(ownership.cluster, info, job, row.name, task)
+    usage_ceilings.record_found_run(
+        ownership.cluster.ceilings, job.spec.customer, stage.step.size
+    )
     if job.state is jobs.JobState.QUEUED:
         job.state = jobs.JobState.RUNNING
     logger.info(
--- a/src/nutmegknot/_internal/jobs/rows.py
+++ b/src/nutmegknot/_internal/jobs/rows.py
@@ -6,6 +6,7 @@
 
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import usage_ceilings
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.schema import jobs_pb2
 
@@ -13,6 +14,7 @@
 JOB_PREFIX = 'jobs/job/'
 PROGRESS_PREFIX = 'jobs/progress/'
 ROSTER_KEY = 'jobs/roster'
+CEILINGS_KEY = 'jobs/ceilings'
 # Largest number of tasks of a job whose crashes and trials are written. It
 # keeps the progress of the largest job below the store's limit for a row.
 MAX_WRITTEN_SUSPECTS = 60
@@ -271,6 +273,37 @@
     ]
 
 
+def encode_ceilings(ceilings: usage_ceilings.Ceilings) -> bytes:
+    """Returns the row of the ceilings of customers' usage."""
+    row = jobs_pb2.CeilingsRow(
+        customers=[
+            jobs_pb2.CustomerCeiling(
+                customer=customer,
+                millicores=ceiling.millicores,
+                memory_mib=ceiling.memory_mib,
+                accelerators=ceiling.accelerators,
+            )
+            for customer, ceiling in ceilings.items()
+        ]
+    )
+    return row.SerializeToString()
+
+
+def decode_ceilings(value: bytes) -> usage_ceilings.Ceilings | None:
+    """Returns the ceilings of a row, or None if it can't be decoded."""
+    row = jobs_pb2.CeilingsRow()
+    try:
+        row.ParseFromString(value)
+    except message_lib.DecodeError:
+        return None
+    return {
+        part.customer: resources.Resources(
+            part.millicores, part.memory_mib, part.accelerators
+        )
+        for part in row.customers
+    }
+
+
 def decode_job(value: bytes) -> jobs.Job | None:
     """Returns the job of a row, or None if the row can't be decoded."""
     row = jobs_pb2.JobRow()
--- a/src/nutmegknot/_internal/jobs/state_dump.py
+++ b/src/nutmegknot/_internal/jobs/state_dump.py
@@ -9,6 +9,7 @@
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import writers
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import resources
 from nutmegknot._internal.utils import clock
 from nutmegknot._internal.utils import signals
 
@@ -116,6 +117,7 @@
             'rows_unwritten': len(writer.queued_writes),
             'store_failing_ms': writers.compute_store_failure_ms(writer),
             'settled': cluster.is_takeover_complete,
+            'usage_known': cluster.ceilings.inherited is None,
             'jobs': len(cluster.jobs),
             'stages_waiting': len(cluster.waiting_stages),
             'advisers': len(ownership.advisers),
@@ -129,6 +131,9 @@
                 'millicores': used.millicores,
                 'memory_mib': used.memory_mib,
                 'accelerators': used.accelerators,
+                'ceiling': resources.format_amount(
+                    cluster.ceilings.stored.get(customer, resources.ZERO)
+                ),
             },
         )
         for customer, used in sorted(cluster.usage.items())
--- a/src/nutmegknot/_internal/jobs/takeover.py
+++ b/src/nutmegknot/_internal/jobs/takeover.py
@@ -75,12 +75,18 @@
       The new row, or None if the write failed or its outcome is unknown.
     """
     row = jobs_pb2.JobsOwnerRow(
-        epoch=found.row.epoch + 1, holder=holder, address=address
+        epoch=found.row.epoch + 1,
+        holder=holder,
+        address=address,
+        keeps_ceilings=True,
     )
+    writes = [tables.Write(rows.OWNER_KEY, row.SerializeToString())]
+    if not found.row.keeps_ceilings:
+        # The owner before may have exceeded ceilings of an earlier one.
+        writes.append(tables.Write(rows.CEILINGS_KEY, None))
     result = await table.transact(
         tables.Transaction(
-            (tables.Condition(rows.OWNER_KEY, found.version),),
-            (tables.Write(rows.OWNER_KEY, row.SerializeToString()),),
+            (tables.Condition(rows.OWNER_KEY, found.version),), tuple(writes)
         ),
         timeout_ms,
     )
@@ -118,13 +124,15 @@
         return progress_rows
     cluster = cluster_state.ClusterState(epoch, now_ms, settings)
     result = await table.transact(
-        tables.Transaction(reads=(rows.ROSTER_KEY,)), LOAD_READ_TIMEOUT_MS
+        tables.Transaction(reads=(rows.ROSTER_KEY, rows.CEILINGS_KEY)),
+        LOAD_READ_TIMEOUT_MS,
     )
     if not isinstance(result, tables.Committed):
         return tables.Unavailable(
-            'the list of workers of the previous owner could not be read'
+            'workers and ceilings of the previous owner could not be read'
         )
     _read_roster(cluster, result.rows.get(rows.ROSTER_KEY))
+    _read_ceilings(cluster, result.rows.get(rows.CEILINGS_KEY))
     progress_by_key = {row.key: row.value for row in progress_rows}
     for row in job_rows:
         job = rows.decode_job(row.value)
@@ -152,6 +160,22 @@
     cluster.predecessor_workers = found
 
 
+def _read_ceilings(
+    cluster: cluster_state.ClusterState, row: tables.Row | None
+) -> None:
+    """Reads the ceilings to which the owner before kept.
+
+    The first owner ever finds no runs of others.
+    """
+    if cluster.epoch == 1:
+        return
+    stored = None if row is None else rows.decode_ceilings(row.value)
+    if row is not None and stored is None:
+        logger.error('ceilings_unreadable', extra={'version': row.version})
+    cluster.ceilings.stored = stored or {}
+    cluster.ceilings.inherited = stored or {}
+
+
 def _add_job(
     cluster: cluster_state.ClusterState, job: jobs.Job, now_ms: int
 ) -> None:
--- a/src/nutmegknot/_internal/jobs/task_scheduling.py
+++ b/src/nutmegknot/_internal/jobs/task_scheduling.py
@@ -10,6 +10,7 @@
 from nutmegknot._internal.decisions import stage_ranking
 from nutmegknot._internal.decisions import task_placement
 from nutmegknot._internal.jobs import advice_calls
+from nutmegknot._internal.jobs import ceiling_updates
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import reconciliation
 from nutmegknot._internal.jobs import starts
@@ -78,6 +79,7 @@
 
 
 def _start_and_evict(ownership: ownerships.Ownership) -> None:
+    ceiling_updates.check_found_runs(ownership)
     plan = task_placement.plan_starts(
         ownership.cluster,
         ownership.clock.now_ms(),
@@ -116,6 +118,7 @@
             task.phase is jobs.TaskPhase.WAITING for task in stage.tasks
         ):
             del ownership.cluster.waiting_stages[key]
+    ceiling_updates.update_ceilings(ownership, plan.needed_usage)
     _log_waiting_stages(ownership, plan)
     for name in plan.evicted:
         evicted_stage = cluster_state.find_stage(ownership.cluster, name)
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -12,6 +12,7 @@
 from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import jobs as jobs_lib
 from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import usage_ceilings
 from nutmegknot._internal.models import workers
 
 
@@ -199,6 +200,7 @@
       predecessor_workers: Workers on which an earlier owner may have started
         runs.
       usage: Resources of the running tasks of each customer.
+      ceilings: Ceilings of that usage.
       waiting_stages: Stages with tasks that wait to be started, by job id,
         number of the occurrence and number of the step.
       run_time_ratios: Moving average of the run time divided by the caller's
@@ -224,6 +226,9 @@
     usage: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
+    ceilings: usage_ceilings.UsageCeilings = dataclasses.field(
+        default_factory=usage_ceilings.UsageCeilings
+    )
     waiting_stages: dict[tuple[str, int, int], jobs_lib.Stage] = (
         dataclasses.field(default_factory=dict)
     )
--- /dev/null
+++ b/src/nutmegknot/_internal/models/usage_ceilings.py
@@ -0,0 +1,69 @@
+"""Ceilings for the resources that the runs of each customer may use.
+
+The owner of the jobs writes the ceilings to the table and keeps the usage of
+each customer at or below them. The next owner reads them: until it has found
+all runs of earlier owners, the ceilings bound what the others can use.
+"""
+
+import dataclasses
+
+from nutmegknot._internal.models import resources
+
+# Ceilings by customer. A customer that is not named has no ceiling, and a
+# resource of which the amount is 0 has none.
+Ceilings = dict[str, resources.Resources]
+
+
+@dataclasses.dataclass(slots=True)
+class UsageCeilings:
+    """Ceilings in the table, and what is known of the runs of earlier owners.
+
+    Times are the owner's monotonic time.
+
+    Attributes:
+      stored: Ceilings that are in the table.
+      pending: Ceilings that are being written; None if none are. Usage stays
+        within the lower one of both.
+      pending_write: Number of that write.
+      queued_ms: When the last write was queued.
+      checked_ms: When the ceilings were last compared with the usage.
+      peaks: Highest usage of each customer since peaks_since_ms.
+      peaks_since_ms: Start of the present period of peaks.
+      earlier_peaks: Highest usage of each customer in the period before.
+      inherited: Ceilings that earlier owners kept to; None if none of their
+        runs is left that this owner does not know of.
+      found: Resources of the runs of earlier owners that this owner has found,
+        by customer, whether they have ended since or not.
+    """
+
+    stored: Ceilings = dataclasses.field(default_factory=dict)
+    pending: Ceilings | None = None
+    pending_write: int = 0
+    queued_ms: int = 0
+    checked_ms: int = 0
+    peaks: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    peaks_since_ms: int = 0
+    earlier_peaks: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    inherited: Ceilings | None = None
+    found: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def record_found_run(
+    ceilings: UsageCeilings, customer: str, size: resources.Resources
+) -> None:
+    """Records that a run of an earlier owner was found on a worker."""
+    if ceilings.inherited is not None:
+        found = ceilings.found.get(customer, resources.ZERO)
+        ceilings.found[customer] = resources.add(found, size)
+
+
+def record_all_found(ceilings: UsageCeilings) -> None:
+    """Records that no unknown run of an earlier owner is left."""
+    ceilings.inherited = None
+    ceilings.found.clear()
--- a/tests/lib/job_cells.py
+++ b/tests/lib/job_cells.py
@@ -81,6 +81,7 @@
         answered.
       refusals: Reasons with which the next starts are refused, in order.
       tail_ms: Tail latency that it reports for all runs.
+      unreadable_runs: Number of listed runs whose task name can't be parsed.
     """
 
     worker: workers.Worker
@@ -98,6 +99,7 @@
     lost_answers: int = 0
     refusals: list[runners.Refusal] = dataclasses.field(default_factory=list)
     tail_ms: float = 0.0
+    unreadable_runs: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -514,6 +516,7 @@
             target.worker.life,
             rows,
             list(target.ends),
+            target.unreadable_runs,
         )
 
     return poll
--- a/tests/unit/jobs/test_customer_limits.py
+++ b/tests/unit/jobs/test_customer_limits.py
@@ -1,6 +1,8 @@
 """QUOTA: what a customer has running stays within its limit."""
 
 import asyncio
+from collections.abc import Callable
+import dataclasses
 import random
 
 from lib import job_cells
@@ -11,13 +13,15 @@
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import owner_election
 from nutmegknot._internal.jobs import owner_operations
+from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import settings_updates
 from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import resources
+from nutmegknot._internal.schema import jobs_pb2
 
 # Seeds that have shown a fault stay.
-SEEDS = (1, 2, 3, 4, 5, 6, 7, 8)
+SEEDS = (1, 2, 3, 4, 5, 6, 7, 8, 34, 42)
 LONG_MS = 20_000
 
 
@@ -205,6 +209,98 @@
     job_cells.run(script)
 
 
+def remove_flag_of_owner(cell: job_cells.Cell) -> None:
+    """Rewrites the owner row as an owner without ceilings writes it."""
+    row = cell.table.rows[rows.OWNER_KEY]
+    owner = jobs_pb2.JobsOwnerRow.FromString(row.value)
+    owner.keeps_ceilings = False
+    cell.table.rows[rows.OWNER_KEY] = dataclasses.replace(
+        row, value=owner.SerializeToString()
+    )
+
+
+def corrupt_ceilings(cell: job_cells.Cell) -> None:
+    row = cell.table.rows[rows.CEILINGS_KEY]
+    cell.table.rows[rows.CEILINGS_KEY] = dataclasses.replace(
+        row, value=b'\xff\xff'
+    )
+
+
+@pytest.mark.parametrize('spoil', [remove_flag_of_owner, corrupt_ceilings])
+def test_quota_exceeded_under_ceilings_that_were_not_kept_to(
+    spoil: Callable[[job_cells.Cell], None],
+) -> None:
+    """The owner before was of an earlier version, or its row is unreadable.
+
+    The ceilings in the table are too low then, and nothing but the limit is
+    known of what runs on the workers that are cut off.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = make_cell(loop)
+        cell.run_ms = lambda name: LONG_MS
+        first = await start_first_owner(cell)
+        await owner_election.end_ownership(first)
+        cell.table.rows[rows.CEILINGS_KEY] = dataclasses.replace(
+            cell.table.rows[rows.CEILINGS_KEY],
+            value=rows.encode_ceilings({'c': resources.Resources(1_000)}),
+        )
+        spoil(cell)
+        for target in list_busy_workers(cell):
+            target.is_cut = True
+        for name in ('two', 'three'):
+            owner = await job_cells.start_owner(cell, name)
+            await submit(owner, name, 12)
+            await asyncio.sleep(0.02)
+            await owner_election.end_ownership(owner)
+        owner = await job_cells.start_owner(cell, 'four')
+        await asyncio.sleep(4.0)
+        assert cell.violations == []
+
+    job_cells.run(script)
+
+
+def test_a_customer_waits_for_ever_for_a_run_that_no_owner_started() -> None:
+    """A worker lists a run that can't be read, and goes on listing it."""
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = make_cell(loop)
+        cell.run_ms = lambda name: 500
+        first = await start_first_owner(cell)
+        await owner_election.end_ownership(first)
+        for target in list_busy_workers(cell):
+            job_cells.restart(target)
+        cell.targets['w5'].unreadable_runs = 1
+        second = await job_cells.start_owner(cell, 'two')
+        assert await job_cells.wait_until(
+            cell, lambda: are_all_jobs_ended(second), 10_000
+        )
+        assert cell.violations == []
+
+    job_cells.run(script)
+
+
+def test_a_gang_waits_for_ever_for_a_ceiling_that_it_needs_at_once() -> None:
+    """Its tasks together need most of the limit, and nothing runs yet."""
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = make_cell(loop, make_customer(millicores=16_000))
+        cell.run_ms = lambda name: 300
+        first = await job_cells.start_owner(cell, 'one')
+        await asyncio.sleep(0.5)
+        gang = job_cells.make_step(15, is_gang=True)
+        await owner_operations.submit(
+            job_views.get_ownership(first),
+            job_cells.make_job_spec('a', gang, customer='c'),
+        )
+        assert await job_cells.wait_until(
+            cell, lambda: are_all_jobs_ended(first), 1_500
+        )
+        assert cell.violations == []
+
+    job_cells.run(script)
+
+
 async def _change_something(
     cell: job_cells.Cell, rng: random.Random, owner: nodes.Node, number: int
 ) -> nodes.Node:
