Starts are not repeated under a limit that has been lowered since

A start without an answer was sent again until its validity ended, 1.5 s, whatever the limit had become meanwhile. An owner that learns late of a lower limit could so start a task more than 2 s after it was set.

Each attempt now compares the customer's usage, this start included, with the limit in force.

--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -5,12 +5,14 @@
 
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.decisions import crash_trials
+from nutmegknot._internal.decisions import usage_bounds
 from nutmegknot._internal.jobs import leases
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import reconciliation
 from nutmegknot._internal.jobs import refusals
 from nutmegknot._internal.jobs import stops
 from nutmegknot._internal.models import cluster_state
+from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.telemetry import instruments
@@ -174,6 +176,7 @@
     attempt = 0
     while (
         _is_current(ownership, decision)
+        and _is_within_limit(ownership, decision.job)
         and ownership.clock.now_ms() < give_up_ms
     ):
         sent_ms = ownership.clock.now_ms()
@@ -213,20 +216,32 @@
                 may_have_started = True
         await clock.sleep(RETRY_INTERVAL_MS)
     if task.run == decision.run and task.phase is jobs.TaskPhase.STARTING:
-        if not may_have_started and not ownerships.may_act(ownership):
-            _handle_refused_start(
-                ownership, decision, name, runners.Refusal.EXPIRED, False
-            )
-            return
-        logger.warning(
-            'start_unanswered',
-            extra={
-                'task': jobs.format_task(name),
-                'run': decision.run,
-                'worker': info.worker.id,
-            },
-        )
+        _abandon_start(ownership, decision, name, may_have_started)
+
+
+def _abandon_start(
+    ownership: ownerships.Ownership,
+    decision: StartDecision,
+    name: jobs.TaskName,
+    may_have_started: bool,
+) -> None:
+    """Stops a run that may have started; otherwise its task waits again."""
+    logger.warning(
+        'start_unanswered',
+        extra={
+            'task': jobs.format_task(name),
+            'run': decision.run,
+            'worker': decision.info.worker.id,
+            'open': may_have_started,
+            **describe_usage(ownership.cluster, decision.job),
+        },
+    )
+    if may_have_started:
         _stop_unsettled_start(ownership, decision, name)
+    else:
+        _handle_refused_start(
+            ownership, decision, name, runners.Refusal.EXPIRED, False
+        )
 
 
 def _log_repeated_start(
@@ -261,6 +276,24 @@
     )
 
 
+def _is_within_limit(ownership: ownerships.Ownership, job: jobs.Job) -> bool:
+    """Tells whether a customer's runs are within a limit that may have fallen.
+
+    A start that was decided counts among them.
+    """
+    cluster = ownership.cluster
+    customer = cluster.settings.customers.get(job.spec.customer)
+    if customer is None:
+        return True
+    bound = resources.add(
+        cluster.usage.get(customer.name, resources.ZERO),
+        usage_bounds.compute_unfound(
+            cluster.ceilings, customer.name, customer.limit
+        ),
+    )
+    return job_settings.is_within(bound, customer.limit)
+
+
 def _make_start_command(
     ownership: ownerships.Ownership,
     decision: StartDecision,
