--- a/src/nutmegknot/_internal/decisions/usage_bounds.py
+++ b/src/nutmegknot/_internal/decisions/usage_bounds.py
@@ -16,8 +16,6 @@
 
 # Ceilings are multiples of a customer's limit divided by this number.
 STEPS_PER_LIMIT = 8
-# Length of the periods over which the highest usage is kept.
-PEAK_PERIOD_MS = 5_000
 
 
 def compute_bounds(
@@ -85,30 +83,6 @@
     return min(left, right) if left and right else left or right
 
 
-def record_peaks(
-    ceilings: usage_ceilings.UsageCeilings,
-    bounds: Mapping[str, resources.Resources],
-    now_ms: int,
-) -> dict[str, resources.Resources]:
-    """Records the usage and returns the recent highest one of each customer.
-
-    Usage comes in bursts. Ceilings that suit the last burst need no write when
-    the next one comes.
-    """
-    if now_ms - ceilings.peaks_since_ms >= PEAK_PERIOD_MS:
-        ceilings.earlier_peaks, ceilings.peaks = ceilings.peaks, {}
-        ceilings.peaks_since_ms = now_ms
-    for name, used in bounds.items():
-        peak = ceilings.peaks.get(name, resources.ZERO)
-        ceilings.peaks[name] = resources.compute_maximum(peak, used)
-    return {
-        name: resources.compute_maximum(
-            peak, ceilings.earlier_peaks.get(name, resources.ZERO)
-        )
-        for name, peak in ceilings.peaks.items()
-    }
-
-
 def choose_ceilings(
     customers: Mapping[str, job_settings.Customer],
     bounds: Mapping[str, resources.Resources],
@@ -123,7 +97,7 @@
     Args:
       customers: The customers with their limits.
       bounds: The most that their runs can use; see compute_bounds.
-      needed: Usage that is to be expected, if it is higher.
+      needed: Usage with tasks that could start if the ceilings allowed it.
       present: The present ceilings.
     """
     chosen = {}
--- a/src/nutmegknot/_internal/jobs/ceiling_updates.py
+++ b/src/nutmegknot/_internal/jobs/ceiling_updates.py
@@ -94,14 +94,11 @@
     if ceilings.pending is not None or not is_due:
         return
     ceilings.checked_ms = now_ms
-    bounds = usage_bounds.compute_bounds(cluster)
-    expected = usage_bounds.record_peaks(ceilings, bounds, now_ms)
-    for name, amount in needed.items():
-        expected[name] = resources.compute_maximum(
-            amount, expected.get(name, resources.ZERO)
-        )
     chosen = usage_bounds.choose_ceilings(
-        cluster.settings.customers, bounds, expected, ceilings.stored
+        cluster.settings.customers,
+        usage_bounds.compute_bounds(cluster),
+        needed,
+        ceilings.stored,
     )
     if chosen == ceilings.stored or (
         now_ms - ceilings.queued_ms < LOWERING_INTERVAL_MS
--- a/src/nutmegknot/_internal/models/usage_ceilings.py
+++ b/src/nutmegknot/_internal/models/usage_ceilings.py
@@ -27,9 +27,6 @@
       pending_write: Number of that write.
       queued_ms: When the last write was queued.
       checked_ms: When the ceilings were last compared with the usage.
-      peaks: Highest usage of each customer since peaks_since_ms.
-      peaks_since_ms: Start of the present period of peaks.
-      earlier_peaks: Highest usage of each customer in the period before.
       inherited: Ceilings that earlier owners kept to; None if none of their
         runs is left that this owner does not know of.
       found: Resources of the runs of earlier owners that this owner has found,
@@ -41,13 +38,6 @@
     pending_write: int = 0
     queued_ms: int = 0
     checked_ms: int = 0
-    peaks: dict[str, resources.Resources] = dataclasses.field(
-        default_factory=dict
-    )
-    peaks_since_ms: int = 0
-    earlier_peaks: dict[str, resources.Resources] = dataclasses.field(
-        default_factory=dict
-    )
     inherited: Ceilings | None = None
     found: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
--- a/tests/unit/decisions/test_usage_bounds.py
+++ b/tests/unit/decisions/test_usage_bounds.py
@@ -110,19 +110,3 @@
         changes += chosen != present
         present = chosen
     assert changes < 200
-
-
-def test_the_highest_usage_of_two_periods_is_kept() -> None:
-    ceilings = usage_ceilings.UsageCeilings()
-    period_ms = usage_bounds.PEAK_PERIOD_MS
-
-    def record(millicores: int, now_ms: int) -> int:
-        bounds = {'c': resources.Resources(millicores)}
-        peaks = usage_bounds.record_peaks(ceilings, bounds, now_ms)
-        return peaks['c'].millicores
-
-    assert record(900, 100) == 900
-    assert record(100, period_ms - 1) == 900
-    assert record(200, period_ms + 100) == 900
-    assert record(100, 2 * period_ms + 100) == 200
-    assert record(100, 3 * period_ms + 200) == 100
