serve: a team's limit holds while inherited requests are not located

What inherited requests that are in no inventory may use counts against the grant and is written as held, until they are located. Sizes are known once the ledger partitions have sent their open assignments again, so grants apply from then on; before, as until now before the rows were read, nothing starts.

Before: both new tests failed, one placed a second task in a grant for one.

--- a/src/nutmegknot/_internal/decisions/scheduling.py
+++ b/src/nutmegknot/_internal/decisions/scheduling.py
@@ -68,6 +68,18 @@
         allocations.set_accelerator_headroom(sched, is_kept=True)
 
 
+def choose_largest_size(
+    sched: Scheduler, assignment: partitions.Assignment
+) -> resources.Resources:
+    """Returns the most that a task of an assignment may have been given."""
+    req = assignment.req
+    estimate = sched.queue_estimates.get(req.queue)
+    size = estimates.choose_size(
+        estimate, req, assignment.attempt, sched.largest_capacity
+    )
+    return resources.compute_maximum(req.size, size)
+
+
 def remove_waiting(sched: Scheduler, request_key: str) -> bool:
     """Removes an assignment from the queue; returns whether it was queued."""
     assignment = sched.waiting.pop(request_key, None)
--- a/src/nutmegknot/_internal/fleet/team_grants.py
+++ b/src/nutmegknot/_internal/fleet/team_grants.py
@@ -73,7 +73,8 @@
 ) -> None:
     """Updates grants as demand and limits change, until cancelled or fenced.
 
-    The grants are empty, so that nothing starts, until the rows have been read.
+    The grants are empty, so that nothing starts, until the rows have been read
+    and all requests are known that earlier owners may have started.
     """
     scheduling.set_grants(fleet.scheduler, {})
     state = GrantState()
@@ -81,6 +82,7 @@
     while not await _read_rows(fleet, context, state):
         wait_ms = retries.advance_backoff(backoff)
         await asyncio.sleep(clock.to_seconds(wait_ms))
+    await wait_for_assignments(fleet, context.settings.cell.ledger_partitions)
     while not fleet.fenced.is_set():
         count = fleet.scheduling_needed.count
         apply_grants(fleet, state)
@@ -92,6 +94,40 @@
         )
 
 
+async def wait_for_assignments(fleet: fleets.Fleet, ledgers: int) -> None:
+    """Waits until all ledger partitions have sent their open assignments."""
+    while len(fleet.complete_ledgers) < ledgers and not fleet.fenced.is_set():
+        await signals.wait_with_timeout(
+            fleet.scheduling_needed,
+            fleet.scheduling_needed.count,
+            MAX_CHANGE_WAIT_MS,
+        )
+
+
+def compute_unlocated(fleet: fleets.Fleet) -> dict[str, resources.Resources]:
+    """Returns the resources of tasks that may run unknown to this owner.
+
+    These are the tasks of inherited requests that are in no worker's inventory,
+    by team.
+    """
+    unlocated: dict[str, resources.Resources] = {}
+    for key in fleet.inherited_requests:
+        request = fleet.requests[key]
+        count = sum(
+            task not in fleet.task_workers
+            for task in fleets.list_task_ids(request)
+        )
+        size = scheduling.choose_largest_size(
+            fleet.scheduler, request.assignment
+        )
+        team = request.assignment.req.team
+        unlocated[team] = resources.add(
+            unlocated.get(team, resources.ZERO),
+            resources.multiply(size, count),
+        )
+    return unlocated
+
+
 async def _read_rows(
     fleet: fleets.Fleet, context: contexts.Context, state: GrantState
 ) -> bool:
@@ -128,6 +164,7 @@
 def apply_grants(fleet: fleets.Fleet, state: GrantState) -> None:
     """Sets up to which amount the scheduler may start requests of each team."""
     start_limits: dict[str, resources.Resources] = {}
+    unlocated = compute_unlocated(fleet)
     for name, team in fleet.scheduler.configuration.teams.items():
         grant = state.teams.get(name)
         if grant is None:
@@ -139,7 +176,12 @@
             start_limit = resources.compute_minimum(
                 start_limit, grant.uncertain_grant
             )
-        start_limits[name] = start_limit
+        start_limits[name] = resources.compute_maximum(
+            resources.ZERO,
+            resources.subtract(
+                start_limit, unlocated.get(name, resources.ZERO)
+            ),
+        )
     if start_limits != fleet.scheduler.grants:
         scheduling.set_grants(fleet.scheduler, start_limits)
         signals.notify(fleet.scheduling_needed)
@@ -150,6 +192,8 @@
 ) -> None:
     """Updates the grant of each team, each in a transaction of its own."""
     usage = scheduling.compute_usage(fleet.scheduler)
+    for team, amount in compute_unlocated(fleet).items():
+        usage[team] = resources.add(usage.get(team, resources.ZERO), amount)
     demand = scheduling.compute_demand(fleet.scheduler)
     units = scheduling.compute_units(fleet.scheduler)
     for name in sorted(fleet.scheduler.configuration.teams):
--- a/tests/unit/fleet/test_team_grants.py
+++ b/tests/unit/fleet/test_team_grants.py
@@ -6,11 +6,13 @@
 import hypothesis
 from hypothesis import strategies
 from lib import fakes
+from lib import makers
 
 from nutmegknot._internal.backing import tables
 from nutmegknot._internal.codec import grants as grant_codec
 from nutmegknot._internal.decisions import grants
 from nutmegknot._internal.decisions import scheduling
+from nutmegknot._internal.fleet import assigned_requests
 from nutmegknot._internal.fleet import contexts
 from nutmegknot._internal.fleet import fleets
 from nutmegknot._internal.fleet import team_grants
@@ -19,6 +21,8 @@
 from nutmegknot._internal.schema import settings_pb2
 from nutmegknot._internal.schema import table_pb2
 from nutmegknot._internal.utils import clock
+from nutmegknot._internal.utils import retries
+from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
 
 LIMIT = resources.Resources(100, 100, 10, 10)
@@ -197,3 +201,81 @@
             team_grants.apply_grants(fleet, state)
         assert fleet.scheduler.grants is not None
         assert resources.fits(UNIT, fleet.scheduler.grants['t'])
+
+
+def make_new_owner(name: str) -> tuple[fleets.Fleet, team_grants.GrantState]:
+    """Returns an owner with room, and a grant for one task of team 't'.
+
+    Of its two workers, only one has sent its inventory, which is empty.
+    """
+    fleet = make_fleet(name)
+    fleet.epoch, fleet.listed = 2, True
+    for id in ('w0', 'w1'):
+        fleet.sessions[id] = fleets.Session(
+            makers.make_worker(id),
+            makers.make_silent_target(),
+            renewed_ms=0,
+            last_answer_ms=0,
+        )
+    fleet.sessions['w1'].claimed = True
+    scheduling.add_worker(fleet.scheduler, makers.make_worker('w1'))
+    state = team_grants.GrantState()
+    granted = grants.PartitionGrant(granted=makers.SIZE)
+    state.teams['t'] = team_grants.TeamGrant(
+        1, {name: granted}, retries.Backoff(random.Random(1), 1, 1)
+    )
+    team = cells.Team('t', 1.0, makers.SIZE)
+    fleet.scheduler.configuration.teams['t'] = team
+    return fleet, state
+
+
+def list_placed(fleet: fleets.Fleet, state: team_grants.GrantState) -> set[str]:
+    team_grants.apply_grants(fleet, state)
+    assigned_requests.resolve_inherited_requests(fleet)
+    return {
+        decision.request_key
+        for decision in scheduling.decide(fleet.scheduler, 1_000)
+        if isinstance(decision, scheduling.Place)
+    }
+
+
+def test_team_over_its_limit_while_its_requests_are_not_located() -> None:
+    """An inherited request may run on the worker that is not claimed yet."""
+    fleet, state = make_new_owner('fleet-d-0')
+    fleet.complete_ledgers = {'ledger-0'}
+    inherited = makers.make_assignment('before', epoch=1)
+    assigned_requests.add_assignment(fleet, inherited)
+    assigned_requests.add_assignment(
+        fleet, makers.make_assignment('new', epoch=2)
+    )
+    assert list_placed(fleet, state) == set()
+    fleet.sessions['w0'].claimed = True
+    assigned_requests.resolve_inherited_requests(fleet)
+    assert len(list_placed(fleet, state)) == 1
+
+
+async def test_team_over_its_limit_while_ledgers_have_not_told_all() -> None:
+    """What a ledger partition has not sent again yet may be running."""
+    fleet, _ = make_new_owner('fleet-d-0')
+    row = grant_codec.encode_partition_grants(
+        't', {'fleet-d-0': grants.PartitionGrant(granted=makers.SIZE)}
+    )
+    fake = fakes.FakeTable(
+        rows={
+            'grant/t': tables.Row('grant/t', row.SerializeToString(), 1),
+            'fleet-d-0': tables.Row('fleet-d-0', b'', 1),
+        },
+        last_version=1,
+    )
+    context = make_context(fake, clock.ManualTime(), 'fleet-d-0')
+    context.settings.cell.ledger_partitions = 2
+    fleet.complete_ledgers.add('ledger-0')
+    updating = asyncio.create_task(team_grants.run_grant_loop(fleet, context))
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert fleet.scheduler.grants == {}
+    waiting = asyncio.create_task(team_grants.wait_for_assignments(fleet, 2))
+    fleet.complete_ledgers.add('ledger-1')
+    signals.notify(fleet.scheduling_needed)
+    await asyncio.wait_for(waiting, 10)
+    updating.cancel()
