Soak: the customer wants more than its limit, and the workers check it

The soak's only customer had no limit, so it could not see QUOTA. Its limit is four of the twenty cores now.

--- a/tests/lib/job_platform.py
+++ b/tests/lib/job_platform.py
@@ -26,7 +26,9 @@
 from nutmegknot._internal.backing import advisers
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.jobs import rows
+from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import resources
 from nutmegknot._internal.schema import jobs_pb2
 from nutmegknot._internal.utils import clock
 from nutmegknot._internal.utils import signals
@@ -34,6 +36,7 @@
 SOURCES = pathlib.Path(__file__).parents[2] / 'src'
 HOST = '127.0.0.1'
 CALLER_HOST = 'jobs.example'
+CUSTOMER = 'team'
 KEY = 'key-of-the-team'
 QUEUE_PATH = '/checks/'
 DOMAINS = ('a', 'b', 'c')
@@ -122,9 +125,20 @@
 
 
 async def start(
-    folder: pathlib.Path, workers: int, rng: random.Random
+    folder: pathlib.Path,
+    workers: int,
+    rng: random.Random,
+    *,
+    limit: resources.Resources = resources.ZERO,
 ) -> Platform:
-    """Starts serving a store, an advice service and some workers."""
+    """Starts serving a store, an advice service and some workers.
+
+    Args:
+      folder: Folder of the settings files and logs.
+      workers: Number of the workers.
+      rng: Source of the instances' first port.
+      limit: Limit of the only customer.
+    """
     # Connections without an answer are injected faults, not errors to log.
     logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
     targets = {}
@@ -132,8 +146,12 @@
         domain = DOMAINS[number % len(DOMAINS)]
         worker = job_cells.make_worker(f'i-{number:04x}', domain=domain)
         targets[worker.id] = job_cells.FakeTarget(worker)
+    customer = job_settings.Customer(CUSTOMER, limit=limit)
     cell = job_cells.Cell(
-        make_clock(), fakes.FakeTable(), targets, job_cells.make_settings()
+        make_clock(),
+        fakes.FakeTable(),
+        targets,
+        job_cells.make_settings(customers=(customer,)),
     )
     platform = Platform(cell, Store(), folder, rng.randrange(20_000, 50_000))
     platform.store_address = await _serve(platform, _route_store(platform))
@@ -142,7 +160,7 @@
         address = await _serve(platform, _route_worker(platform, target))
         target.worker = dataclasses.replace(target.worker, address=address)
         _put_worker(platform.store, target)
-    _put_row(platform.store, 'op', 'config', _make_configuration())
+    _put_row(platform.store, 'op', 'config', _make_configuration(limit))
     return platform
 
 
@@ -156,7 +174,8 @@
     return f'{HOST}:{address[1]}'
 
 
-def _make_configuration() -> dict[str, Any]:
+def _make_configuration(limit: resources.Resources) -> dict[str, Any]:
+    cap = {'cpu': limit.millicores, 'memMb': limit.memory_mib, 'gpu': 0}
     return {
         'version': 3,
         'routes': [
@@ -171,7 +190,9 @@
             }
         ],
         'services': [{'name': 'pool'}],
-        'tenants': [{'name': 'team', 'apiKeys': [KEY], 'weight': 1}],
+        'tenants': [
+            {'name': CUSTOMER, 'apiKeys': [KEY], 'weight': 1, 'cap': cap}
+        ],
     }
 
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -5,7 +5,8 @@
 faults: instances are killed, paused, or stopped and started again; the store
 rejects calls, does not answer, or executes calls and loses the answers; workers
 become unreachable, stop answering, restart or lose answers. Jobs are submitted
-during the faults; some have a task that crashes each worker that starts it.
+during the faults, by a customer who wants more than its limit; some have a task
+that crashes each worker that starts it.
 Another writer leaves odd entries in the list of workers. After the last fault,
 every accepted job must complete, or fail if it crashes workers, and no
 guarantee may have been violated, as seen by callers and workers.
@@ -30,9 +31,14 @@
 from lib import job_platform
 
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import resources
 
 INSTANCES = 4
 WORKERS = 5
+# The jobs need more than the limit of their customer while they are submitted.
+LIMIT = resources.Resources(4_000)
+STEP = jobs.Step(1, resources.Resources(1_000, 64))
+JOB = jobs.Job(jobs.JobSpec('', '', job_platform.CUSTOMER, '', (STEP, STEP)))
 SUBMIT_INTERVAL_S = 0.15
 # One of so many jobs crashes the workers that start its first task, from the
 # first one of them on.
@@ -314,7 +320,8 @@
     """
     rng = random.Random(seed)
     observations = Observations()
-    platform = await job_platform.start(folder, WORKERS, rng)
+    platform = await job_platform.start(folder, WORKERS, rng, limit=LIMIT)
+    platform.cell.find_job = lambda id: JOB
     platform.cell.run_ms = lambda name: 400
     if has_crashes:
         for number, text in enumerate(ODD_ROWS):
