Specification: a customer's limit around changes of the owner

A model of the ceilings: starts, ends, late knowledge of ends, writes that take effect before they are confirmed, a lowered limit and up to three owners. The second bound, by tasks, is not modelled.

--- a/specification/__main__.py
+++ b/specification/__main__.py
@@ -7,6 +7,7 @@
 
 import minicheck
 
+from specification import customer_limits
 from specification import ownership
 from specification import request_execution
 from specification import team_limits
@@ -26,6 +27,12 @@
     models.append(
         (str(team_limits.Rules()), team_limits.make_model(team_limits.Rules()))
     )
+    models.append(
+        (
+            str(customer_limits.Rules()),
+            customer_limits.make_model(customer_limits.Rules()),
+        )
+    )
     has_violation = False
     for name, model in models:
         result = minicheck.check_safety(model, max_states=MAX_STATES)
--- a/tests/unit/specification/test_models.py
+++ b/tests/unit/specification/test_models.py
@@ -5,6 +5,7 @@
 import minicheck
 import pytest
 
+from specification import customer_limits
 from specification import ownership
 from specification import request_execution
 from specification import team_limits
@@ -79,3 +80,14 @@
 def test_limits_mistake_is_caught(mistake: str) -> None:
     model = team_limits.make_model(team_limits.Rules(mistake))
     assert False in list_verdicts(model, MISTAKE_STATES)
+
+
+def test_customer_limits_hold() -> None:
+    model = customer_limits.make_model(customer_limits.Rules())
+    assert list_verdicts(model, MAX_STATES) == {True}
+
+
+@pytest.mark.parametrize('mistake', customer_limits.MISTAKES)
+def test_customer_limits_mistake_is_caught(mistake: str) -> None:
+    model = customer_limits.make_model(customer_limits.Rules(mistake))
+    assert False in list_verdicts(model, MISTAKE_STATES)
