Ceilings of usage: what the two bounds are; the model's start apart

Read as a newcomer: 'unfound' and 'unlocated' are told apart where both are kept, and the start of a run in the model is a function of its own. No decision changes.

--- a/specification/customer_limits.py
+++ b/specification/customer_limits.py
@@ -154,25 +154,28 @@
         transitions.append((f'{number} forgets an end', acknowledged))
     most = min(state.limit, _get_ceiling(owner, rules))
     if _compute_bound(owner, rules) < most:
-        counted = owner._replace(
-            known=_replace(owner.known, number, owner.known[number] + 1)
-        )
-        started = worker._replace(running=worker.running + 1)
-        workers = _replace(state.workers, number, started)
-        total = sum(one.running for one in workers)
         transitions.append(
-            (
-                f'a run starts on {number}',
-                state._replace(
-                    owner=counted,
-                    workers=workers,
-                    is_exceeded=state.is_exceeded or total > state.limit,
-                ),
-            )
+            (f'a run starts on {number}', _start_run(state, number))
         )
     return transitions
 
 
+def _start_run(state: State, number: int) -> State:
+    """Returns the state after a start, and whether it exceeds the limit."""
+    owner, worker = state.owner, state.workers[number]
+    counted = owner._replace(
+        known=_replace(owner.known, number, owner.known[number] + 1)
+    )
+    started = worker._replace(running=worker.running + 1)
+    workers = _replace(state.workers, number, started)
+    total = sum(one.running for one in workers)
+    return state._replace(
+        owner=counted,
+        workers=workers,
+        is_exceeded=state.is_exceeded or total > state.limit,
+    )
+
+
 def _list_ceiling_transitions(state: State, rules: Rules) -> list[Transition]:
     owner = state.owner
     if owner.pending is None:
--- a/src/nutmegknot/_internal/models/usage_ceilings.py
+++ b/src/nutmegknot/_internal/models/usage_ceilings.py
@@ -3,6 +3,10 @@
 The owner of the jobs writes the ceilings to the table and keeps the usage of
 each customer at or below them. The next owner reads them: until it has found
 all runs of earlier owners, the ceilings bound what the others can use.
+
+Two bounds are kept apart. What is unfound is a ceiling less the runs that were
+found. What is unlocated is the size of the tasks that may have a run. Unknown
+runs can use no more than the lower one; see decisions/usage_bounds.py.
 """
 
 import dataclasses
