--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -31,11 +31,15 @@
 REGION = 'kerala-south'
 QUEUE_HOST = 'queue.example'
 PREFIX = '/jobs01/'
+OTHER_PREFIX = '/other01/'
 SERVICE = 'authoring1'
 HEARTBEAT_S = 1.5
 TXN_S = 0.004
 ROW_BYTES = 65_536
 STOP_S = 0.1
+# Time of a call for advice, besides 1 ms a worker, and validity of a ticket.
+ADVICE_MS = 20
+TICKET_S = 1.5
 # The bounds of the site file, as the settings file gives them.
 BOUNDS = {
     'contactMs': 3000,
@@ -315,6 +319,11 @@
     Attributes:
       others: All workers.
       doubled: Texts on tasks that started while another run of them was there.
+      done: (worker, number of the end) of the first run of each task that ended
+        as done, by task, on all workers.
+      started_again: (worker, number of the end, text) of the tasks that started
+        after such an end.
+      lapsed_end: Number of the last end when the lease lapsed last.
       late_starts: Texts on tasks that started on draining workers.
       state: 'up'; 'cut' (machines of the system can't reach it, it runs on and
         reaches the store); 'mute' (calls are not carried out and get no answer,
@@ -328,7 +337,11 @@
         """Sets up the object; nothing runs yet."""
         self.store, self.record = store, record
         self.others = []
+        self.is_ticket_valid = lambda worker, call: True
+        self.tickets_missing = 0
         self.doubled = []
+        self.done = {}
+        self.started_again = []
         self.late_starts = []
         self.id = f'i-{random.getrandbits(40):010x}'
         self.zone = ZONES[number % len(ZONES)]
@@ -355,10 +368,12 @@
         self.token = 0
         self.until_ms = 0
         self.runs = {}
+        self.next_end = 0.0
         self.barred = {}
         self.ends = []
         self.last_end = 0
         self.last_seen = 0
+        self.lapsed_end = 0
         self.seq = 0
         self.ended = asyncio.Event()
 
@@ -403,8 +418,12 @@
 
     def tick(self) -> None:
         """Ends the runs that are over."""
+        if not self.runs:
+            return
         clock = self.clock_ms()
-        if self.runs and clock > self.until_ms:
+        if clock <= self.until_ms and now() < self.next_end:
+            return
+        if clock > self.until_ms:
             for task in list(self.runs):
                 self.end(task, 'lapsed')
         for task, run in list(self.runs.items()):
@@ -412,6 +431,15 @@
                 self.end(task, 'stopped')
             elif now() >= run['end_at']:
                 self.end(task, 'done')
+        self.next_end = min(
+            (
+                run['end_at']
+                if run['stop_at'] is None
+                else min(run['stop_at'], run['end_at'])
+                for run in self.runs.values()
+            ),
+            default=0.0,
+        )
 
     def saved(self, run: dict) -> str:
         """Returns the newest checkpoint of a run, as a string."""
@@ -429,6 +457,8 @@
         run = self.runs.pop(task)
         self.last_end += 1
         self.barred[task] = max(self.barred.get(task, 0), run['run'])
+        if how == 'done':
+            self.done.setdefault(task, (self, self.last_end))
         saved = '' if how == 'done' else self.saved(run)
         self.ends.append([self.last_end, task, run['run'], how, saved])
         self.record.write(
@@ -504,6 +534,8 @@
 
     def extend(self, until_ms: int) -> None:
         """Extends the lease; it never shortens."""
+        if self.clock_ms() > self.until_ms:
+            self.lapsed_end = self.last_end
         limit = self.clock_ms() + BOUNDS['maxHoldMs']
         self.until_ms = max(self.until_ms, min(until_ms, limit))
 
@@ -532,11 +564,19 @@
             return self.reply(409, reason='old')
         if call['untilMs'] < self.clock_ms():
             return self.reply(409, reason='late')
+        if not self.is_ticket_valid(self, call):
+            self.tickets_missing += 1
+            self.record.write(
+                f'worker {self.id} refuses {task} run {number}: ticket is'
+                f' {call.get("ticket")!r}'
+            )
+            return self.reply(409, reason='ticket')
         self.extend(call['untilMs'])
         spec = json.loads(call['spec'])
         base = call.get('checkpoint', '')
         work = spec['ms'] / 1000 - int(base or '0', 16)
         self.check_other_runs(task, number)
+        self.check_done(task, number)
         self.check_drain(task, number)
         self.runs[task] = {
             'run': number,
@@ -546,6 +586,7 @@
             'stop_at': None,
             'end_at': now() + max(0.05, work),
         }
+        self.next_end = min(self.next_end, self.runs[task]['end_at'])
         self.record.write(
             f'worker {self.id} starts {task} run {number} token'
             f' {call.get("fencingToken", 0)} untilMs {call["untilMs"]} at clock'
@@ -553,6 +594,17 @@
         )
         return self.reply()
 
+    def check_done(self, task: str, number: int) -> None:
+        """Records a start after a run of the task has ended as done."""
+        if task in self.done:
+            worker, end = self.done[task]
+            text = (
+                f'{task} run {number} starts on {self.id} after a run of it has'
+                f' ended as done on {worker.id}, end {end} there'
+            )
+            self.record.write(f'AGAIN {text}')
+            self.started_again.append((worker, end, text))
+
     def check_drain(self, task: str, number: int) -> None:
         """Records a start more than drainMs after the report."""
         after = now() - self.drain_at
@@ -594,6 +646,7 @@
         if run is not None and run['run'] <= number:
             if run['stop_at'] is None:
                 run['stop_at'] = now() + STOP_S
+                self.next_end = min(self.next_end, run['stop_at'])
         else:
             self.barred[task] = max(self.barred.get(task, 0), number)
         return self.reply()
@@ -753,7 +806,12 @@
         self.store = Store(record)
         self.advice = Server([web.post('/api/advise', self.advise)])
         self.workers = []
+        self.tenants = {}
+        self.needs_tickets = False
+        self.tickets = {}
         self.doubled = []
+        self.done = {}
+        self.started_again = []
         self.late_starts = []
         self.instances = []
         self.tasks = []
@@ -761,8 +819,33 @@
     async def advise(self, request: web.Request) -> web.Response:
         """Handles a call for advice; all workers are good."""
         call = await request.json()
-        good = [[id, f'{id}-t'] for id in call['workers']]
-        return web.json_response({'good': good, 'validMs': 2000})
+        await asyncio.sleep((ADVICE_MS + len(call['workers'])) / 1000)
+        good = []
+        for worker in self.workers:
+            if worker.id in call['workers']:
+                ticket = f'{random.getrandbits(64):016x}'
+                self.tickets[ticket] = (
+                    call['step'],
+                    worker.id,
+                    worker.born_ms,
+                    now() + TICKET_S,
+                )
+                good.append([worker.id, ticket])
+        return web.json_response(
+            {'good': good, 'validMs': int(TICKET_S * 1000)}
+        )
+
+    def is_ticket_valid(self, worker: Worker, call: dict) -> bool:
+        """Tells whether a start has the ticket that its step needs."""
+        if not self.needs_tickets:
+            return True
+        found = self.tickets.get(call.get('ticket'))
+        step = call['task'].rpartition('.')[0]
+        return (
+            found is not None
+            and found[:3] == (step, worker.id, worker.born_ms)
+            and now() <= found[3]
+        )
 
     async def start(
         self, workers: int, instances: int, tenants: dict, cores: int = 64
@@ -770,26 +853,53 @@
         """Starts it."""
         await self.store.server.start()
         await self.advice.start()
+        self.tenants = tenants
+        self.configure(7)
+        for _ in range(workers):
+            await self.add_worker(cores)
+        base = find_network()
+        port = find_ports(base)
+        for number in range(instances):
+            instance = Instance(
+                number, f'{base}.{number + 2}', port, self.folder, self
+            )
+            self.instances.append(instance)
+            instance.start()
+
+    def configure(
+        self, version: int, *, advice: bool = False, has_queue: bool = True
+    ) -> None:
+        """Writes a version of the configuration, as the operator.
+
+        Args:
+          version: Its number.
+          advice: Whether the queue has advice.
+          has_queue: Whether the queue is there.
+        """
+        route = {
+            'name': 'r-jobs',
+            'host': QUEUE_HOST,
+            'pathPrefix': PREFIX,
+            'type': 'unsafe',
+            'timeoutMs': 3000,
+            'targetLatencyMs': 3000,
+            'priority': 1,
+            'service': SERVICE,
+            'attempts': 4,
+            'stretch': 4.0,
+            'public': False,
+        }
+        if advice:
+            route['advice'] = {'decideMs': ADVICE_MS, 'periodMs': 1}
+        # A second queue, so that the service is always in use.
+        other = {**route, 'name': 'r-other', 'pathPrefix': OTHER_PREFIX}
+        self.needs_tickets = self.needs_tickets or advice
         self.store.put(
             'op',
             'config',
             {
-                'version': 7,
-                'routes': [
-                    {
-                        'name': 'r-jobs',
-                        'host': QUEUE_HOST,
-                        'pathPrefix': PREFIX,
-                        'type': 'unsafe',
-                        'timeoutMs': 3000,
-                        'targetLatencyMs': 3000,
-                        'priority': 1,
-                        'service': SERVICE,
-                        'attempts': 4,
-                        'stretch': 4.0,
-                        'public': False,
-                    }
-                ],
+                'version': version,
+                'routes': [route, other] if has_queue else [other],
                 'services': [{'name': SERVICE, 'admissionCheck': False}],
                 'tenants': [
                     {
@@ -798,28 +908,20 @@
                         'weight': 1.0,
                         'cap': {'cpu': 0, 'memMb': 0, 'gpu': 0},
                     }
-                    for name, key in tenants.items()
+                    for name, key in self.tenants.items()
                 ],
                 'limits': {'maxBodyBytes': 262144},
             },
         )
-        for _ in range(workers):
-            await self.add_worker(cores)
-        base = find_network()
-        port = find_ports(base)
-        for number in range(instances):
-            instance = Instance(
-                number, f'{base}.{number + 2}', port, self.folder, self
-            )
-            self.instances.append(instance)
-            instance.start()
 
     async def add_worker(self, cores: int = 64) -> Worker:
         """Adds a worker to the fleet; racks hold five."""
         number = len(self.workers)
         worker = Worker(self.store, self.record, number, cores, number // 5)
         await worker.server.start()
+        worker.is_ticket_valid = self.is_ticket_valid
         worker.others, worker.doubled = self.workers, self.doubled
+        worker.done, worker.started_again = self.done, self.started_again
         worker.late_starts = self.late_starts
         self.workers.append(worker)
         self.tasks.append(asyncio.create_task(worker.run()))
@@ -834,6 +936,17 @@
             for task, run in worker.runs.items()
         ]
 
+    def list_noted(self) -> list:
+        """Returns the texts on starts after an end that was taken note of.
+
+        An end doesn't count if the worker's lease lapsed before that.
+        """
+        return [
+            text
+            for worker, end, text in self.started_again
+            if worker.lapsed_end < end <= worker.last_seen
+        ]
+
     async def stop(self) -> None:
         """Ends it."""
         for task in self.tasks:
