--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,23 +1,18 @@
-"""Jobs are cancelled while the store begins an outage; do their tasks stop?"""
+"""All instances are killed while tasks end; does a finished task run again?"""
 
 import asyncio
 import pathlib
+import signal
 
 import platform_standin as standin
 
 KEY = 'key-a'
-# Two fifths of the jobs are cancelled.
-JOBS = 60
-TASKS = 80
-KEPT_JOBS = 90
-OUTAGE_S = 4.2
-# When the clients cancel, from the start of the outage.
-CANCEL_AFTER_S = 3.0
-CONTACT_S = standin.BOUNDS['contactMs'] / 1000
-# A task has to be gone after a calm stretch of this length.
-GONE_S = (standin.BOUNDS['cancel_ms'] + standin.BOUNDS['stopGraceMs']) / 1000
-# Added to the bound.
-SPARE_S = 4.0
+JOBS = 3
+TASKS = 1000
+WORK_MS = 6000
+DOWN_S = 1.0
+# The kill comes so long before the first task ends.
+BEFORE_S = 0.3
 
 
 async def play(
@@ -32,68 +27,53 @@
         return 2
     ids = [standin.make_id() for _ in range(JOBS)]
     body = {
-        'spec': '{"ms": 100000}',
+        'spec': f'{{"ms": {WORK_MS}}}',
         'steps': [
-            {'count': TASKS, 'cpu': 30, 'memMb': 64, 'estimateMs': 100_000}
+            {'count': TASKS, 'cpu': 60, 'memMb': 64, 'estimateMs': WORK_MS}
         ],
     }
-    kept_body = {**body, 'steps': [{**body['steps'][0], 'count': 1}]}
     accepted = await asyncio.gather(
-        *(clients.submit(id, KEY, body) for id in ids),
-        *(
-            clients.submit(standin.make_id(), KEY, kept_body)
-            for _ in range(KEPT_JOBS)
-        ),
+        *(clients.submit(id, KEY, body) for id in ids)
     )
     if set(accepted) != {200}:
         record.say('a job was not accepted')
         return 2
-    count = JOBS * TASKS + KEPT_JOBS
-    until = standin.now() + 30
-    while len(platform.running()) < count and standin.now() < until:
-        await asyncio.sleep(0.1)
+    began = standin.now()
+    until = began + WORK_MS / 1000 - BEFORE_S
+    while standin.now() < until:
+        await asyncio.sleep(0.05)
     record.say(
-        f'{len(platform.running())} of {count} tasks of {JOBS + KEPT_JOBS} jobs'
-        ' run'
+        f'{len(platform.running())} of {JOBS * TASKS} tasks run: '
+        + ' '.join(str(len(worker.runs)) for worker in platform.workers)
     )
-    await asyncio.sleep(2)
-
     if standin.trouble():
-        record.say(f'the store is silent for {OUTAGE_S} s')
-        platform.store.fault = 'silent'
-    back = asyncio.create_task(end_outage(platform, record))
-    await asyncio.sleep(CANCEL_AFTER_S)
-    acks = await asyncio.gather(*(clients.cancel(id, KEY) for id in ids))
-    await back
-    if None in acks:
-        record.say('a cancel was not acknowledged')
-        return 2
-    calm = standin.now()
-    record.say(f'all {JOBS} cancels are acknowledged, the store answers')
-    await asyncio.sleep(CONTACT_S + GONE_S + SPARE_S)
-    left = [
-        (worker, task, run)
-        for worker, task, run in platform.running()
-        if task.partition('.')[0] in ids and run['stop_at'] is None
-    ]
-    for worker, task, run in left[:20]:
-        record.write(
-            f'UNASKED {task} run {run["run"]} is at work on {worker.id}'
-        )
+        record.say(f'all instances are killed, and back after {DOWN_S} s')
+        for instance in platform.instances:
+            instance.send(signal.SIGKILL)
+        await asyncio.sleep(DOWN_S)
+        for instance in platform.instances:
+            instance.start()
+    states = await asyncio.gather(*(wait_done(clients, id) for id in ids))
+    record.say(f'the jobs are {states}')
+    await asyncio.sleep(3)
+    noted = platform.list_noted()
     record.say(
-        f'{standin.now() - calm:.1f} s after the last acknowledgement'
-        f' {len(left)} tasks of cancelled jobs run on'
+        f'{len(platform.started_again)} starts of tasks that were done, for'
+        f' {len(noted)} of which the end was taken note of;'
+        f' {len(platform.doubled)} starts while another run was there'
     )
-    return 1 if left else 0
+    return 1 if noted or platform.doubled else 0
 
 
-async def end_outage(
-    platform: standin.Platform, record: standin.Record
-) -> None:
-    """Ends the outage when its time is over."""
-    await asyncio.sleep(OUTAGE_S)
-    platform.store.fault = ''
-    record.say('the store answers again')
+async def wait_done(clients: standin.Clients, id: str) -> str:
+    """Asks for a job's state until it has ended; returns the last answer."""
+    until = standin.now() + 40
+    state = ''
+    while standin.now() < until and state not in ('completed', 'failed'):
+        status, fields, _ = await clients.call('GET', standin.PREFIX + id, KEY)
+        state = fields.get('state', f'status {status}')
+        await asyncio.sleep(0.5)
+    return state
 
 
 standin.main(play, pathlib.Path(__file__).parent)
