Take several rows for a value that is longer than the store's limit

Cause: the progress of a job with overlapping occurrences outgrew the limit of a row (rowBytes), and the store's rejection was taken for an outage. The owner repeated the batch without end, could not renew its ownership, and each owner after it read the same ends and did the same. The job's row, the list of workers and the ceilings had no bound either.

Why it works: the writer divides each value into rows of rowBytes, all in one transaction, and new owners put them together, so that no size that a job can reach is rejected. A rejection is now an outcome of its own: the batch is written in halves, and a row that is rejected by itself can't stop the others. A job whose own row would be longer than 256 KiB is refused at once.

--- a/src/nutmegknot/_internal/backing/tables.py
+++ b/src/nutmegknot/_internal/backing/tables.py
@@ -11,6 +11,8 @@
 
 # Version in a condition that demands that the key has no row.
 ABSENT = 0
+# Longest value of a row, unless the service names another limit.
+DEFAULT_MAX_VALUE_BYTES = 65_536
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -84,9 +86,15 @@
     """The service could not be reached or rejected the call.
 
     Nothing was written.
+
+    Attributes:
+      detail: Cause for the log.
+      is_invalid: Whether the service rejected the call for what it contains, so
+        that a repetition of it can't succeed.
     """
 
     detail: str
+    is_invalid: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -107,11 +115,15 @@
 class Table:
     """Access to the table service.
 
+    A transaction with a longer value than max_value_bytes is rejected.
+
     Attributes:
       transact: Runs a transaction; the second argument is a time-out in ms.
       scan: Returns the rows whose keys start with a prefix, sorted by key; the
         second argument is a time-out in ms.
+      max_value_bytes: Longest value of a row.
     """
 
     transact: Callable[[Transaction, int], Awaitable[TransactionResult]]
     scan: Callable[[str, int], Awaitable[ScanResult]]
+    max_value_bytes: int = DEFAULT_MAX_VALUE_BYTES
--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -371,15 +371,16 @@
     assert node.settings is not None, 'a new owner has read the settings'
     until_ms = node.clock.now_ms() + LOAD_TIMEOUT_MS
     while True:
-        cluster = await takeover.load_cluster(
+        loaded = await takeover.load_state(
             node.backends.table,
             writer.row.epoch,
             node.clock.now_ms(),
             node.settings,
         )
-        if not isinstance(cluster, tables.Unavailable):
-            return cluster
-        logger.warning('state_load_failed', extra={'why': cluster.detail})
+        if not isinstance(loaded, tables.Unavailable):
+            writer.part_counts.update(loaded.part_counts)
+            return loaded.cluster
+        logger.warning('state_load_failed', extra={'why': loaded.detail})
         if writer.is_lost or node.clock.now_ms() > until_ms:
             return None
         await clock.sleep(OWNER_ROW_READ_INTERVAL_MS)
--- a/src/nutmegknot/_internal/jobs/owner_operations.py
+++ b/src/nutmegknot/_internal/jobs/owner_operations.py
@@ -100,6 +100,10 @@
         reason = outcomes.RefusalReason.UNKNOWN_QUEUE
         return _log_refusal(spec, outcomes.Refused(reason, spec.queue))
     refused = feasibility.find_refusal(ownership.cluster, queue, spec)
+    if refused is None and rows.measure_spec(spec) > rows.MAX_JOB_BYTES:
+        refused = outcomes.Refused(
+            outcomes.RefusalReason.BAD_REQUEST, 'size of the job'
+        )
     failing_ms = writers.compute_store_failure_ms(ownership.writer)
     if refused is None and failing_ms > writers.MAX_STORE_FAILURE_MS:
         refused = outcomes.Refused(
--- a/src/nutmegknot/_internal/jobs/rows.py
+++ b/src/nutmegknot/_internal/jobs/rows.py
@@ -1,9 +1,11 @@
 """Keys and encoding of the rows that the owner of the jobs writes."""
 
 from collections.abc import Iterable
+import dataclasses
 
 from google.protobuf import message as message_lib
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import usage_ceilings
@@ -18,6 +20,10 @@
 # Largest number of tasks of a job whose crashes and trials are written. It
 # keeps the progress of the largest job below the store's limit for a row.
 MAX_WRITTEN_SUSPECTS = 60
+# Longest row with a job's specification; longer jobs are refused. It is several
+# rows of the table long, and short enough for one call to the store.
+MAX_JOB_BYTES = 262_144
+_PART_INFIX = '/part/'
 
 _STATES_BY_NUMBER = {
     jobs_pb2.ProgressRow.COMPLETED: jobs.JobState.COMPLETED,
@@ -39,6 +45,67 @@
     return f'{PROGRESS_PREFIX}{job_id}'
 
 
+def get_part_key(key: str, number: int) -> str:
+    """Returns the key of a further row of a long value.
+
+    Args:
+      key: Key of the first row.
+      number: Number of the row, from 1 for the one after the first.
+    """
+    return f'{key}{_PART_INFIX}{number:04}'
+
+
+def split_value(
+    key: str, value: bytes | None, max_bytes: int
+) -> dict[str, bytes | None]:
+    """Returns the rows that keep a value, which may be longer than one row.
+
+    Args:
+      key: Key of the first row.
+      value: The value; None to remove the row.
+      max_bytes: Longest value of one row.
+    """
+    if value is None:
+        return {key: None}
+    pieces: dict[str, bytes | None] = {key: value[:max_bytes]}
+    for number, start in enumerate(range(max_bytes, len(value), max_bytes), 1):
+        pieces[get_part_key(key, number)] = value[start : start + max_bytes]
+    return pieces
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class JoinedRows:
+    """Values that were read, put together from their rows.
+
+    Attributes:
+      values: Values by key of the first row.
+      part_counts: Number of further rows of each value that has some.
+    """
+
+    values: dict[str, bytes]
+    part_counts: dict[str, int]
+
+
+def join_rows(found: Iterable[tables.Row]) -> JoinedRows:
+    """Returns the values of rows that were read in the order of their keys.
+
+    Further rows without a first one belong to a value that was removed.
+    """
+    joined = JoinedRows({}, {})
+    pieces: dict[str, list[bytes]] = {}
+    for row in found:
+        key, infix, _ = row.key.partition(_PART_INFIX)
+        if not infix:
+            pieces[key] = [row.value]
+            continue
+        joined.part_counts[key] = joined.part_counts.get(key, 0) + 1
+        if key in pieces:
+            pieces[key].append(row.value)
+    for key, values in pieces.items():
+        joined.values[key] = b''.join(values)
+    return joined
+
+
 def encode_spec(spec: jobs.JobSpec) -> jobs_pb2.JobRow:
     """Returns the message with a job's specification."""
     return jobs_pb2.JobRow(
@@ -58,6 +125,11 @@
     )
 
 
+def measure_spec(spec: jobs.JobSpec) -> int:
+    """Returns the length of the row with a job's specification in bytes."""
+    return encode_spec(spec).ByteSize()
+
+
 def decode_spec(row: jobs_pb2.JobRow) -> jobs.JobSpec:
     """Returns the job's specification from its message."""
     return jobs.JobSpec(
--- a/src/nutmegknot/_internal/jobs/takeover.py
+++ b/src/nutmegknot/_internal/jobs/takeover.py
@@ -98,12 +98,26 @@
     return None
 
 
-async def load_cluster(
+@dataclasses.dataclass(slots=True, frozen=True)
+class LoadedState:
+    """What earlier owners have written.
+
+    Attributes:
+      cluster: State of jobs and workers.
+      part_counts: Number of rows that each long value in the table takes after
+        its first one.
+    """
+
+    cluster: cluster_state.ClusterState
+    part_counts: dict[str, int]
+
+
+async def load_state(
     table: tables.Table,
     epoch: int,
     now_ms: int,
     settings: job_settings.JobSettings,
-) -> cluster_state.ClusterState | tables.Unavailable:
+) -> LoadedState | tables.Unavailable:
     """Returns the state of jobs and workers that earlier owners have written.
 
     Args:
@@ -116,52 +130,51 @@
       The state, or why it could not be read. Rows that can't be decoded are
       logged and left out.
     """
-    job_rows = await table.scan(rows.JOB_PREFIX, LOAD_READ_TIMEOUT_MS)
-    if isinstance(job_rows, tables.Unavailable):
-        return job_rows
-    progress_rows = await table.scan(rows.PROGRESS_PREFIX, LOAD_READ_TIMEOUT_MS)
-    if isinstance(progress_rows, tables.Unavailable):
-        return progress_rows
+    found: list[tables.Row] = []
+    for prefix in (
+        rows.JOB_PREFIX,
+        rows.PROGRESS_PREFIX,
+        rows.ROSTER_KEY,
+        rows.CEILINGS_KEY,
+    ):
+        scanned = await table.scan(prefix, LOAD_READ_TIMEOUT_MS)
+        if isinstance(scanned, tables.Unavailable):
+            return scanned
+        found += scanned
     cluster = cluster_state.ClusterState(epoch, now_ms, settings)
-    result = await table.transact(
-        tables.Transaction(reads=(rows.ROSTER_KEY, rows.CEILINGS_KEY)),
-        LOAD_READ_TIMEOUT_MS,
-    )
-    if not isinstance(result, tables.Committed):
-        return tables.Unavailable(
-            'workers and ceilings of the previous owner could not be read'
-        )
-    _read_roster(cluster, result.rows.get(rows.ROSTER_KEY))
-    _read_ceilings(cluster, result.rows.get(rows.CEILINGS_KEY))
-    progress_by_key = {row.key: row.value for row in progress_rows}
-    for row in job_rows:
-        job = rows.decode_job(row.value)
+    joined = rows.join_rows(found)
+    _read_roster(cluster, joined.values.pop(rows.ROSTER_KEY, None))
+    _read_ceilings(cluster, joined.values.pop(rows.CEILINGS_KEY, None))
+    for key, value in joined.values.items():
+        if not key.startswith(rows.JOB_PREFIX):
+            continue
+        job = rows.decode_job(value)
         if job is None:
-            logger.error('job_row_unreadable', extra={'key': row.key})
+            logger.error('job_row_unreadable', extra={'key': key})
             continue
-        value = progress_by_key.get(rows.get_progress_key(job.spec.id))
-        if value is not None and not rows.apply_progress(job, value):
-            logger.error('progress_row_unreadable', extra={'key': row.key})
+        progress = joined.values.get(rows.get_progress_key(job.spec.id))
+        if progress is not None and not rows.apply_progress(job, progress):
+            logger.error('progress_row_unreadable', extra={'key': key})
             continue
         _add_job(cluster, job, now_ms)
-    return cluster
+    return LoadedState(cluster, joined.part_counts)
 
 
 def _read_roster(
-    cluster: cluster_state.ClusterState, row: tables.Row | None
+    cluster: cluster_state.ClusterState, value: bytes | None
 ) -> None:
     """Adds the workers on which earlier owners may have started runs."""
-    if row is None:
+    if value is None:
         return
-    found = rows.decode_roster(row.value)
+    found = rows.decode_roster(value)
     if found is None:
-        logger.error('roster_unreadable', extra={'version': row.version})
+        logger.error('roster_unreadable', extra={'bytes': len(value)})
         return
     cluster.predecessor_workers = found
 
 
 def _read_ceilings(
-    cluster: cluster_state.ClusterState, row: tables.Row | None
+    cluster: cluster_state.ClusterState, value: bytes | None
 ) -> None:
     """Reads the ceilings to which the owner before kept.
 
@@ -169,9 +182,9 @@
     """
     if cluster.epoch == 1:
         return
-    stored = None if row is None else rows.decode_ceilings(row.value)
-    if row is not None and stored is None:
-        logger.error('ceilings_unreadable', extra={'version': row.version})
+    stored = None if value is None else rows.decode_ceilings(value)
+    if value is not None and stored is None:
+        logger.error('ceilings_unreadable', extra={'bytes': len(value)})
     cluster.ceilings.stored = stored or {}
     cluster.ceilings.inherited = stored or {}
 
--- a/src/nutmegknot/_internal/jobs/writers.py
+++ b/src/nutmegknot/_internal/jobs/writers.py
@@ -100,11 +100,14 @@
 
     Attributes:
       writes: The queued writes by key.
-      values: The values of the rows by key; None to remove a row.
+      values: The values of the rows by key; None to remove a row. A long value
+        takes several rows.
+      part_counts: Number of rows that each value takes after its first one.
     """
 
     writes: dict[str, QueuedWrite]
     values: dict[str, bytes | None]
+    part_counts: dict[str, int]
 
 
 @dataclasses.dataclass(slots=True)
@@ -130,6 +133,10 @@
         answered the last one.
       mean_answer_ms: Moving average of the store's answer time.
       last_durable: All writes up to this number are in the table.
+      part_counts: Number of rows that each long value in the table takes after
+        its first one.
+      max_batch_writes: Largest number of queued writes in a batch. It falls
+        while the table service rejects batches for what they contain.
       on_write_completed: Called after each write that took effect.
     """
 
@@ -153,6 +160,8 @@
     failing_since_ms: int | None = None
     mean_answer_ms: float = 10.0
     last_durable: int = 0
+    part_counts: dict[str, int] = dataclasses.field(default_factory=dict)
+    max_batch_writes: int = MAX_ROWS_PER_BATCH
     on_write_completed: Callable[[], None] = lambda: None
 
 
@@ -259,19 +268,25 @@
 
 def _take_batch(writer: Writer) -> Batch:
     """Removes the oldest queued writes and returns them as a batch."""
-    batch = Batch({}, {})
+    batch = Batch({}, {}, {})
     size = 0
     for key in list(writer.queued_writes):
-        if (
-            len(batch.writes) >= MAX_ROWS_PER_BATCH
-            or size >= MAX_BYTES_PER_BATCH
-        ):
+        if len(batch.writes) >= writer.max_batch_writes:
             break
-        queued = writer.queued_writes.pop(key)
-        value = queued.encode()
+        value = writer.queued_writes[key].encode()
+        values = rows.split_value(key, value, writer.table.max_value_bytes)
+        part_count = len(values) - 1
+        for number in range(part_count, writer.part_counts.get(key, 0)):
+            values[rows.get_part_key(key, number + 1)] = None
         size += len(value or b'')
-        batch.writes[key] = queued
-        batch.values[key] = value
+        if batch.writes and (
+            len(batch.values) + len(values) > MAX_ROWS_PER_BATCH
+            or size > MAX_BYTES_PER_BATCH
+        ):
+            break
+        batch.writes[key] = writer.queued_writes.pop(key)
+        batch.values.update(values)
+        batch.part_counts[key] = part_count
     writer.is_hurried = bool(writer.queued_writes) and writer.is_hurried
     return batch
 
@@ -305,6 +320,9 @@
             case tables.Uncertain():
                 if first_sent_ms is None:
                     first_sent_ms = sent_ms
+            case tables.Unavailable(is_invalid=True) if batch.writes:
+                _divide_batch(writer, batch, result.detail)
+                return
             case tables.Unavailable():
                 if first_sent_ms is None:
                     _requeue(writer, batch)
@@ -314,6 +332,57 @@
             _withdraw_writes(writer, frozenset(batch.writes))
         await clock_lib.sleep(retries.advance_backoff(backoff))
     retries.reset_backoff(backoff)
+    if not writer.is_lost:
+        _record_batch(writer, batch)
+    _notify_waiters(writer)
+
+
+def _record_batch(writer: Writer, batch: Batch) -> None:
+    """Records how many rows the values of a batch take in the table."""
+    writer.max_batch_writes = min(
+        MAX_ROWS_PER_BATCH, 2 * writer.max_batch_writes
+    )
+    for key, part_count in batch.part_counts.items():
+        if part_count:
+            writer.part_counts[key] = part_count
+        else:
+            writer.part_counts.pop(key, None)
+
+
+def _divide_batch(writer: Writer, batch: Batch, detail: str) -> None:
+    """Handles a batch that the table service rejects for what it contains.
+
+    It is written again in halves, so that the rows that can be written are. A
+    row that is rejected by itself is dropped: no repetition can succeed, and it
+    must not keep all other rows from being written.
+
+    Args:
+      writer: The writer.
+      batch: The batch; it has a row at least.
+      detail: Cause for the log.
+    """
+    _restore_queue(writer, batch)
+    if len(batch.writes) > 1:
+        writer.max_batch_writes = len(batch.writes) // 2
+        logger.warning(
+            'batch_rejected',
+            extra={'writes': len(batch.writes), 'why': detail},
+        )
+        return
+    key = next(iter(batch.writes))
+    logger.error(
+        'row_rejected',
+        extra={
+            'key': key,
+            'bytes': sum(len(value or b'') for value in batch.values.values()),
+            'why': detail,
+        },
+    )
+    del writer.queued_writes[key]
+    for waiter in [w for w in writer.waiters if key in w.keys]:
+        writer.waiters.remove(waiter)
+        if not waiter.done.done():
+            waiter.done.set_result(WriteOutcome.WITHDRAWN)
     _notify_waiters(writer)
 
 
@@ -343,7 +412,10 @@
     elapsed_ms = now_ms - sent_ms
     instruments.increment(writer.metrics.writes, type(result).__name__.lower())
     instruments.record(writer.metrics.write_ms, elapsed_ms)
-    if isinstance(result, tables.Committed | tables.ConditionFailed):
+    is_invalid = isinstance(result, tables.Unavailable) and result.is_invalid
+    if is_invalid or isinstance(
+        result, tables.Committed | tables.ConditionFailed
+    ):
         writer.mean_answer_ms += (
             elapsed_ms - writer.mean_answer_ms
         ) * ANSWER_TIME_SMOOTHING
@@ -421,14 +493,19 @@
     Once the store has failed for MAX_STORE_FAILURE_MS, after which new jobs are
     refused, those of the batch are refused too.
     """
+    _restore_queue(writer, batch)
+    if compute_store_failure_ms(writer) >= MAX_STORE_FAILURE_MS:
+        _withdraw_writes(writer, frozenset())
+
+
+def _restore_queue(writer: Writer, batch: Batch) -> None:
+    """Puts the writes of a batch back before those that were queued since."""
     newer = writer.queued_writes
     writer.queued_writes = dict(batch.writes)
     for key, queued in newer.items():
         earlier = writer.queued_writes.pop(key, queued)
         queued.first_number = min(queued.first_number, earlier.first_number)
         writer.queued_writes[key] = queued
-    if compute_store_failure_ms(writer) >= MAX_STORE_FAILURE_MS:
-        _withdraw_writes(writer, frozenset())
 
 
 def _withdraw_writes(writer: Writer, in_flight: frozenset[str]) -> None:
--- a/src/nutmegknot/_internal/platform/instance_process.py
+++ b/src/nutmegknot/_internal/platform/instance_process.py
@@ -77,7 +77,7 @@
         rng=random.Random(id),
         limits=settings.limits,
         backends=nodes.Backends(
-            metadata_store.connect(fetch),
+            metadata_store.connect(fetch, settings.max_row_bytes),
             platform_listings.connect(fetch, settings.regions),
             platform_workers.connect_runners(client),
             platform_workers.connect_adviser(client, settings.adviser),
--- a/src/nutmegknot/_internal/platform/metadata_store.py
+++ b/src/nutmegknot/_internal/platform/metadata_store.py
@@ -26,10 +26,17 @@
 )
 # Statuses with which the store says that a transaction had no effect.
 _NO_EFFECT_STATUSES = frozenset((400, 403, 404, 413, 429, 503, 507))
+# Those of them with which it rejects what the transaction contains.
+_INVALID_STATUSES = frozenset((400, 413))
 
 
-def connect(fetch: platform_calls.Fetch) -> tables.Table:
-    """Returns access to the rows of this system in the store."""
+def connect(fetch: platform_calls.Fetch, max_value_bytes: int) -> tables.Table:
+    """Returns access to the rows of this system in the store.
+
+    Args:
+      fetch: Makes a call to the store.
+      max_value_bytes: Longest value of a row.
+    """
 
     async def transact(
         transaction: tables.Transaction, timeout_ms: int
@@ -52,7 +59,7 @@
             fetch, TABLE_NAME, PART_NAME, prefix, end, timeout_ms
         )
 
-    return tables.Table(transact, scan)
+    return tables.Table(transact, scan, max_value_bytes)
 
 
 async def _write(
@@ -78,7 +85,9 @@
         return _find_failed_condition(transaction, reply)
     detail = f'status {reply.status}'
     if reply.status in _NO_EFFECT_STATUSES:
-        return tables.Unavailable(detail)
+        return tables.Unavailable(
+            detail, is_invalid=reply.status in _INVALID_STATUSES
+        )
     return tables.Uncertain(detail)
 
 
--- a/src/nutmegknot/_internal/platform/process_settings.py
+++ b/src/nutmegknot/_internal/platform/process_settings.py
@@ -5,6 +5,7 @@
 import pathlib
 from typing import Any
 
+from nutmegknot._internal.backing import tables
 from nutmegknot._internal.jobs import time_limits
 from nutmegknot._internal.utils import json_fields
 
@@ -28,6 +29,7 @@
       store: Address of the platform's metadata store.
       adviser: Address of the advice service; '' if there is none.
       millicores: Processor time of the instance in thousandths of a core.
+      max_row_bytes: Longest value of a row in the store.
       limits: Time limits and intervals.
     """
 
@@ -41,6 +43,7 @@
     store: str
     adviser: str
     millicores: int
+    max_row_bytes: int
     limits: time_limits.TimeLimits
 
 
@@ -77,6 +80,9 @@
         store=fields['platform']['address'],
         adviser=fields.get('advice') or '',
         millicores=int(cpu_limits['cpuShare'] * cpu_limits['cores'] * 1000),
+        max_row_bytes=int(
+            fields['bounds'].get('rowBytes', tables.DEFAULT_MAX_VALUE_BYTES)
+        ),
         limits=_decode_time_limits(fields['bounds']),
     )
 
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -1,11 +1,15 @@
 """In-memory fakes of the table service and the object store."""
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 
 from nutmegknot._internal.backing import object_store
 from nutmegknot._internal.backing import tables
 
+MAX_CALL_BYTES = 1_000_000
+MAX_CALL_ENTRIES = 100
+
 
 def _ignore() -> None:
     pass
@@ -28,6 +32,9 @@
         transaction.
       rows_read: Rows read so far, by transactions and scans.
       rows_written: Rows written so far.
+      answer_ms: How long each transaction takes.
+      max_value_bytes: Longest value of a row; longer ones are rejected.
+      rejected: Keys of the values that were too long.
     """
 
     rows: dict[str, tables.Row] = dataclasses.field(default_factory=dict)
@@ -38,6 +45,9 @@
     before_slow_answer: Callable[[], None] = _ignore
     rows_read: int = 0
     rows_written: int = 0
+    answer_ms: int = 0
+    max_value_bytes: int = tables.DEFAULT_MAX_VALUE_BYTES
+    rejected: list[str] = dataclasses.field(default_factory=list)
 
 
 def connect_table(fake: FakeTable) -> tables.Table:
@@ -47,11 +57,17 @@
         transaction: tables.Transaction, timeout_ms: int
     ) -> tables.TransactionResult:
         fault = fake.faults.pop(0) if fake.faults else ''
+        if fake.answer_ms:
+            await asyncio.sleep(fake.answer_ms / 1000)
         if fault == 'down' or fake.is_down:
             return tables.Unavailable('down')
         if fault == 'late':
             fake.late.append(transaction)
             return tables.Uncertain('late')
+        rejected = _find_invalid_row(fake, transaction)
+        if rejected is not None:
+            fake.rejected.append(rejected)
+            return tables.Unavailable('status 400', is_invalid=True)
         result = _transact(fake, transaction)
         if fault == 'slow':
             fake.before_slow_answer()
@@ -64,7 +80,29 @@
         fake.rows_read += len(keys)
         return [fake.rows[key] for key in keys]
 
-    return tables.Table(transact, scan)
+    return tables.Table(transact, scan, fake.max_value_bytes)
+
+
+def _find_invalid_row(
+    fake: FakeTable, transaction: tables.Transaction
+) -> str | None:
+    """Returns the key at which a transaction exceeds a limit of the store.
+
+    The limits are those of the users' platform: the longest value, and a call
+    of 1 MB and 100 entries.
+    """
+    call_bytes, entries = 0, len(transaction.conditions)
+    for write in transaction.writes:
+        value = write.value or b''
+        call_bytes += len(value) * 4 // 3 + len(write.key)
+        entries += 1
+        if (
+            len(value) > fake.max_value_bytes
+            or call_bytes > MAX_CALL_BYTES
+            or entries > MAX_CALL_ENTRIES
+        ):
+            return write.key
+    return None
 
 
 def apply_late(fake: FakeTable) -> None:
