Wait for all ends of each worker before a takeover is complete

Cause: a worker lists 500 ends of runs at a time. A new owner counted a worker as known from its first answer on, and started tasks whose ends were to come with the next one. With a slow store it also counted as known when the leases of earlier owners had ended, although the new owner renews the lease of a worker that has answered.

Why it works: the takeover waits for each worker that has answered with a part of its ends, until an answer shows all of them; the log names such workers.

--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -291,8 +291,13 @@
                 'token': ownership.cluster.epoch,
                 'life': info.worker.life,
                 'runs': len(inventory.runs),
+                'ends': len(inventory.ends),
+                'more_ends': inventory.has_more_ends,
             },
         )
+    if info.has_unread_ends and not inventory.has_more_ends:
+        info.has_unread_ends = False
+        signals.notify(ownership.worker_claimed)
     signals.notify(ownership.scheduling_needed)
     if new_ends:
         info.processed_end = max(end.number for end in new_ends)
@@ -363,6 +368,7 @@
     info.persisted_end = info.processed_end = 0
     info.unpersisted_ends.clear()
     info.is_claimed = False
+    info.has_unread_ends = True
     info.pace_percent = 100
     # Other runs are kept until the first inventory of the new life: a start
     # command that arrived after the restart may have started one of them.
--- a/src/nutmegknot/_internal/jobs/worker_discovery.py
+++ b/src/nutmegknot/_internal/jobs/worker_discovery.py
@@ -158,9 +158,11 @@
 def _update_settled_time(ownership: ownerships.Ownership, now_ms: int) -> None:
     """Updates the time from which no unknown run of an earlier owner is left.
 
-    That time is now if all workers have answered this owner or are gone.
-    Otherwise it is the end of the last lease that an earlier owner can have
-    given to a worker.
+    That time is now if all workers have answered this owner, with all ends of
+    runs that they had, or are gone. Otherwise it is the end of the last lease
+    that an earlier owner can have given to a worker. A worker that has answered
+    with a part of its ends has its lease renewed by this owner, so that there
+    is no such time before it has listed the others.
     """
     cluster = ownership.cluster
     if cluster.is_takeover_complete:
@@ -168,21 +170,27 @@
     unanswered = [
         id
         for id, info in cluster.workers_by_id.items()
-        if not (info.is_claimed or info.is_replaced)
+        if not info.is_replaced
+        and (info.has_unread_ends or not info.is_claimed)
+    ]
+    partly_answered = [
+        id for id in unanswered if cluster.workers_by_id[id].is_claimed
     ]
     expiry_ms = leases.compute_earlier_runs_expiry(ownership)
-    if unanswered and now_ms < expiry_ms:
-        if cluster.takeover_complete_ms is None:
+    if partly_answered or (unanswered and now_ms < expiry_ms):
+        if not cluster.has_unsettled_runs:
+            cluster.has_unsettled_runs = True
             logger.info(
                 'runs_unsettled',
                 extra={
                     'epoch': cluster.epoch,
                     'workers': len(cluster.workers_by_id),
                     'unanswered': len(unanswered),
+                    'partly_answered': ' '.join(partly_answered),
                     'for_ms': expiry_ms - now_ms,
                 },
             )
-        cluster.takeover_complete_ms = expiry_ms
+        cluster.takeover_complete_ms = None if partly_answered else expiry_ms
         return
     cluster.is_takeover_complete = True
     cluster.takeover_complete_ms = now_ms
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -75,6 +75,9 @@
       free_basis: The capacity and the used resources that they follow from.
       is_claimed: Whether it has accepted the owner's fencing token since the
         worker was last restarted.
+      has_unread_ends: Whether it may have ends of runs that an earlier owner
+        started and this one has not read. It lists a limited number of ends at
+        a time, and further ones once those are acknowledged.
       is_listed: Whether the platform still lists it.
       is_replaced: Whether another worker answers at its address, so that this
         worker can't be running any more.
@@ -126,6 +129,7 @@
         resources.ZERO,
     )
     is_claimed: bool = False
+    has_unread_ends: bool = True
     is_listed: bool = True
     is_replaced: bool = False
     registration_write: int = 0
@@ -193,7 +197,8 @@
       settings: Operators' settings that are in force.
       takeover_complete_ms: Monotonic time from which no run of an earlier
         owner can be left that this owner does not know of. It may be in the
-        future; None before it has been computed.
+        future; None while it is not known.
+      has_unsettled_runs: Whether it was logged that such runs may be left.
       is_takeover_complete: Whether that time was reached and logged.
       jobs: Jobs by id.
       workers_by_id: Workers by id.
@@ -215,6 +220,7 @@
     owned_since_ms: int
     settings: job_settings.JobSettings
     takeover_complete_ms: int | None = None
+    has_unsettled_runs: bool = False
     is_takeover_complete: bool = False
     jobs: dict[str, jobs_lib.Job] = dataclasses.field(default_factory=dict)
     workers_by_id: dict[str, WorkerInfo] = dataclasses.field(
--- a/tests/lib/job_cells.py
+++ b/tests/lib/job_cells.py
@@ -32,6 +32,8 @@
 
 POLL_STEP_MS = 5
 STOP_DURATION_MS = 50
+# Most ends in one answer of a worker.
+MAX_LISTED_ENDS = 500
 # How long after the start of a run its worker crashes, if it crashes.
 CRASH_DELAY_MS = 10
 # How long after a crash a worker is back.
@@ -515,8 +517,9 @@
             get_target_clock(cell, target),
             target.worker.life,
             rows,
-            list(target.ends),
+            target.ends[:MAX_LISTED_ENDS],
             target.unreadable_runs,
+            has_more_ends=len(target.ends) >= MAX_LISTED_ENDS,
         )
 
     return poll
