Send the stop of a run again for as long as its worker lists it

Cause: a stop was a command that is sent once. At the end of an outage the owner may not act for a moment, and each stop command that was due then was dropped. Nothing compared the runs to be stopped with those that a worker lists, so the owner went on renewing their leases.

Why it works: a stop command waits while the owner may not act, and each list of runs is compared with the runs that are to be stopped, those that the owner knows and those that it does not. So a command that is lost for any reason is sent again.

--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -24,17 +24,37 @@
 from nutmegknot._internal.utils import tasks
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StopKey:
+    """A run that is to be stopped.
+
+    Attributes:
+      name: The task.
+      run: Number of the run.
+      life: Life of the worker for which the stop command was queued.
+    """
+
+    name: jobs.TaskName
+    run: int
+    life: int
+
+
 @dataclasses.dataclass(slots=True)
 class CommandQueue:
     """Commands that wait to be sent to one worker.
 
     Attributes:
       queue: Functions, each of which sends one command.
+      open_stops: Runs whose stop command is queued or being sent.
+      answered_stops: When the worker answered the stop command, by runs that
+        it has listed since.
     """
 
     queue: asyncio.Queue[Callable[[], Awaitable[None]]] = dataclasses.field(
         default_factory=asyncio.Queue
     )
+    open_stops: set[StopKey] = dataclasses.field(default_factory=set)
+    answered_stops: dict[StopKey, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/nutmegknot/_internal/jobs/reconciliation.py
+++ b/src/nutmegknot/_internal/jobs/reconciliation.py
@@ -348,6 +348,9 @@
             info.unexpected_runs[text] = row.run
             if previous.get(text) != row.run:
                 stops.stop_unknown_run(ownership, info, row.name, row.run)
+            else:
+                stops.repeat_stop(ownership, info, row.name, row.run)
+    stops.forget_answered_stops(ownership, info, listed)
     if inventory.has_more_ends:
         # A run that is not listed may have ended as done.
         return
@@ -391,6 +394,8 @@
         if not can_adopt or jobs.is_final(job):
             return False
         _adopt_run(ownership, info, job, stage, task, row)
+    if task.phase in (jobs.TaskPhase.STOPPING, jobs.TaskPhase.DONE):
+        stops.repeat_stop(ownership, info, row.name, row.run)
     if task.phase is jobs.TaskPhase.STARTING:
         task.phase = jobs.TaskPhase.RUNNING
         task.confirmed_ms = ownership.clock.now_ms()
--- a/src/nutmegknot/_internal/jobs/stops.py
+++ b/src/nutmegknot/_internal/jobs/stops.py
@@ -1,4 +1,9 @@
-"""Stops runs: sends stop commands to workers until they are answered."""
+"""Stops runs: sends stop commands to workers until the runs are gone.
+
+A command may be dropped or lost, so that its sending proves nothing. Each list
+of a worker's runs is compared with the runs that are to be stopped, and the
+command is sent again for those that the worker still lists.
+"""
 
 import logging
 
@@ -14,6 +19,9 @@
 
 # Between attempts to stop a run whose worker does not answer.
 RETRY_INTERVAL_MS = 300
+# How long a worker may list a run after it has answered the stop command. Then
+# the command is sent again.
+ENDING_MS = 1_000
 
 
 def stop_run(
@@ -75,58 +83,133 @@
     name: jobs.TaskName,
     run: int,
 ) -> None:
-    """Queues a stop command for a worker."""
+    """Queues a stop command for a worker, unless it is queued already."""
     commands = ownership.command_queues.get(info.worker.id)
-    if commands is not None:
-        commands.queue.put_nowait(
-            lambda: _send_stop(ownership, info, name, run)
-        )
+    key = ownerships.StopKey(name, run, info.worker.life)
+    if commands is None or key in commands.open_stops:
+        return
+    commands.open_stops.add(key)
+    commands.queue.put_nowait(
+        lambda: _send_stop(ownership, info, commands, key)
+    )
 
 
-async def _send_stop(
+def repeat_stop(
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
     name: jobs.TaskName,
     run: int,
 ) -> None:
-    """Sends a stop command until the worker answers it or has restarted."""
-    life = info.worker.life
+    """Queues the stop of a run again that its worker still lists.
+
+    A run that the worker is ending is left alone for ENDING_MS.
+    """
+    commands = ownership.command_queues.get(info.worker.id)
+    key = ownerships.StopKey(name, run, info.worker.life)
+    if commands is None or key in commands.open_stops:
+        return
+    answered_ms = commands.answered_stops.get(key)
+    now_ms = ownership.clock.now_ms()
+    if answered_ms is not None and now_ms < answered_ms + ENDING_MS:
+        return
+    logger.warning(
+        'stop_repeated',
+        extra={
+            'task': jobs.format_task(name),
+            'run': run,
+            'worker': info.worker.id,
+            'answered': answered_ms is not None,
+        },
+    )
+    queue_stop(ownership, info, name, run)
+
+
+def forget_answered_stops(
+    ownership: ownerships.Ownership,
+    info: cluster_state.WorkerInfo,
+    listed: set[jobs.TaskName],
+) -> None:
+    """Forgets the answers to stop commands for runs that are gone.
+
+    Args:
+      ownership: The ownership of the jobs.
+      info: The worker.
+      listed: Tasks of the runs that it lists.
+    """
+    commands = ownership.command_queues.get(info.worker.id)
+    if commands is None or not commands.answered_stops:
+        return
+    commands.answered_stops = {
+        key: answered_ms
+        for key, answered_ms in commands.answered_stops.items()
+        if key.name in listed
+    }
+
+
+async def _send_stop(
+    ownership: ownerships.Ownership,
+    info: cluster_state.WorkerInfo,
+    commands: ownerships.CommandQueue,
+    key: ownerships.StopKey,
+) -> None:
+    """Sends a stop command until the worker answers it or has restarted.
+
+    While this instance may not act as the owner, the command waits.
+    """
     attempt = 0
-    while info.worker.life == life and ownerships.may_act(ownership):
-        result = await ownership.runners.stop(
-            info.worker,
-            name,
-            run,
-            ownership.cluster.epoch,
-            ownerships.compute_call_timeout(ownership, attempt),
-        )
-        attempt += 1
-        match result:
-            case runners.Taken():
-                _mark_stop_confirmed(ownership, info, name, run)
-                return
-            case runners.Refused(reason):
-                refusals.handle_refusal(ownership, info, reason)
-                if reason in (
-                    runners.Refusal.STALE_RUN,
-                    runners.Refusal.FENCED,
-                ):
-                    _mark_stop_confirmed(ownership, info, name, run)
+    try:
+        while info.worker.life == key.life and _is_open(ownership, info):
+            if ownerships.may_act(ownership):
+                result = await ownership.runners.stop(
+                    info.worker,
+                    key.name,
+                    key.run,
+                    ownership.cluster.epoch,
+                    ownerships.compute_call_timeout(ownership, attempt),
+                )
+                attempt += 1
+                if _is_stop_answered(ownership, info, result):
+                    _mark_stop_confirmed(ownership, info, commands, key)
                     return
-            case runners.Unanswered() | runners.Unreached():
-                pass
-        if ownership.cluster.workers_by_id.get(info.worker.id) is not info:
-            return
-        await clock.sleep(RETRY_INTERVAL_MS)
+            await clock.sleep(RETRY_INTERVAL_MS)
+    finally:
+        commands.open_stops.discard(key)
+
+
+def _is_open(
+    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
+) -> bool:
+    return ownership.cluster.workers_by_id.get(info.worker.id) is info
+
+
+def _is_stop_answered(
+    ownership: ownerships.Ownership,
+    info: cluster_state.WorkerInfo,
+    result: runners.CommandResult,
+) -> bool:
+    """Tells whether a run is ending or gone, and can't start any more."""
+    match result:
+        case runners.Taken():
+            return True
+        case runners.Refused(reason):
+            refusals.handle_refusal(ownership, info, reason)
+            return reason in (
+                runners.Refusal.STALE_RUN,
+                runners.Refusal.FENCED,
+            )
+        case _:
+            return False
 
 
 def _mark_stop_confirmed(
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
-    name: jobs.TaskName,
-    run: int,
+    commands: ownerships.CommandQueue,
+    key: ownerships.StopKey,
 ) -> None:
     """Records that the run is ending and can't start any more."""
-    task = info.runs.get(name)
-    if task is not None and task.run == run:
-        task.confirmed_ms = ownership.clock.now_ms()
+    now_ms = ownership.clock.now_ms()
+    commands.answered_stops[key] = now_ms
+    task = info.runs.get(key.name)
+    if task is not None and task.run == key.run:
+        task.confirmed_ms = now_ms
