Count on the longest lease after a worker has restarted under its id

Cause: a worker that restarts under its id has a new clock. The owner forgot the lease, and a lease of which nothing is known counted as one that has expired. But a start that was repeated, or a poll on its way, reaches the new life and names the end of the lease by the earlier clock, so that the worker runs the task under the longest lease that it grants.

Why it works: from when a restart is noticed, runs on the worker count as possibly in progress until the longest lease has certainly expired, or until the worker lists that they are not there. Clock and lease are reset in one place.

--- a/src/nutmegknot/_internal/jobs/leases.py
+++ b/src/nutmegknot/_internal/jobs/leases.py
@@ -3,6 +3,11 @@
 All runs on a worker share one lease, which ends at an instant of the worker's
 clock. The owner of the jobs renews it; when it expires, the worker stops all
 runs.
+
+A worker that restarts begins a new life under its id, with a clock that starts
+anew. Calls that were sent to its earlier life name the end of the lease by the
+earlier clock, which for the new one is far in the future. So until a lease that
+such a call may have given has certainly expired, runs there may be in progress.
 """
 
 from nutmegknot._internal.jobs import ownerships
@@ -12,6 +17,23 @@
 EXPIRY_MARGIN_MS = 60
 
 
+def begin_life(
+    info: cluster_state.WorkerInfo, ownership: ownerships.Ownership
+) -> None:
+    """Forgets the clock and the lease of a worker that has restarted.
+
+    A call sent to its earlier life may have given the new one the longest lease
+    that a worker grants, at the latest now.
+    """
+    longest_ms = int(
+        ownership.limits.max_worker_lease_ms
+        / (1 - ownership.limits.max_clock_drift)
+    )
+    info.lease = cluster_state.WorkerLease(
+        latest_end_ms=ownership.clock.now_ms() + longest_ms + EXPIRY_MARGIN_MS
+    )
+
+
 def record_clock(
     info: cluster_state.WorkerInfo,
     clock_ms: int,
@@ -97,7 +119,8 @@
     """Returns when a worker's lease has certainly expired.
 
     It follows from the newest answer alone, not from the estimate: the lowest
-    bound of the worker's clock gives the latest end.
+    bound of the worker's clock gives the latest end. After a restart, a lease
+    that a call to the earlier life has given may last longer.
 
     Returns:
       The time by this instance's clock, for a worker's clock that is slow by
@@ -105,4 +128,5 @@
     """
     left_ms = max(0, info.lease.until_ms - info.lease.clock_ms)
     slow_ms = int(left_ms / (1 - ownership.limits.max_clock_drift))
-    return info.lease.read_ms + slow_ms + EXPIRY_MARGIN_MS
+    known_end_ms = info.lease.read_ms + slow_ms + EXPIRY_MARGIN_MS
+    return max(known_end_ms, info.lease.latest_end_ms)
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -364,7 +364,7 @@
         worker = _with_life(worker, life)
     info.worker = worker
     info.alive_clock_ms = 0
-    info.lease = cluster_state.WorkerLease()
+    leases.begin_life(info, ownership)
     info.persisted_end = info.processed_end = 0
     info.unpersisted_ends.clear()
     info.is_claimed = False
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -30,12 +30,16 @@
       until_ms: Time by the worker's clock at which the lease ends at the
         latest. Every call that may have extended the lease counts, also if it
         had no answer.
+      latest_end_ms: Monotonic time of the owner until which a lease may last
+        whose end is not known by the worker's present clock; 0 if there is none
+        such.
     """
 
     clock_ms: int = 0
     read_ms: int = 0
     estimate_ms: int = 0
     until_ms: int = 0
+    latest_end_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/tests/lib/job_cells.py
+++ b/tests/lib/job_cells.py
@@ -32,6 +32,8 @@
 
 POLL_STEP_MS = 5
 STOP_DURATION_MS = 50
+# Longest lease that a worker grants.
+MAX_LEASE_MS = 10_000
 # Most ends in one answer of a worker.
 MAX_LISTED_ENDS = 500
 # How long after the start of a run its worker crashes, if it crashes.
@@ -68,6 +70,7 @@
     Attributes:
       worker: The worker as it is listed.
       clock_slowness: Part by which its clock is slow.
+      began_ms: When its clock showed 0, by the clock of the tests.
       token: Highest fencing token seen.
       until_ms: End of the lease by its own clock.
       runs: Runs by task.
@@ -88,6 +91,7 @@
 
     worker: workers.Worker
     clock_slowness: float = 0.0
+    began_ms: int = 0
     token: int = 0
     until_ms: int = 0
     runs: dict[jobs.TaskName, FakeRun] = dataclasses.field(default_factory=dict)
@@ -279,7 +283,8 @@
 
 def get_target_clock(cell: Cell, target: FakeTarget) -> int:
     """Returns the worker's own clock in ms."""
-    return int(cell.clock.now_ms() * (1 - target.clock_slowness))
+    age_ms = cell.clock.now_ms() - target.began_ms
+    return int(age_ms * (1 - target.clock_slowness))
 
 
 def process_due_events(cell: Cell, target: FakeTarget) -> None:
@@ -310,8 +315,12 @@
     )
 
 
-def restart(target: FakeTarget) -> None:
-    """Restarts a worker, which keeps no state; its life number rises."""
+def restart(cell: Cell, target: FakeTarget) -> None:
+    """Restarts a worker, which keeps no state; its life number rises.
+
+    Its clock starts anew.
+    """
+    target.began_ms = cell.clock.now_ms()
     target.worker = dataclasses.replace(
         target.worker, life=target.worker.life + 1
     )
@@ -339,7 +348,7 @@
 def _bring_back(cell: Cell, target: FakeTarget) -> None:
     target.is_down = False
     if cell.keeps_id:
-        restart(target)
+        restart(cell, target)
         return
     target.is_replaced = True
     worker = dataclasses.replace(target.worker, id=f'{target.worker.id}+')
@@ -353,6 +362,12 @@
         process_due_events(cell, other)
         if command.name in other.runs:
             cell.violations.append(f'{command.name} runs twice')
+        is_lease_over = get_target_clock(cell, other) > other.until_ms
+        if not is_lease_over and any(
+            end.name == command.name and end.kind is jobs.EndKind.DONE
+            for end in other.ends
+        ):
+            cell.violations.append(f'{command.name} starts after its end')
     # A worker that has restarted takes a repeated command once more: it has
     # forgotten the run, which ended with the process.
     earlier = [
@@ -475,6 +490,12 @@
     return result
 
 
+def _extend_lease(cell: Cell, target: FakeTarget, until_ms: int) -> None:
+    """Extends the lease of a worker, by at most MAX_LEASE_MS from now."""
+    latest_ms = get_target_clock(cell, target) + MAX_LEASE_MS
+    target.until_ms = max(target.until_ms, min(until_ms, latest_ms))
+
+
 def _make_poll(cell: Cell) -> runners.PollWorker:
     async def poll(
         worker: workers.Worker,
@@ -496,12 +517,13 @@
         target.token = token
         target.ends = [end for end in target.ends if end.number > processed_end]
         if until_ms is not None:
-            target.until_ms = max(target.until_ms, until_ms)
+            _extend_lease(cell, target, until_ms)
         waited_ms = 0
+        life = target.worker.life
         while waited_ms < wait_ms and not target.ends:
             await asyncio.sleep(POLL_STEP_MS / 1000)
             waited_ms += POLL_STEP_MS
-            if target.is_down:
+            if target.is_down or target.worker.life != life:
                 return runners.Unanswered('connection broke')
             process_due_events(cell, target)
         if target.is_silent or target.is_cut:
@@ -553,7 +575,7 @@
                     cell.crash_delay_ms / 1000,
                     lambda: crash_worker(cell, target),
                 )
-        target.until_ms = max(target.until_ms, command.until_ms)
+        _extend_lease(cell, target, command.until_ms)
         return await _reply(target, runners.Taken(now_ms), timeout_ms)
 
     return start
--- a/tests/lib/job_platform.py
+++ b/tests/lib/job_platform.py
@@ -256,7 +256,7 @@
 def restart_worker(platform: Platform, id: str) -> None:
     """Restarts a worker, and updates its row in the store."""
     target = platform.cell.targets[id]
-    job_cells.restart(target)
+    job_cells.restart(platform.cell, target)
     _put_worker(platform.store, target)
 
 
--- a/tests/unit/jobs/test_customer_limits.py
+++ b/tests/unit/jobs/test_customer_limits.py
@@ -281,7 +281,7 @@
         first = await start_first_owner(cell)
         await owner_election.end_ownership(first)
         for target in list_busy_workers(cell):
-            job_cells.restart(target)
+            job_cells.restart(cell, target)
         cell.targets['w5'].unreadable_runs = 1
         second = await job_cells.start_owner(cell, 'two')
         assert await job_cells.wait_until(
@@ -351,7 +351,7 @@
     elif kind == 'lost':
         target.lost_answers = 3
     else:
-        job_cells.restart(target)
+        job_cells.restart(cell, target)
     return owner
 
 
--- a/tests/unit/jobs/test_silences.py
+++ b/tests/unit/jobs/test_silences.py
@@ -130,7 +130,7 @@
         )
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 2)
         await asyncio.sleep(1.0)
-        job_cells.restart(cell.targets['w1'])
+        job_cells.restart(cell, cell.targets['w1'])
         assert await job_cells.wait_until(
             cell,
             lambda: job_views.get_state(node, 'a') is jobs.JobState.COMPLETED,
@@ -161,7 +161,7 @@
         )
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 2)
         for target in cell.targets.values():
-            job_cells.restart(target)
+            job_cells.restart(cell, target)
         await owner_operations.submit(
             job_views.get_ownership(node),
             job_cells.make_job_spec('b', job_cells.make_step(2)),
