Keep with a job whether its tasks need tickets

What callers saw: a job whose queue, one with advice, was removed while a step of it was to come never went on (LOST).

Cause: of a removed queue a job keeps pool, priority and allowed failures, but not that its tasks need tickets. Its starts carried none, and the workers refused them for ever.

Evidence: the new test fails before, with and without a change of owner, and passes now.

Why it works: the need for tickets is part of the accepted job and of its row, and the queue that stands in for a removed one has it.

--- a/src/nutmegknot/_internal/jobs/owner_operations.py
+++ b/src/nutmegknot/_internal/jobs/owner_operations.py
@@ -157,6 +157,7 @@
             pool=queue.pool,
             max_failed_runs=queue.max_failed_runs,
             priority=queue.priority,
+            needs_tickets=queue.needs_tickets,
         ),
         known_since_ms=ownership.clock.now_ms(),
         critical_path_ms=jobs.compute_critical_path(spec.steps),
--- a/src/nutmegknot/_internal/jobs/rows.py
+++ b/src/nutmegknot/_internal/jobs/rows.py
@@ -122,6 +122,7 @@
         pool=spec.pool,
         attempts=spec.max_failed_runs,
         priority=spec.priority,
+        needs_tickets=spec.needs_tickets,
     )
 
 
@@ -146,6 +147,7 @@
         pool=row.pool,
         max_failed_runs=row.attempts,
         priority=row.priority,
+        needs_tickets=row.needs_tickets,
     )
 
 
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -336,8 +336,8 @@
 ) -> job_settings.JobQueue:
     """Returns the queue of a job.
 
-    If operators have removed the queue, returns one with the pool, priority
-    and allowed failures that the job had when it was accepted.
+    If operators have removed the queue, returns one with the pool, priority,
+    allowed failures and need for tickets that the job had when it was accepted.
     """
     queue = cluster.settings.queues.get(spec.queue)
     if queue is not None:
@@ -349,6 +349,7 @@
         spec.pool,
         priority=spec.priority,
         max_failed_runs=spec.max_failed_runs,
+        needs_tickets=spec.needs_tickets,
     )
 
 
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -299,6 +299,8 @@
       max_failed_runs: Number of failed runs of one task after which the job
         fails.
       priority: Priority class; 0 is the most urgent.
+      needs_tickets: Whether its tasks may only run on workers for which an
+        adviser has given a ticket.
     """
 
     id: str
@@ -314,6 +316,7 @@
     pool: str = ''
     max_failed_runs: int = 1
     priority: int = 0
+    needs_tickets: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/lib/job_cells.py
+++ b/tests/lib/job_cells.py
@@ -166,6 +166,7 @@
         may still rely on it.
       suited: Workers that the adviser allows; None for all.
       asked: Ids of the workers in each call for advice.
+      requires_tickets: Whether workers refuse starts without a ticket.
       is_list_down: Whether the list of workers can't be read.
       crashes_worker: Tells whether a task crashes each worker that starts it.
       crash_delay_ms: How long after the start it does so.
@@ -197,6 +198,7 @@
     )
     suited: set[str] | None = None
     asked: list[list[str]] = dataclasses.field(default_factory=list)
+    requires_tickets: bool = False
     is_list_down: bool = False
     crashes_worker: Callable[[jobs.TaskName], bool] = lambda name: False
     crash_delay_ms: int = CRASH_DELAY_MS
@@ -637,6 +639,8 @@
         return runners.Refusal.FENCED
     if command.until_ms < get_target_clock(cell, target):
         return runners.Refusal.EXPIRED
+    if cell.requires_tickets and not command.ticket:
+        return runners.Refusal.NO_TICKET
     present = target.runs.get(command.name)
     if present is not None and present.run == command.run:
         return None
--- a/tests/unit/jobs/test_ownerships.py
+++ b/tests/unit/jobs/test_ownerships.py
@@ -5,6 +5,7 @@
 
 from lib import job_cells
 from lib import job_views
+import pytest
 
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.jobs import owner_election
@@ -307,6 +308,50 @@
     job_cells.run(script)
 
 
+@pytest.mark.parametrize('has_new_owner', [False, True])
+def test_a_job_of_a_removed_queue_with_advice_goes_on(
+    has_new_owner: bool,
+) -> None:
+    """Guards against a job that never goes on (LOST).
+
+    Its queue was removed while a step was to come. The step's starts carried no
+    ticket, and the workers refused them for ever.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        queue = job_cells.make_queue(needs_tickets=True)
+        cell = job_cells.make_cell(
+            loop,
+            job_cells.make_worker('w1'),
+            settings=job_cells.make_settings(queue),
+        )
+        cell.requires_tickets = True
+        node = await job_cells.start_owner(cell, 'one')
+        ownership = job_views.get_ownership(node)
+        await owner_operations.submit(
+            ownership,
+            job_cells.make_job_spec(
+                'a',
+                job_cells.make_step(2),
+                job_cells.make_step(2, depends_on=(0,)),
+            ),
+        )
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 2)
+        cell.settings = job_cells.make_settings(job_cells.make_queue('other'))
+        ownership.cluster.settings = cell.settings
+        if has_new_owner:
+            await owner_election.end_ownership(node)
+            node = await job_cells.start_owner(cell, 'two')
+        assert await job_cells.wait_until(
+            cell,
+            lambda: job_views.get_state(node, 'a') is jobs.JobState.COMPLETED,
+        )
+        assert len(cell.starts) == 4
+        assert cell.violations == []
+
+    job_cells.run(script)
+
+
 def test_opportunistic_tasks_are_throttled_above_the_latency_target() -> None:
     async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
