Renew the ownership while a new owner loads the jobs

Cause: a new owner decoded all jobs and opened all their stages in one stretch, which took longer than the lease on the ownership. The task that renews it did not run meanwhile, so that each owner was replaced before it served.

--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -29,6 +29,7 @@
 from nutmegknot._internal.utils import processor_speed
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
+from nutmegknot._internal.utils import work_slices
 
 logger = logging.getLogger(__name__)
 
@@ -348,6 +349,7 @@
     )
 
     writer.on_write_completed = lambda: _process_completed_write(ownership)
+    await _open_jobs(ownership)
     _start_serving(node, ownership)
 
 
@@ -393,12 +395,18 @@
     await tasks.cancel_all(owner_tasks)
 
 
-def _start_serving(node: nodes.Node, ownership: ownerships.Ownership) -> None:
-    """Starts the tasks of the owner and makes the ownership visible."""
+async def _open_jobs(ownership: ownerships.Ownership) -> None:
+    """Opens the stages of all jobs that can run."""
+    work = work_slices.WorkSlice()
     for job in ownership.cluster.jobs.values():
         if jobs.has_schedule(job.spec):
             ownership.timed_jobs.add(job.spec.id)
         task_scheduling.open_ready_stages(ownership, job)
+        await work_slices.record_work(work, takeover.measure_job(job))
+
+
+def _start_serving(node: nodes.Node, ownership: ownerships.Ownership) -> None:
+    """Starts the tasks of the owner and makes the ownership visible."""
     owner_tasks = ownership.tasks
     for worker in ownership.cluster.predecessor_workers:
         sessions.open_session(ownership, worker, is_listed=False)
--- a/src/nutmegknot/_internal/jobs/takeover.py
+++ b/src/nutmegknot/_internal/jobs/takeover.py
@@ -15,6 +15,7 @@
 from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.schema import jobs_pb2
+from nutmegknot._internal.utils import work_slices
 
 logger = logging.getLogger(__name__)
 
@@ -129,6 +130,9 @@
     Returns:
       The state, or why it could not be read. Rows that can't be decoded are
       logged and left out.
+
+    Load pattern: a large backlog takes longer to decode than the lease on the
+    ownership lasts, which has to be renewed meanwhile.
     """
     found: list[tables.Row] = []
     for prefix in (
@@ -145,6 +149,7 @@
     joined = rows.join_rows(found)
     _read_roster(cluster, joined.values.pop(rows.ROSTER_KEY, None))
     _read_ceilings(cluster, joined.values.pop(rows.CEILINGS_KEY, None))
+    work = work_slices.WorkSlice()
     for key, value in joined.values.items():
         if not key.startswith(rows.JOB_PREFIX):
             continue
@@ -157,9 +162,19 @@
             logger.error('progress_row_unreadable', extra={'key': key})
             continue
         _add_job(cluster, job, now_ms)
+        await work_slices.record_work(work, measure_job(job))
     return LoadedState(cluster, joined.part_counts)
 
 
+def measure_job(job: jobs.Job) -> int:
+    """Returns how many units of work it takes to load a job or open it."""
+    return (
+        1
+        + len(job.spec.steps)
+        + sum(len(stage.tasks) for stage in job.stages.values())
+    )
+
+
 def _read_roster(
     cluster: cluster_state.ClusterState, value: bytes | None
 ) -> None:
