Drop a start for an earlier life before its worker's clock is used

Cause: a start that waited in the queue of commands extended the worker's lease before it saw that it was for an earlier life. The clock of the new one was not known, so the end of the lease was computed from this machine's own clock, and a lease is never shortened.

Why it works: nothing is computed from the clock of a worker before an answer of its present life has shown it.

--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -169,6 +169,10 @@
     After the time for which the command is valid, the run is stopped instead.
     """
     info, task = decision.info, decision.task
+    if info.worker.life != decision.life:
+        # The clock of the new life is not known yet.
+        _abandon_start(ownership, decision, name, may_have_started=False)
+        return
     validity_ms = ownerships.compute_start_validity(ownership)
     until_ms = leases.extend_lease(info, validity_ms, ownership)
     give_up_ms = ownership.clock.now_ms() + validity_ms
--- a/tests/unit/jobs/test_worker_lives.py
+++ b/tests/unit/jobs/test_worker_lives.py
@@ -49,6 +49,44 @@
     job_cells.run(script)
 
 
+@pytest.mark.parametrize('dark_ms', [300, 1_000, 2_000])
+def test_tasks_of_a_worker_that_restarted_and_is_lost_start_elsewhere(
+    dark_ms: int,
+) -> None:
+    """Guards against a lease that never ends, so that tasks never run (LOST).
+
+    A start that waited in the queue of commands extended the lease of the
+    worker's new life before its clock was known.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 60_000
+        node = await job_cells.start_owner(cell, 'one')
+        await asyncio.sleep(0.6)
+        cell.targets['w1'].is_cut = True
+        await owner_operations.submit(
+            job_views.get_ownership(node),
+            job_cells.make_job_spec('a', job_cells.make_step(4)),
+        )
+        await asyncio.sleep(dark_ms / 1_000)
+        job_cells.restart(cell, cell.targets['w1'])
+        await asyncio.sleep(1.0)
+        cell.targets['w1'].is_cut = False
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) >= 4)
+        await asyncio.sleep(1.0)
+        worker = job_cells.make_worker('w2')
+        cell.targets['w2'] = job_cells.FakeTarget(worker)
+        cell.targets['w1'].is_cut = True
+        cell.unlisted.add('w1')
+        assert await job_cells.wait_until(
+            cell, lambda: len(cell.targets['w2'].runs) == 4
+        )
+        assert cell.violations == []
+
+    job_cells.run(script)
+
+
 @pytest.mark.parametrize('cut_after_ms', [100, 400, 1_000, 2_500])
 def test_runs_of_a_restarted_worker_start_elsewhere_only_after_its_lease(
     cut_after_ms: int,
