Count an outage as one for all only while no instance is unheard of

What was seen: an owner that was cut off from the store with one other instance acted again beside its successor 10 s after the cut began (logs of the review).

Cause: instances that had not been heard of for 10 s no longer counted as ones that may reach the store, and those on the far side of a cut are not heard of.

Evidence: the new test fails before and passes now; the test of an instance that was removed 15 s before an outage passes as before.

Why it works: the 10 s count back from the failure of the route, so that whoever was there when it failed has to report that it fails for it too.

--- a/src/nutmegknot/_internal/jobs/store_routes.py
+++ b/src/nutmegknot/_internal/jobs/store_routes.py
@@ -27,8 +27,8 @@
 # How long another instance's report that it does not reach the store counts
 # as evidence of an outage for all instances.
 OUTAGE_REPORT_VALIDITY_MS = 1_100
-# How long an instance that has fallen silent is assumed to exist and perhaps
-# to reach the store.
+# How long before the failure of the direct route an instance must have been
+# heard of to count as one that may reach the store during the failure.
 PEER_RETENTION_MS = 10_000
 # HTTP statuses with which the store rejects a call without executing it.
 _REJECTION_STATUSES = frozenset((429, 503))
@@ -246,22 +246,20 @@
     """Tells whether no known instance reaches the store.
 
     This instance's direct route must fail, and at least one other instance must
-    be known. Each one heard of within PEER_RETENTION_MS must have reported
-    within OUTAGE_REPORT_VALIDITY_MS that it does not reach the store, since one
-    that is silent may reach it.
+    be known. Each one heard of since PEER_RETENTION_MS before the route failed
+    must have reported within OUTAGE_REPORT_VALIDITY_MS that it does not reach
+    the store. One that does not answer may reach it, however long that lasts:
+    this instance may be cut off from it and from the store.
     """
+    if routes.direct_failed_since_ms is None:
+        return False
     now_ms = routes.clock.now_ms()
+    known_since_ms = routes.direct_failed_since_ms - PEER_RETENTION_MS
     known = [
-        peer
-        for peer in routes.peers.values()
-        if now_ms - peer.heard_ms < PEER_RETENTION_MS
+        peer for peer in routes.peers.values() if peer.heard_ms > known_since_ms
     ]
-    return (
-        routes.direct_failed_since_ms is not None
-        and bool(known)
-        and all(
-            not peer.reaches_store
-            and now_ms - peer.heard_ms < OUTAGE_REPORT_VALIDITY_MS
-            for peer in known
-        )
+    return bool(known) and all(
+        not peer.reaches_store
+        and now_ms - peer.heard_ms < OUTAGE_REPORT_VALIDITY_MS
+        for peer in known
     )
--- a/tests/unit/jobs/test_store_routes.py
+++ b/tests/unit/jobs/test_store_routes.py
@@ -135,6 +135,26 @@
     assert store_routes.is_unreachable_for_all(routes)
 
 
+def test_an_instance_cut_off_with_another_one_detects_no_outage_for_all() -> (
+    None
+):
+    """Guards against an owner that acts beside its successor.
+
+    It was cut off from the store with one other instance, and counted the store
+    as down for all when it had not heard of the others for 10 s.
+    """
+    fake = FakeRoutes(REJECTED, dict.fromkeys('bcd', REJECTED))
+    routes = make_routes(fake)
+    for address in ('b', 'c', 'd'):
+        store_routes.update_peer(routes, address, True)
+    fake.time.at_ms += 500
+    fetch(routes, WRITE)
+    for _ in range(120):
+        fake.time.at_ms += 500
+        store_routes.update_peer(routes, 'b', False)
+        assert not store_routes.is_unreachable_for_all(routes)
+
+
 def test_an_instance_that_knows_no_other_detects_no_outage_for_all() -> None:
     routes = make_routes(FakeRoutes(REJECTED, {}))
     fetch(routes, WRITE)
