Release the ownership if a stop begins during the takeover

Cause: the stop releases the ownership that an instance has, and during a takeover it has none yet. The takeover then went on.

Why it works: the takeover looks for a stop before it serves, and releases the ownership in its place.

--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -350,6 +350,10 @@
 
     writer.on_write_completed = lambda: _process_completed_write(ownership)
     await _open_jobs(ownership)
+    if node.is_stopping:
+        # The stop began during the takeover and found no ownership to release.
+        await _abandon(writer, owner_tasks)
+        return
     _start_serving(node, ownership)
 
 
@@ -389,7 +393,7 @@
 
 
 async def _abandon(writer: writers.Writer, owner_tasks: tasks.TaskSet) -> None:
-    """Releases an ownership for which the jobs could not be loaded."""
+    """Releases an ownership before it is served."""
     if not writer.is_lost:
         await release_ownership(writer)
     await tasks.cancel_all(owner_tasks)
