--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -166,6 +166,11 @@
     return is_store_down and not ownership.writer.is_lost
 
 
+def has_session(ownership: Ownership, info: cluster_state.WorkerInfo) -> bool:
+    """Tells whether the session with a worker is still open."""
+    return ownership.cluster.workers_by_id.get(info.worker.id) is info
+
+
 def compute_call_timeout(ownership: Ownership, attempt: int) -> int:
     """Returns the time-out of an attempt at a call to a worker in ms.
 
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -102,19 +102,13 @@
             signals.notify(ownership.scheduling_needed)
 
 
-def _is_open(
-    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
-) -> bool:
-    return ownership.cluster.workers_by_id.get(info.worker.id) is info
-
-
 async def _send_commands(
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
     commands: ownerships.CommandQueue,
 ) -> None:
     """Sends the queued commands to one worker, one at a time."""
-    while _is_open(ownership, info):
+    while ownerships.has_session(ownership, info):
         send = await commands.queue.get()
         await send()
 
@@ -124,7 +118,7 @@
 ) -> None:
     """Renews the lease of one worker and applies its answers, in a loop."""
     unanswered_calls = 0
-    while _is_open(ownership, info):
+    while ownerships.has_session(ownership, info):
         if not ownerships.may_act(ownership):
             await clock.sleep(RETRY_INTERVAL_MS)
             continue
--- a/src/nutmegknot/_internal/jobs/stops.py
+++ b/src/nutmegknot/_internal/jobs/stops.py
@@ -158,7 +158,9 @@
     """
     attempt = 0
     try:
-        while info.worker.life == key.life and _is_open(ownership, info):
+        while info.worker.life == key.life and ownerships.has_session(
+            ownership, info
+        ):
             if ownerships.may_act(ownership):
                 result = await ownership.runners.stop(
                     info.worker,
@@ -176,12 +178,6 @@
         commands.open_stops.discard(key)
 
 
-def _is_open(
-    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
-) -> bool:
-    return ownership.cluster.workers_by_id.get(info.worker.id) is info
-
-
 def _is_stop_answered(
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
