End the wait for a worker's further ends with its lease

Cause: since the takeover waits for each worker that has answered with a part of its ends, one that then falls silent and stays listed would hold it up for good.

Evidence: in the new test such a worker is cut off for good; all jobs were not done within 30 s before, and are now.

Why it works: runs of a worker whose lease has ended are over, so that their tasks may start again. A comment on limits of jobs that no longer held is corrected.

--- a/src/nutmegknot/_internal/decisions/feasibility.py
+++ b/src/nutmegknot/_internal/decisions/feasibility.py
@@ -11,12 +11,10 @@
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import resources
 
-# Largest number of tasks of a job. It keeps the record of the tasks' progress
-# below the store's limit of 64 KiB for a row: a task's checkpoint and failures
-# take 45 bytes.
+# Largest number of tasks of a job. It bounds the record of the tasks' progress,
+# which is rewritten with each change.
 MAX_TASKS_PER_JOB = 1_000
-# The same for a job with due times, over all its occurrences. Of most of them
-# only the ends of the tasks are left, at about two bytes each.
+# The same for a job with due times, over all its occurrences.
 MAX_TASKS_OF_ALL_OCCURRENCES = 10_000
 
 
--- a/src/nutmegknot/_internal/jobs/worker_discovery.py
+++ b/src/nutmegknot/_internal/jobs/worker_discovery.py
@@ -9,6 +9,7 @@
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import sessions
 from nutmegknot._internal.jobs import worker_crashes
+from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.utils import clock
 from nutmegknot._internal.utils import signals
@@ -155,6 +156,18 @@
     return min(due_ms, cluster.takeover_complete_ms)
 
 
+def _may_hold_lease(
+    ownership: ownerships.Ownership,
+    info: cluster_state.WorkerInfo,
+    now_ms: int,
+) -> bool:
+    """Tells whether a worker may hold a lease that this owner has given."""
+    return info.is_claimed and (
+        info.unanswered_since_ms is None
+        or now_ms < leases.compute_expiry(info, ownership)
+    )
+
+
 def _update_settled_time(ownership: ownerships.Ownership, now_ms: int) -> None:
     """Updates the time from which no unknown run of an earlier owner is left.
 
@@ -162,7 +175,7 @@
     runs that they had, or are gone. Otherwise it is the end of the last lease
     that an earlier owner can have given to a worker. A worker that has answered
     with a part of its ends has its lease renewed by this owner, so that there
-    is no such time before it has listed the others.
+    is no such time before it has listed the others or that lease has ended.
     """
     cluster = ownership.cluster
     if cluster.is_takeover_complete:
@@ -174,7 +187,9 @@
         and (info.has_unread_ends or not info.is_claimed)
     ]
     partly_answered = [
-        id for id in unanswered if cluster.workers_by_id[id].is_claimed
+        id
+        for id in unanswered
+        if _may_hold_lease(ownership, cluster.workers_by_id[id], now_ms)
     ]
     expiry_ms = leases.compute_earlier_runs_expiry(ownership)
     if partly_answered or (unanswered and now_ms < expiry_ms):
