--- a/Makefile
+++ b/Makefile
@@ -57,9 +57,10 @@
 SEEDS ?= 10
 FIRST ?= 1
 
-# Attached instances under drawn faults.
+# Attached instances under drawn faults; HEAVY=1 adds large jobs, cancellings and
+# faults of all instances.
 soak: setup
-	$(PY) tools/soak.py --seeds $(SEEDS) --first $(FIRST)
+	$(PY) tools/soak.py --seeds $(SEEDS) --first $(FIRST) $(if $(HEAVY),--heavy)
 
 binary: setup
 	$(PY) tools/binary.py
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -19,6 +19,18 @@
     assert observations.accepted
 
 
+def test_no_promise_is_broken_beside_large_and_cancelled_jobs(
+    tmp_path: pathlib.Path,
+) -> None:
+    """All instances are killed, paused or stopped at once as well."""
+    observations = asyncio.run(
+        soak.run_seed(9000, 2 * DURATION_S, tmp_path, is_heavy=True)
+    )
+    assert observations.violations == []
+    assert observations.accepted
+    assert observations.cancelled
+
+
 def test_no_promise_is_broken_while_tasks_crash_workers(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/lib/job_platform.py
+++ b/tests/lib/job_platform.py
@@ -40,6 +40,7 @@
 KEY = 'key-of-the-team'
 QUEUE_PATH = '/checks/'
 DOMAINS = ('a', 'b', 'c')
+MAX_ROW_BYTES = 65_536
 _REFUSAL_REASONS = {
     runners.Refusal.FENCED: 'fence',
     runners.Refusal.STALE_RUN: 'old',
@@ -310,6 +311,10 @@
 
 
 def _transact(store: Store, call: dict[str, Any]) -> web.Response:
+    if any(len(row['value']) * 3 // 4 > MAX_ROW_BYTES for row in call['puts']):
+        return web.json_response(
+            {'rowVersion': store.version, 'nowMs': 1}, status=400
+        )
     failed = False
     present = []
     for row in call['precondition']:
@@ -494,7 +499,7 @@
             'advice': platform.advice_address,
             'platform': {
                 'address': platform.store_address,
-                'rowBytes': 65_536,
+                'rowBytes': MAX_ROW_BYTES,
             },
         }
         settings = platform.folder / f'{number}.json'
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -6,13 +6,15 @@
 rejects calls, does not answer, or executes calls and loses the answers; workers
 become unreachable, stop answering, restart or lose answers. Jobs are submitted
 during the faults, by a customer who wants more than its limit; some have a task
-that crashes each worker that starts it.
+that crashes each worker that starts it. With --heavy, some have many hundred
+tasks that end at about the same time, some have tasks that last until they are
+cancelled, and all instances are killed, paused or stopped at once.
 Another writer leaves odd entries in the list of workers. After the last fault,
 every accepted job must complete, or fail if it crashes workers, and no
 guarantee may have been violated, as seen by callers and workers.
 
 Usage: python tools/soak.py [--seeds N] [--first N] [--seconds S]
-                            [--without-crashes]
+                            [--without-crashes] [--heavy]
 Exits with 1 if a seed failed, and prints the folder that keeps its logs.
 """
 
@@ -25,6 +27,7 @@
 import signal
 import sys
 import tempfile
+from typing import Any
 
 import aiohttp
 from lib import job_cells
@@ -37,8 +40,6 @@
 WORKERS = 5
 # The jobs need more than the limit of their customer while they are submitted.
 LIMIT = resources.Resources(8_000)
-STEP = jobs.Step(1, resources.Resources(1_000, 64))
-JOB = jobs.Job(jobs.JobSpec('', '', job_platform.CUSTOMER, '', (STEP, STEP)))
 SUBMIT_INTERVAL_S = 0.15
 # One of so many jobs crashes the workers that start its first task, from the
 # first one of them on.
@@ -50,6 +51,23 @@
 CRASH_CHECK_INTERVAL_S = 0.005
 # A task is given up before it has started so often after that many crashes.
 MAX_CRASHES = 3
+# In a heavy run, one of so many jobs is large, and one has lasting tasks. A
+# worker that runs the tasks of a large job has more ends than it lists at once.
+LARGE_INTERVAL = 16
+LASTING_INTERVAL = 5
+FIRST_LASTING = 2
+LARGE_COUNT = 1_200
+LASTING_COUNT = 20
+RUN_MS = 400
+LARGE_RUN_MS = 3_000
+LASTING_RUN_MS = 100_000
+# By the users' rules, a start of a cancelled job comes at most so long after
+# the answer to the caller.
+CANCEL_MS = 3_000
+# A task of it is gone so long after the end of the faults: the time for the
+# recovery, the one above and that of a stop.
+MAX_CANCELLED_RUN_S = 12.0 + 3.0 + 0.4
+CANCEL_RETRY_S = 0.2
 ODD_ROWS = (
     '[' * 50_000 + ']' * 50_000,
     f'{{"service":"pool","zone":"{job_platform.DOMAINS[0]}","state":"ready",'
@@ -73,6 +91,7 @@
     'worker_anew',
     'answers_lost',
 )
+HEAVY_FAULT_KINDS = (*FAULT_KINDS, 'kill_all', 'pause_all', 'term_all')
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,6 +104,9 @@
         answered with 429 or 503.
       crashing: Identifiers of jobs that crash the workers that start them.
       crashes: When workers have crashed, in ms, by the job that did it.
+      submitted: Submitted jobs.
+      run_ms: How long the tasks of a job run, if not RUN_MS.
+      cancelled: When the cancelling of a job was answered, in ms.
       faults: Kinds of the injected faults, in order.
       violations: Descriptions of violated guarantees.
     """
@@ -93,27 +115,102 @@
     refused: set[str] = dataclasses.field(default_factory=set)
     crashing: set[str] = dataclasses.field(default_factory=set)
     crashes: dict[str, list[int]] = dataclasses.field(default_factory=dict)
+    submitted: dict[str, jobs.Job] = dataclasses.field(default_factory=dict)
+    run_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    cancelled: dict[str, int] = dataclasses.field(default_factory=dict)
     faults: list[str] = dataclasses.field(default_factory=list)
     violations: list[str] = dataclasses.field(default_factory=list)
 
 
+def make_steps(
+    observations: Observations,
+    rng: random.Random,
+    number: int,
+    is_heavy: bool,
+) -> list[dict[str, Any]]:
+    """Returns the steps of a job as a caller submits them."""
+    id = make_id(number)
+    count, cpu, memory_mib, run_ms = rng.randint(1, 4), 1_000, 64, RUN_MS
+    is_lasting = is_heavy and number % LASTING_INTERVAL == FIRST_LASTING
+    if is_heavy and number % LARGE_INTERVAL == 1:
+        count, cpu, memory_mib, run_ms = LARGE_COUNT, 1, 1, LARGE_RUN_MS
+    elif is_lasting:
+        count, cpu, memory_mib = LASTING_COUNT, 10, 1
+        run_ms = LASTING_RUN_MS
+    observations.run_ms[id] = run_ms
+    step = {
+        'count': count,
+        'cpu': cpu,
+        'memMb': memory_mib,
+        'estimateMs': run_ms,
+    }
+    steps: list[dict[str, Any]] = [step]
+    if count < LASTING_COUNT:
+        steps.append({**step, 'after': [0]})
+    size = resources.Resources(cpu, memory_mib)
+    spec = jobs.JobSpec(
+        id,
+        '',
+        job_platform.CUSTOMER,
+        '',
+        tuple(jobs.Step(count, size) for _ in steps),
+    )
+    observations.submitted[id] = jobs.Job(spec)
+    return steps
+
+
+def make_id(number: int) -> str:
+    """Returns the id of the job with a number."""
+    return f'{number:016x}'
+
+
+async def cancel_job(
+    platform: job_platform.Platform,
+    observations: Observations,
+    rng: random.Random,
+    id: str,
+) -> None:
+    """Cancels a job after a random time; repeats it until it is answered."""
+    await asyncio.sleep(rng.uniform(0.3, 4.0))
+    async with aiohttp.ClientSession() as session:
+        while id not in observations.cancelled:
+            instance = rng.choice(platform.instances)
+            status, _ = await job_platform.call(
+                platform, session, instance, 'DELETE', id
+            )
+            if status == 200:
+                observations.cancelled[id] = platform.cell.clock.now_ms()
+            await asyncio.sleep(CANCEL_RETRY_S)
+
+
 async def submit_jobs(
     platform: job_platform.Platform,
     observations: Observations,
     rng: random.Random,
+    cancellations: set[asyncio.Task[None]],
+    *,
     has_crashes: bool,
+    is_heavy: bool,
 ) -> None:
-    """Submits jobs to randomly chosen instances until cancelled."""
+    """Submits jobs to randomly chosen instances until cancelled.
+
+    Args:
+      platform: The platform.
+      observations: What is observed.
+      rng: Source of the choices.
+      cancellations: Filled with the tasks that cancel jobs.
+      has_crashes: Whether some jobs crash workers.
+      is_heavy: Whether some jobs are large, and some last until cancelled.
+    """
     number = 0
     async with aiohttp.ClientSession() as session:
         while True:
             number += 1
-            id = f'{number:016x}'
+            id = make_id(number)
             if has_crashes and number % CRASH_INTERVAL == FIRST_CRASH:
                 observations.crashing.add(id)
-            step = {'count': rng.randint(1, 4), 'cpu': 1_000, 'memMb': 64}
-            step['estimateMs'] = 400
-            body = {'spec': id, 'steps': [step, {**step, 'after': [0]}]}
+            steps = make_steps(observations, rng, number, is_heavy)
+            body = {'spec': id, 'steps': steps}
             statuses = []
             for _ in range(3):
                 instance = rng.choice(platform.instances)
@@ -123,6 +220,12 @@
                 statuses.append(status)
                 if status == 200:
                     observations.accepted.add(id)
+                    if observations.run_ms[id] == LASTING_RUN_MS:
+                        cancellations.add(
+                            asyncio.create_task(
+                                cancel_job(platform, observations, rng, id)
+                            )
+                        )
                     break
             if all(status in (429, 503) for status in statuses):
                 observations.refused.add(id)
@@ -169,13 +272,34 @@
     job_platform.restart_worker(platform, start.worker)
 
 
+async def disrupt_all(
+    platform: job_platform.Platform, kind: str, duration_s: float
+) -> None:
+    """Kills, pauses or stops all instances at once, for a time."""
+    number = {
+        'kill_all': signal.SIGKILL,
+        'pause_all': signal.SIGSTOP,
+        'term_all': signal.SIGTERM,
+    }[kind]
+    for instance in platform.instances:
+        job_platform.send_signal(instance, number)
+    if kind != 'pause_all':
+        for instance in platform.instances:
+            await job_platform.wait_ended(instance)
+    await asyncio.sleep(duration_s)
+    for instance in platform.instances:
+        job_platform.send_signal(instance, signal.SIGCONT)
+        job_platform.start_process(instance)
+
+
 async def inject_fault(
     platform: job_platform.Platform,
     observations: Observations,
     rng: random.Random,
+    kinds: tuple[str, ...],
 ) -> None:
-    """Injects a random fault for a random time, then ends it."""
-    kind = rng.choice(FAULT_KINDS)
+    """Injects a random fault of some kinds for a random time, then ends it."""
+    kind = rng.choice(kinds)
     observations.faults.append(kind)
     duration_s = rng.uniform(0.3, 3.0)
     instance = rng.choice(platform.instances)
@@ -188,6 +312,8 @@
         await job_platform.wait_ended(instance)
         await asyncio.sleep(duration_s / 3)
         job_platform.start_process(instance)
+    elif kind.endswith('_all'):
+        await disrupt_all(platform, kind, duration_s / 2)
     elif kind == 'pause_owner':
         job_platform.send_signal(instance, signal.SIGSTOP)
         await asyncio.sleep(duration_s)
@@ -211,13 +337,14 @@
     platform: job_platform.Platform,
     observations: Observations,
     rng: random.Random,
+    kinds: tuple[str, ...],
 ) -> None:
     """Injects overlapping faults until cancelled, then waits for their end."""
     running: set[asyncio.Task[None]] = set()
     try:
         while True:
             fault = asyncio.create_task(
-                inject_fault(platform, observations, rng)
+                inject_fault(platform, observations, rng, kinds)
             )
             running.add(fault)
             fault.add_done_callback(running.discard)
@@ -227,6 +354,44 @@
         raise
 
 
+async def finish_cancellations(
+    observations: Observations, cancellations: set[asyncio.Task[None]]
+) -> None:
+    """Waits until all cancellings are answered, and records violations."""
+    if not cancellations:
+        return
+    _, unanswered = await asyncio.wait(cancellations, timeout=RECOVERY_LIMIT_S)
+    for task in unanswered:
+        await cancel_task(task)
+    observations.violations += ['a cancelling has no answer'] * len(unanswered)
+
+
+async def check_cancelled(
+    platform: job_platform.Platform, observations: Observations
+) -> None:
+    """Waits until no task of a cancelled job runs, and records violations."""
+    cell = platform.cell
+    deadline_s = asyncio.get_running_loop().time() + MAX_CANCELLED_RUN_S
+    left = ['']
+    while left and asyncio.get_running_loop().time() < deadline_s:
+        await asyncio.sleep(0.2)
+        for target in cell.targets.values():
+            job_cells.process_due_events(cell, target)
+        left = [
+            jobs.format_task(name)
+            for target in cell.targets.values()
+            for name in target.runs
+            if name.job in observations.cancelled
+        ]
+    observations.violations += [f'{task}: runs on' for task in left]
+    observations.violations += [
+        f'{start.name}: starts after its cancelling'
+        for start in cell.starts
+        if start.name.job in observations.cancelled
+        and start.at_ms > observations.cancelled[start.name.job] + CANCEL_MS
+    ]
+
+
 async def check_guarantees(
     platform: job_platform.Platform, observations: Observations
 ) -> None:
@@ -249,6 +414,8 @@
                 wanted = jobs.JobState.COMPLETED
                 if id in observations.crashing:
                     wanted = jobs.JobState.FAILED
+                if id in observations.cancelled:
+                    wanted = jobs.JobState.CANCELLED
                 if state == wanted.value:
                     open_jobs.discard(id)
                 elif status == 410 or state in (
@@ -308,6 +475,7 @@
     folder: pathlib.Path,
     *,
     has_crashes: bool = False,
+    is_heavy: bool = False,
 ) -> Observations:
     """Runs the test with one seed and returns the observations.
 
@@ -317,26 +485,41 @@
       folder: Where the instances write.
       has_crashes: Whether some jobs crash workers, and the list of workers has
         odd entries.
+      is_heavy: Whether some jobs are large, some are cancelled, and some faults
+        hit all instances.
     """
     rng = random.Random(seed)
     observations = Observations()
     platform = await job_platform.start(folder, WORKERS, rng, limit=LIMIT)
-    platform.cell.find_job = lambda id: JOB
-    platform.cell.run_ms = lambda name: 400
+    platform.cell.find_job = observations.submitted.get
+    platform.cell.run_ms = lambda name: observations.run_ms.get(
+        name.job, RUN_MS
+    )
     if has_crashes:
         for number, text in enumerate(ODD_ROWS):
             job_platform.put_worker_row(platform, f'odd{number}', text)
     try:
         job_platform.add_instances(platform, INSTANCES)
         await asyncio.sleep(2.0)
+        cancellations: set[asyncio.Task[None]] = set()
         submission = asyncio.create_task(
             submit_jobs(
-                platform, observations, random.Random(seed), has_crashes
+                platform,
+                observations,
+                random.Random(seed),
+                cancellations,
+                has_crashes=has_crashes,
+                is_heavy=is_heavy,
             )
         )
         crashing = asyncio.create_task(crash_workers(platform, observations))
         fault_injection = asyncio.create_task(
-            inject_faults(platform, observations, rng)
+            inject_faults(
+                platform,
+                observations,
+                rng,
+                HEAVY_FAULT_KINDS if is_heavy else FAULT_KINDS,
+            )
         )
         await asyncio.sleep(seconds)
         await cancel_task(fault_injection)
@@ -349,6 +532,8 @@
         ):
             await asyncio.sleep(0.1)
         await cancel_task(submission)
+        await finish_cancellations(observations, cancellations)
+        await check_cancelled(platform, observations)
         await check_guarantees(platform, observations)
         await cancel_task(crashing)
     finally:
@@ -365,6 +550,7 @@
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=15.0)
     parser.add_argument('--without-crashes', action='store_true')
+    parser.add_argument('--heavy', action='store_true')
     args = parser.parse_args()
     failed = 0
     for seed in range(args.first, args.first + args.seeds):
@@ -375,6 +561,7 @@
                 args.seconds,
                 folder,
                 has_crashes=not args.without_crashes,
+                is_heavy=args.heavy,
             )
         )
         result = 'broken' if observations.violations else 'ok'
@@ -382,6 +569,7 @@
             f'seed={seed} result={result} '
             f'accepted={len(observations.accepted)} '
             f'refused={len(observations.refused)} '
+            f'cancelled={len(observations.cancelled)} '
             f'crashes={sum(map(len, observations.crashes.values()))} '
             f'faults={",".join(observations.faults)}',
             flush=True,
