Soak: large jobs that are accepted, on two workers

The large jobs had more tasks than a job may have, so none was accepted. They have 1,000 now, and a heavy run has two workers, so that each has more ends than it lists at once.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -51,15 +51,18 @@
 CRASH_CHECK_INTERVAL_S = 0.005
 # A task is given up before it has started so often after that many crashes.
 MAX_CRASHES = 3
-# In a heavy run, one of so many jobs is large, and one has lasting tasks. A
-# worker that runs the tasks of a large job has more ends than it lists at once.
-LARGE_INTERVAL = 16
+# In a heavy run, two of so many jobs are large, and others have lasting tasks.
+# There are few workers, so that each has more ends of a large job's tasks than
+# it lists at once if no owner reads them.
+HEAVY_WORKERS = 2
+LARGE_INTERVAL = 40
+LARGE_JOBS = 2
 LASTING_INTERVAL = 5
-FIRST_LASTING = 2
-LARGE_COUNT = 1_200
+FIRST_LASTING = 4
+LARGE_COUNT = 1_000
 LASTING_COUNT = 20
 RUN_MS = 400
-LARGE_RUN_MS = 3_000
+LARGE_RUN_MS = 5_000
 LASTING_RUN_MS = 100_000
 # By the users' rules, a start of a cancelled job comes at most so long after
 # the answer to the caller.
@@ -132,7 +135,7 @@
     id = make_id(number)
     count, cpu, memory_mib, run_ms = rng.randint(1, 4), 1_000, 64, RUN_MS
     is_lasting = is_heavy and number % LASTING_INTERVAL == FIRST_LASTING
-    if is_heavy and number % LARGE_INTERVAL == 1:
+    if is_heavy and (number - 1) % LARGE_INTERVAL < LARGE_JOBS:
         count, cpu, memory_mib, run_ms = LARGE_COUNT, 1, 1, LARGE_RUN_MS
     elif is_lasting:
         count, cpu, memory_mib = LASTING_COUNT, 10, 1
@@ -284,8 +287,11 @@
     for instance in platform.instances:
         job_platform.send_signal(instance, number)
     if kind != 'pause_all':
-        for instance in platform.instances:
-            await job_platform.wait_ended(instance)
+        # Another fault may start an instance again meanwhile.
+        processes = [instance.process for instance in platform.instances]
+        for process in processes:
+            if process is not None:
+                await asyncio.to_thread(process.wait)
     await asyncio.sleep(duration_s)
     for instance in platform.instances:
         job_platform.send_signal(instance, signal.SIGCONT)
@@ -490,7 +496,8 @@
     """
     rng = random.Random(seed)
     observations = Observations()
-    platform = await job_platform.start(folder, WORKERS, rng, limit=LIMIT)
+    workers = HEAVY_WORKERS if is_heavy else WORKERS
+    platform = await job_platform.start(folder, workers, rng, limit=LIMIT)
     platform.cell.find_job = observations.submitted.get
     platform.cell.run_ms = lambda name: observations.run_ms.get(
         name.job, RUN_MS
@@ -523,11 +530,11 @@
         )
         await asyncio.sleep(seconds)
         await cancel_task(fault_injection)
-        # After the faults, at least one job must be accepted; a slow machine
-        # needs longer for it.
+        # After the faults, at least one job must be accepted, in a heavy run
+        # also one to cancel; a slow machine needs longer for it.
         deadline_s = asyncio.get_running_loop().time() + RECOVERY_LIMIT_S
         while (
-            not observations.accepted
+            not (observations.accepted and (cancellations or not is_heavy))
             and asyncio.get_running_loop().time() < deadline_s
         ):
             await asyncio.sleep(0.1)
