--- a/tests/functional/conftest.py
+++ b/tests/functional/conftest.py
@@ -33,7 +33,11 @@
         made = worlds.World(runner, cluster, callers.Balancer(list))
         made.balancer.list_addresses = lambda: worlds.list_serving(made)
         try:
-            runner.run(_prepare(made))
+            try:
+                runner.run(_prepare(made))
+            except AssertionError as error:
+                error.add_note(processes.show_logs(cluster))
+                raise
             yield made
         finally:
             runner.run(_finish(made))
