Stops are sent to a worker before its starts

Cause: a worker had one queue of commands, sent one at a time in the order in which they came. The stops waited behind some 800 starts of a large job.

Change: jobs/command_queues.py keeps stops apart and sends them first. A stop may overtake the start of its own run: that start is then not sent, as its task isn't starting any more, and a worker that has had the stop rejects the run (PROTOCOL.md: "a run that is not there yet will be rejected").

Evidence: the new test has 400 starts of 25 ms before the stops. On the code before, the tasks of the cancelled job still run 3.4 s later; now they are gone, and the tasks of the large job all start.

--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -1,14 +1,13 @@
 """State of one ownership of the jobs, from the takeover until it ends."""
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
 import dataclasses
 import random
 
 from nutmegknot._internal.backing import advisers
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.decisions import plans
+from nutmegknot._internal.jobs import command_queues
 from nutmegknot._internal.jobs import job_metrics
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import store_routes
@@ -24,39 +23,6 @@
 from nutmegknot._internal.utils import tasks
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class StopKey:
-    """A run that is to be stopped.
-
-    Attributes:
-      name: The task.
-      run: Number of the run.
-      life: Life of the worker for which the stop command was queued.
-    """
-
-    name: jobs.TaskName
-    run: int
-    life: int
-
-
-@dataclasses.dataclass(slots=True)
-class CommandQueue:
-    """Commands that wait to be sent to one worker.
-
-    Attributes:
-      queue: Functions, each of which sends one command.
-      open_stops: Runs whose stop command is queued or being sent.
-      answered_stops: When the worker answered the stop command, by runs that
-        it has listed since.
-    """
-
-    queue: asyncio.Queue[Callable[[], Awaitable[None]]] = dataclasses.field(
-        default_factory=asyncio.Queue
-    )
-    open_stops: set[StopKey] = dataclasses.field(default_factory=set)
-    answered_stops: dict[StopKey, int] = dataclasses.field(default_factory=dict)
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class UnsentStart:
     """A start command that waits for a write.
@@ -69,7 +35,7 @@
 
     write: int
     worker: str
-    send: Callable[[], Awaitable[None]]
+    send: command_queues.Send
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,7 +62,7 @@
       worker_claimed: Notified when a worker first answers this owner, or is
         gone.
       write_completed: Notified after each write that took effect.
-      command_queues: Waiting commands by worker id.
+      commands_by_worker: Waiting commands by worker id.
       unsent_starts: Start commands that wait for a write.
       advice_needed: Notified when a stage needs advice.
       unsaved_jobs: Ids of jobs whose newest write is not in the table yet.
@@ -132,8 +98,8 @@
     write_completed: signals.Signal = dataclasses.field(
         default_factory=signals.Signal
     )
-    command_queues: dict[str, CommandQueue] = dataclasses.field(
-        default_factory=dict
+    commands_by_worker: dict[str, command_queues.CommandQueue] = (
+        dataclasses.field(default_factory=dict)
     )
     unsent_starts: list[UnsentStart] = dataclasses.field(default_factory=list)
     advice_needed: signals.Signal = dataclasses.field(
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -9,6 +9,7 @@
 import logging
 
 from nutmegknot._internal.backing import runners
+from nutmegknot._internal.jobs import command_queues
 from nutmegknot._internal.jobs import leases
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import reconciliation
@@ -62,8 +63,8 @@
     )
     ownership.cluster.workers_by_id[worker.id] = info
     info.registration_write = _write_roster(ownership)
-    commands = ownerships.CommandQueue()
-    ownership.command_queues[worker.id] = commands
+    commands = command_queues.CommandQueue()
+    ownership.commands_by_worker[worker.id] = commands
     tasks.spawn_restartable(
         ownership.tasks,
         lambda: _poll_worker(ownership, info),
@@ -105,12 +106,17 @@
 async def _send_commands(
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
-    commands: ownerships.CommandQueue,
+    commands: command_queues.CommandQueue,
 ) -> None:
     """Sends the queued commands to one worker, one at a time."""
     while ownerships.has_session(ownership, info):
-        send = await commands.queue.get()
-        await send()
+        send = command_queues.take_command(commands)
+        if send is not None:
+            await send()
+        else:
+            await signals.wait_for_notification(
+                commands.changed, commands.changed.count
+            )
 
 
 async def _poll_worker(
@@ -492,10 +498,6 @@
     logger.info('worker_dropped', extra={'worker': info.worker.id, 'why': why})
     ownership.cluster.workers_by_id.pop(info.worker.id, None)
     _write_roster(ownership)
-    commands = ownership.command_queues.pop(info.worker.id, None)
+    commands = ownership.commands_by_worker.pop(info.worker.id, None)
     if commands is not None:
-        commands.queue.put_nowait(_wake_sender)
-
-
-async def _wake_sender() -> None:
-    """Does nothing; queued as a command so that _send_commands can end."""
+        signals.notify(commands.changed)
--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -6,6 +6,7 @@
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.decisions import crash_trials
 from nutmegknot._internal.decisions import usage_bounds
+from nutmegknot._internal.jobs import command_queues
 from nutmegknot._internal.jobs import leases
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import reconciliation
@@ -132,9 +133,9 @@
         if start.write > ownership.writer.last_durable:
             waiting.append(start)
             continue
-        commands = ownership.command_queues.get(start.worker)
+        commands = ownership.commands_by_worker.get(start.worker)
         if commands is not None:
-            commands.queue.put_nowait(start.send)
+            command_queues.add_command(commands, start.send)
     ownership.unsent_starts = waiting
 
 
--- a/src/nutmegknot/_internal/jobs/stops.py
+++ b/src/nutmegknot/_internal/jobs/stops.py
@@ -8,6 +8,7 @@
 import logging
 
 from nutmegknot._internal.backing import runners
+from nutmegknot._internal.jobs import command_queues
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import refusals
 from nutmegknot._internal.models import cluster_state
@@ -84,13 +85,12 @@
     run: int,
 ) -> None:
     """Queues a stop command for a worker, unless it is queued already."""
-    commands = ownership.command_queues.get(info.worker.id)
-    key = ownerships.StopKey(name, run, info.worker.life)
+    commands = ownership.commands_by_worker.get(info.worker.id)
+    key = command_queues.StopKey(name, run, info.worker.life)
     if commands is None or key in commands.open_stops:
         return
-    commands.open_stops.add(key)
-    commands.queue.put_nowait(
-        lambda: _send_stop(ownership, info, commands, key)
+    command_queues.add_stop(
+        commands, key, lambda: _send_stop(ownership, info, commands, key)
     )
 
 
@@ -104,8 +104,8 @@
 
     A run that the worker is ending is left alone for ENDING_MS.
     """
-    commands = ownership.command_queues.get(info.worker.id)
-    key = ownerships.StopKey(name, run, info.worker.life)
+    commands = ownership.commands_by_worker.get(info.worker.id)
+    key = command_queues.StopKey(name, run, info.worker.life)
     if commands is None or key in commands.open_stops:
         return
     answered_ms = commands.answered_stops.get(key)
@@ -136,7 +136,7 @@
       info: The worker.
       listed: Tasks of the runs that it lists.
     """
-    commands = ownership.command_queues.get(info.worker.id)
+    commands = ownership.commands_by_worker.get(info.worker.id)
     if commands is None or not commands.answered_stops:
         return
     commands.answered_stops = {
@@ -149,8 +149,8 @@
 async def _send_stop(
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
-    commands: ownerships.CommandQueue,
-    key: ownerships.StopKey,
+    commands: command_queues.CommandQueue,
+    key: command_queues.StopKey,
 ) -> None:
     """Sends a stop command until the worker answers it or has restarted.
 
@@ -200,8 +200,8 @@
 def _mark_stop_confirmed(
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
-    commands: ownerships.CommandQueue,
-    key: ownerships.StopKey,
+    commands: command_queues.CommandQueue,
+    key: command_queues.StopKey,
 ) -> None:
     """Records that the run is ending and can't start any more."""
     now_ms = ownership.clock.now_ms()
--- a/src/nutmegknot/_internal/jobs/throttling.py
+++ b/src/nutmegknot/_internal/jobs/throttling.py
@@ -11,6 +11,7 @@
 import logging
 
 from nutmegknot._internal.backing import runners
+from nutmegknot._internal.jobs import command_queues
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
@@ -132,6 +133,6 @@
                 },
             )
 
-    commands = ownership.command_queues.get(info.worker.id)
+    commands = ownership.commands_by_worker.get(info.worker.id)
     if commands is not None:
-        commands.queue.put_nowait(send)
+        command_queues.add_command(commands, send)
--- a/tests/unit/jobs/test_dropped_stops.py
+++ b/tests/unit/jobs/test_dropped_stops.py
@@ -16,11 +16,15 @@
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
+from nutmegknot._internal.models import resources
 from nutmegknot._internal.models import workers
 
 TASKS = 4
 # How long after the cancelling a task may be at work, by the users' rules.
 MAX_GONE_MS = 3_400
+# So slow that the starts of a large job take longer than MAX_GONE_MS.
+SLOW_START_S = 0.025
+MANY_TASKS = 400
 
 
 async def start_job(cell: job_cells.Cell) -> nodes.Node:
@@ -67,6 +71,21 @@
     )
 
 
+def answer_starts_slowly(ownership: ownerships.Ownership) -> None:
+    """Has each start command take SLOW_START_S."""
+    start = ownership.runners.start
+
+    async def start_slowly(
+        worker: workers.Worker, command: runners.StartCommand, timeout_ms: int
+    ) -> runners.CommandResult:
+        await asyncio.sleep(SLOW_START_S)
+        return await start(worker, command, timeout_ms)
+
+    ownership.runners = dataclasses.replace(
+        ownership.runners, start=start_slowly
+    )
+
+
 def fail_to_send() -> runners.CommandResult:
     raise RuntimeError('the session is closed')
 
@@ -135,3 +154,40 @@
         assert cell.violations == []
 
     job_cells.run(script)
+
+
+def test_a_stop_does_not_wait_behind_the_starts_of_a_large_job() -> None:
+    """Guards against tasks of cancelled jobs that run on behind starts.
+
+    Stop commands waited in one queue with the starts, which are sent one at a
+    time. A stop that overtakes the start of its own run bars that run.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(
+            loop,
+            job_cells.make_worker(
+                'w1', capacity=resources.Resources(1_000_000, 1_000_000)
+            ),
+        )
+        node = await start_job(cell)
+        ownership = job_views.get_ownership(node)
+        answer_starts_slowly(ownership)
+        step = job_cells.make_step(MANY_TASKS)
+        for id in ('large', 'next'):
+            await owner_operations.submit(
+                ownership, job_cells.make_job_spec(id, step)
+            )
+        await asyncio.sleep(0.5)
+        for id in ('a', 'next'):
+            await owner_operations.cancel(ownership, id, '')
+        target = cell.targets['w1']
+        await asyncio.sleep(MAX_GONE_MS / 1_000)
+        assert {name.job for name in target.runs} == {'large'}
+        assert await job_cells.wait_until(
+            cell, lambda: len(target.runs) == MANY_TASKS
+        )
+        assert {name.job for name in target.runs} == {'large'}
+        assert cell.violations == []
+
+    job_cells.run(script)
