Acquisitions and renewals no longer defeat each other

Callers saw: a cell of serve with one ledger partition that no instance acquired for 30 s; requests of that partition wait.

Cause: an acquisition is conditional on the version of the instance's own lease row, and a renewal under way at the same time changes it. The failure asks for a renewal at once, and the renewal before it starts the next acquisition at once, so both are under way again.

Evidence: of 257 starts of the functional tests' cell on one was not ready in 30 s and one in 10 s; with failed acquisitions logged, one of 257 took 14 s, and its log shows an attempt about every 10 ms, each with "condition failed" on the instance's own lease row.

Change: an acquisition holds the lock of the renewals. A failed one is logged as not_acquired. The new test fails on the code before.

--- a/src/nutmegknot/_internal/membership/leases.py
+++ b/src/nutmegknot/_internal/membership/leases.py
@@ -45,7 +45,8 @@
       is_announced: Whether the change row, whose new version makes the other
         instances read all lease and owner rows, was written since the lease
         was created or the instance began to leave.
-      lock: Held during a renewal.
+      lock: Held during a renewal and each other transaction that is conditional
+        on the row's version.
       renewal_needed: Notified when the next renewal should be sent at once.
     """
 
--- a/src/nutmegknot/_internal/membership/partition_ownership.py
+++ b/src/nutmegknot/_internal/membership/partition_ownership.py
@@ -166,26 +166,22 @@
         view.me.address,
     )
     key = rows.get_owner_key(partition)
-    conditions = [
-        tables.Condition(key, view.owner_versions.get(partition, 0)),
-        tables.Condition(
-            rows.get_member_key(view.me.id), context.lease.version
-        ),
-    ]
-    writes = [rows.make_owner_write(owner), rows.make_change_write(view.me.id)]
-    if before is not None and before.owner:
-        condition, write = _make_lease_end(view, before.owner)
-        conditions.append(condition)
-        writes += write
-    result = await context.table.transact(
-        tables.Transaction(tuple(conditions), tuple(writes), (key,)),
-        leases.compute_renewal_timeout(context),
-    )
+    # A renewal at the same time would change the version of the lease row. As
+    # a failed acquisition asks for a renewal, each could defeat the next.
+    async with context.lease.lock:
+        result = await context.table.transact(
+            _make_acquisition(context, owner, before),
+            leases.compute_renewal_timeout(context),
+        )
     if isinstance(result, tables.Uncertain):
         return await _read_back(context, owner)
     if isinstance(result, tables.ConditionFailed):
         signals.notify(context.lease.renewal_needed)
     if not isinstance(result, tables.Committed):
+        logger.warning(
+            'not_acquired',
+            extra={'partition': partition, 'why': _describe_failure(result)},
+        )
         return False
     leases.record_owner_row(view, result.rows[key])
     _notify_change(context)
@@ -195,6 +191,42 @@
     return True
 
 
+def _make_acquisition(
+    context: leases.Context,
+    owner: partitions.Ownership,
+    before: partitions.Ownership | None,
+) -> tables.Transaction:
+    """Returns the transaction that makes this instance the owner.
+
+    Args:
+      context: The membership of this instance.
+      owner: The partition with its next epoch.
+      before: The last known owner; None if there was none.
+    """
+    view = context.view
+    key = rows.get_owner_key(owner.partition)
+    conditions = [
+        tables.Condition(key, view.owner_versions.get(owner.partition, 0)),
+        tables.Condition(
+            rows.get_member_key(view.me.id), context.lease.version
+        ),
+    ]
+    writes = [rows.make_owner_write(owner), rows.make_change_write(view.me.id)]
+    if before is not None and before.owner:
+        condition, write = _make_lease_end(view, before.owner)
+        conditions.append(condition)
+        writes += write
+    return tables.Transaction(tuple(conditions), tuple(writes), (key,))
+
+
+def _describe_failure(
+    result: tables.ConditionFailed | tables.Unavailable,
+) -> str:
+    if isinstance(result, tables.ConditionFailed):
+        return f'changed: {result.key}'
+    return result.detail
+
+
 def _make_lease_end(
     view: views.View, instance: str
 ) -> tuple[tables.Condition, list[tables.Write]]:
--- a/tests/unit/membership/test_leases.py
+++ b/tests/unit/membership/test_leases.py
@@ -1,5 +1,8 @@
 """Tests of leases, partition ownership and authority of instances."""
 
+import asyncio
+import dataclasses
+
 from lib import fakes
 from lib import members
 import pytest
@@ -117,6 +120,41 @@
     assert await partition_ownership.acquire(other.context, mine)
 
 
+@pytest.mark.parametrize('is_renewal_first', [True, False])
+async def test_a_renewal_does_not_defeat_an_acquisition(
+    is_renewal_first: bool,
+) -> None:
+    """Guards against partitions that stay without an owner for half a minute.
+
+    Each acquisition failed for a renewal at the same time, and asked for the
+    next renewal by failing.
+    """
+    _, _, (node,) = make_cell(1)
+    transact = node.context.table.transact
+
+    async def transact_slowly(
+        transaction: tables.Transaction, timeout_ms: int
+    ) -> tables.TransactionResult:
+        await asyncio.sleep(0.001)
+        result = await transact(transaction, timeout_ms)
+        await asyncio.sleep(0.001)
+        return result
+
+    node.context = dataclasses.replace(
+        node.context,
+        table=dataclasses.replace(node.context.table, transact=transact_slowly),
+    )
+    assert await leases.renew(node.context)
+    calls = [
+        leases.renew(node.context),
+        partition_ownership.acquire(node.context, PARTITION),
+    ]
+    if not is_renewal_first:
+        calls.reverse()
+    assert await asyncio.gather(*calls) == [True, True]
+    assert node.context.lease.renewal_needed.count == 0
+
+
 async def test_configuration_is_never_older_or_invalid() -> None:
     fake, manual, (node,) = make_cell(1)
     put_configuration(fake, 5)
