Runs of occurrences that aren't due by a new owner's clock are kept

Cause: the new owner had no stage for an occurrence that wasn't due by its clock, so that it took a listed run for unknown and dropped a listed end. The count of opened occurrences also counted stages that exist early, and opened the occurrence before an interval late.

Change: a listed run or end makes its stage. The next occurrence is the first of which a step without dependencies has not been opened.

--- a/src/nutmegknot/_internal/jobs/reconciliation.py
+++ b/src/nutmegknot/_internal/jobs/reconciliation.py
@@ -33,7 +33,7 @@
     stage = (
         None
         if end.name is None
-        else cluster_state.find_stage(cluster, end.name)
+        else cluster_state.find_or_make_stage(cluster, end.name)
     )
     if stage is None or end.name is None:
         logger.info(
@@ -383,7 +383,7 @@
       Whether the owner wants the run there; another run has to be stopped.
     """
     cluster = ownership.cluster
-    stage = cluster_state.find_stage(cluster, row.name)
+    stage = cluster_state.find_or_make_stage(cluster, row.name)
     job = cluster.jobs.get(row.name.job)
     if stage is None or job is None:
         return False
--- a/src/nutmegknot/_internal/jobs/task_scheduling.py
+++ b/src/nutmegknot/_internal/jobs/task_scheduling.py
@@ -194,7 +194,7 @@
             ownership.timed_jobs.discard(job_id)
             continue
         due_ms = stage_ranking.compute_due_ms(
-            job.spec, count_opened_occurrences(job)
+            job.spec, find_next_occurrence(job)
         )
         is_written = (
             job.is_durable and job.latest_write <= ownership.writer.last_durable
@@ -227,9 +227,23 @@
     )
 
 
-def count_opened_occurrences(job: jobs.Job) -> int:
-    """Returns how many occurrences of a job have been opened."""
-    return len({occurrence for occurrence, _ in job.stages})
+def find_next_occurrence(job: jobs.Job) -> int:
+    """Returns the number of the first occurrence that has not been opened.
+
+    A stage of which a worker has listed a task may exist before its occurrence
+    is opened.
+    """
+    for occurrence in range(jobs.count_occurrences(job.spec)):
+        for number, step in enumerate(job.spec.steps):
+            stage = job.stages.get((occurrence, number))
+            is_opened = stage is not None and (
+                bool(step.depends_on)
+                or stage.ready_ms is not None
+                or stage.done_count == len(stage.tasks)
+            )
+            if not is_opened:
+                return occurrence
+    return jobs.count_occurrences(job.spec)
 
 
 def open_ready_stages(ownership: ownerships.Ownership, job: jobs.Job) -> None:
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -275,6 +275,33 @@
     return stage
 
 
+def find_or_make_stage(
+    cluster: ClusterState, name: jobs_lib.TaskName
+) -> jobs_lib.Stage | None:
+    """Returns the stage of a task that a worker lists.
+
+    The stage is made if it has not been opened yet: the clock of the earlier
+    owner that started the task may be ahead of this one's.
+
+    Returns:
+      The stage; None if no job that has not ended has such a task.
+    """
+    job = cluster.jobs.get(name.job)
+    if job is None or (name.occurrence, name.step) in job.stages:
+        return find_stage(cluster, name)
+    steps = job.spec.steps
+    if (
+        jobs_lib.is_final(job)
+        or name.occurrence >= jobs_lib.count_occurrences(job.spec)
+        or name.step >= len(steps)
+        or name.index >= steps[name.step].count
+    ):
+        return None
+    stage = jobs_lib.make_stage(name.occurrence, name.step, steps[name.step])
+    job.stages[name.occurrence, name.step] = stage
+    return stage
+
+
 def make_task_name(
     job: jobs_lib.Job, stage: jobs_lib.Stage, index: int
 ) -> jobs_lib.TaskName:
