The id of another job is refused instead of acknowledged

Cause: a known id was taken for a repetition of its first call, without a look at queue and customer.

A job whose queue is gone from the configuration is found at any.

Evidence: two cases of test_job_references.py, which fail without the comparison ("Accepted" for the second job).

--- a/src/nutmegknot/_internal/jobs/owner_calls.py
+++ b/src/nutmegknot/_internal/jobs/owner_calls.py
@@ -123,16 +123,22 @@
     )
 
 
+def _encode_reference(reference: jobs.JobReference) -> jobs_pb2.NamedJob:
+    return jobs_pb2.NamedJob(
+        id=reference.id, customer=reference.customer, queue=reference.queue
+    )
+
+
 async def get_job_state(
-    node: nodes.Node, job_id: str, customer: str, wait_ms: int
+    node: nodes.Node, reference: jobs.JobReference, wait_ms: int
 ) -> jobs.JobState | outcomes.NotFound | outcomes.Unknown:
     """Returns the state of a job."""
-    call = jobs_pb2.NamedJob(id=job_id, customer=customer)
+    call = _encode_reference(reference)
 
     async def call_local(
         ownership: ownerships.Ownership,
     ) -> jobs.JobState | outcomes.NotFound:
-        return owner_operations.get_job_state(ownership, job_id, customer)
+        return owner_operations.get_job_state(ownership, reference)
 
     async def call_remote(address: str, timeout_s: float) -> jobs_pb2.JobReply:
         stub = peer_calls.get_stub(node, address)
@@ -141,7 +147,7 @@
     result = await _forward(node, call_local, call_remote, wait_ms)
     match result:
         case jobs_pb2.JobReply() if result.answer == _Answer.MISSING:
-            return outcomes.NotFound(job_id)
+            return outcomes.NotFound(reference.id)
         case jobs_pb2.JobReply() if result.state:
             return jobs.JobState(result.state)
         case jobs_pb2.JobReply() | NotDelivered() | NoReply():
@@ -151,15 +157,15 @@
 
 
 async def cancel(
-    node: nodes.Node, job_id: str, customer: str, wait_ms: int
+    node: nodes.Node, reference: jobs.JobReference, wait_ms: int
 ) -> owner_operations.CancelOutcome:
     """Cancels a job."""
-    call = jobs_pb2.NamedJob(id=job_id, customer=customer)
+    call = _encode_reference(reference)
 
     async def call_local(
         ownership: ownerships.Ownership,
     ) -> owner_operations.CancelOutcome:
-        return await owner_operations.cancel(ownership, job_id, customer)
+        return await owner_operations.cancel(ownership, reference)
 
     async def call_remote(address: str, timeout_s: float) -> jobs_pb2.JobReply:
         stub = peer_calls.get_stub(node, address)
@@ -168,7 +174,7 @@
     result = await _forward(node, call_local, call_remote, wait_ms)
     match result:
         case jobs_pb2.JobReply() if result.answer == _Answer.MISSING:
-            return outcomes.NotFound(job_id)
+            return outcomes.NotFound(reference.id)
         case jobs_pb2.JobReply() if result.answer == _Answer.DONE:
             return outcomes.Cancelled(True)
         case jobs_pb2.JobReply() | NotDelivered() | NoReply():
--- a/src/nutmegknot/_internal/jobs/owner_operations.py
+++ b/src/nutmegknot/_internal/jobs/owner_operations.py
@@ -34,6 +34,14 @@
     A repeated call for the same job gets the outcome of the first one.
     """
     known = ownership.cluster.jobs.get(spec.id)
+    reference = jobs.JobReference(spec.id, spec.customer, spec.queue)
+    if known is not None and not _is_meant(ownership, known, reference):
+        return _log_refusal(
+            spec,
+            outcomes.Refused(
+                outcomes.RefusalReason.ID_IN_USE, 'another job has this id'
+            ),
+        )
     if known is not None and known.is_durable:
         return outcomes.Accepted(spec.id)
     pending = ownership.pending_submissions.get(spec.id)
@@ -175,25 +183,41 @@
     return job
 
 
+def _is_meant(
+    ownership: ownerships.Ownership,
+    job: jobs.Job,
+    reference: jobs.JobReference,
+) -> bool:
+    """Tells whether a caller means a job that has the id it names.
+
+    A job whose queue has been removed or renamed is found at any queue.
+    """
+    is_elsewhere = (
+        reference.queue not in ('', job.spec.queue)
+        and job.spec.queue in ownership.cluster.settings.queues
+    )
+    return job.spec.customer == reference.customer and not is_elsewhere
+
+
 def get_job_state(
-    ownership: ownerships.Ownership, job_id: str, customer: str
+    ownership: ownerships.Ownership, reference: jobs.JobReference
 ) -> jobs.JobState | outcomes.NotFound:
     """Returns the state of a job; a final one only once it is in the store."""
-    job = ownership.cluster.jobs.get(job_id)
-    if job is None or job.spec.customer != customer:
-        return outcomes.NotFound(job_id)
+    job = ownership.cluster.jobs.get(reference.id)
+    if job is None or not _is_meant(ownership, job, reference):
+        return outcomes.NotFound(reference.id)
     if job.persisted_final_state is not None:
         return job.persisted_final_state
     return jobs.JobState.RUNNING if job.has_started else jobs.JobState.QUEUED
 
 
 async def cancel(
-    ownership: ownerships.Ownership, job_id: str, customer: str
+    ownership: ownerships.Ownership, reference: jobs.JobReference
 ) -> CancelOutcome:
     """Cancels a job, answering once that is in the store."""
-    job = ownership.cluster.jobs.get(job_id)
-    if job is None or job.spec.customer != customer:
-        return outcomes.NotFound(job_id)
+    job = ownership.cluster.jobs.get(reference.id)
+    if job is None or not _is_meant(ownership, job, reference):
+        return outcomes.NotFound(reference.id)
     if not jobs.is_final(job):
         reconciliation.finish_job(
             ownership, job, jobs.JobState.CANCELLED, 'caller'
--- a/src/nutmegknot/_internal/jobs/peer_calls.py
+++ b/src/nutmegknot/_internal/jobs/peer_calls.py
@@ -105,7 +105,7 @@
     ownership = nodes.get_valid_ownership(node)
     if ownership is None:
         return jobs_pb2.JobReply()
-    found = owner_operations.get_job_state(ownership, call.id, call.customer)
+    found = owner_operations.get_job_state(ownership, _decode_reference(call))
     if isinstance(found, jobs.JobState):
         return jobs_pb2.JobReply(
             epoch=ownership.cluster.epoch,
@@ -121,11 +121,15 @@
     return await _reply_as_owner(
         node,
         lambda ownership: owner_operations.cancel(
-            ownership, call.id, call.customer
+            ownership, _decode_reference(call)
         ),
     )
 
 
+def _decode_reference(call: jobs_pb2.NamedJob) -> jobs.JobReference:
+    return jobs.JobReference(call.id, call.customer, call.queue)
+
+
 async def _reply_as_owner(
     node: nodes.Node,
     act: Callable[[ownerships.Ownership], Awaitable[outcomes.Outcome]],
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -279,6 +279,21 @@
     blocker_logged_ms: int = 0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class JobReference:
+    """How a caller names a job.
+
+    Attributes:
+      id: Id that the caller has chosen.
+      customer: Name of the customer; '' for none.
+      queue: Queue at which the caller asks; '' for any.
+    """
+
+    id: str
+    customer: str = ''
+    queue: str = ''
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class JobSpec:
     """A job as its caller submitted it, with data of its acceptance.
--- a/src/nutmegknot/_internal/models/outcomes.py
+++ b/src/nutmegknot/_internal/models/outcomes.py
@@ -13,6 +13,7 @@
     """Why a request was not accepted. None of its tasks was started."""
 
     BAD_REQUEST = 'bad_request'
+    ID_IN_USE = 'id_in_use'
     UNKNOWN_QUEUE = 'unknown_queue'
     KEY_REJECTED = 'key_rejected'
     NEVER_RUNNABLE = 'never_runnable'
--- a/src/nutmegknot/_internal/platform/caller_api.py
+++ b/src/nutmegknot/_internal/platform/caller_api.py
@@ -36,6 +36,7 @@
     outcomes.RefusalReason.BAD_REQUEST: 400,
     outcomes.RefusalReason.KEY_REJECTED: 401,
     outcomes.RefusalReason.UNKNOWN_QUEUE: 404,
+    outcomes.RefusalReason.ID_IN_USE: 409,
     outcomes.RefusalReason.OVERLOADED: 429,
     outcomes.RefusalReason.NEVER_RUNNABLE: 503,
     outcomes.RefusalReason.DEADLINE_PASSED: 503,
@@ -205,13 +206,21 @@
             return _make_unknown_response(outcome)
 
 
+def _name_job(
+    authorized: call_authorization.AuthorizedCall,
+) -> jobs.JobReference:
+    return jobs.JobReference(
+        authorized.subpath, authorized.customer, authorized.queue.name
+    )
+
+
 async def _get_job_state(
     node: nodes.Node,
     authorized: call_authorization.AuthorizedCall,
     wait_ms: int,
 ) -> web.Response:
     outcome = await owner_calls.get_job_state(
-        node, authorized.subpath, authorized.customer, wait_ms
+        node, _name_job(authorized), wait_ms
     )
     match outcome:
         case jobs.JobState():
@@ -228,7 +237,7 @@
     wait_ms: int,
 ) -> web.Response:
     outcome: owner_operations.CancelOutcome = await owner_calls.cancel(
-        node, authorized.subpath, authorized.customer, wait_ms
+        node, _name_job(authorized), wait_ms
     )
     match outcome:
         case outcomes.Cancelled():
--- a/tests/lib/job_views.py
+++ b/tests/lib/job_views.py
@@ -19,7 +19,9 @@
     node: nodes.Node, id: str, customer: str = ''
 ) -> jobs.JobState | outcomes.NotFound:
     """Returns the state of a job as the owner shows it."""
-    return owner_operations.get_job_state(get_ownership(node), id, customer)
+    return owner_operations.get_job_state(
+        get_ownership(node), jobs.JobReference(id, customer)
+    )
 
 
 def list_runs(cell: job_cells.Cell, id: str) -> list[job_cells.StartedRun]:
--- a/tests/unit/jobs/test_customer_limits.py
+++ b/tests/unit/jobs/test_customer_limits.py
@@ -117,7 +117,9 @@
         busy = list_busy_workers(cell)
         for target in busy:
             target.is_cut = True
-        await owner_operations.cancel(job_views.get_ownership(first), 'a', 'c')
+        await owner_operations.cancel(
+            job_views.get_ownership(first), jobs.JobReference('a', 'c')
+        )
         await owner_election.end_ownership(first)
         for number in range(1, owners_lost):
             other = await job_cells.start_owner(cell, f'other{number}')
@@ -346,7 +348,8 @@
     elif kind == 'cancel':
         id = f'j{rng.randrange(max(1, number))}'
         await owner_operations.cancel(
-            job_views.get_ownership(owner), id, rng.choice('cd')
+            job_views.get_ownership(owner),
+            jobs.JobReference(id, rng.choice('cd')),
         )
     elif kind == 'lost':
         target.lost_answers = 3
--- a/tests/unit/jobs/test_dropped_stops.py
+++ b/tests/unit/jobs/test_dropped_stops.py
@@ -109,7 +109,9 @@
         cell.table.is_down = True
         await asyncio.sleep((outage_ms - 10) / 1_000)
         cancelling = asyncio.create_task(
-            owner_operations.cancel(job_views.get_ownership(node), 'a', '')
+            owner_operations.cancel(
+                job_views.get_ownership(node), jobs.JobReference('a')
+            )
         )
         await asyncio.sleep(0.01)
         cell.table.is_down = False
@@ -137,7 +139,9 @@
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
         node = await start_job(cell)
         ownership = job_views.get_ownership(node)
-        cancel = functools.partial(owner_operations.cancel, ownership, 'a', '')
+        cancel = functools.partial(
+            owner_operations.cancel, ownership, jobs.JobReference('a')
+        )
         if has_new_owner:
             cell.targets['w1'].is_cut = True
             await cancel()
@@ -180,7 +184,7 @@
             )
         await asyncio.sleep(0.5)
         for id in ('a', 'next'):
-            await owner_operations.cancel(ownership, id, '')
+            await owner_operations.cancel(ownership, jobs.JobReference(id))
         target = cell.targets['w1']
         await asyncio.sleep(MAX_GONE_MS / 1_000)
         assert {name.job for name in target.runs} == {'large'}
--- /dev/null
+++ b/tests/unit/jobs/test_job_references.py
@@ -0,0 +1,76 @@
+"""Jobs that callers name by an id that they have chosen."""
+
+import asyncio
+import dataclasses
+
+from lib import job_cells
+from lib import job_views
+import pytest
+
+from nutmegknot._internal.jobs import owner_calls
+from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import outcomes
+
+WAIT_MS = 1_000
+SPEC = job_cells.make_job_spec('a', job_cells.make_step(), customer='c')
+
+
+@pytest.mark.parametrize(
+    ('customer', 'queue'), [('c', 'other'), ('another', 'queue')]
+)
+def test_the_id_of_another_job_is_refused(customer: str, queue: str) -> None:
+    """Guards against a job that is acknowledged and never stored.
+
+    The id of a known job was taken for a repetition of its call, at whatever
+    queue and for whatever customer it came.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        settings = job_cells.make_settings(
+            job_cells.make_queue(), job_cells.make_queue('other')
+        )
+        cell = job_cells.make_cell(
+            loop, job_cells.make_worker('w1'), settings=settings
+        )
+        cell.run_ms = lambda name: 100_000
+        node = await job_cells.start_owner(cell, 'one')
+        accepted = outcomes.Accepted('a')
+        assert await owner_calls.submit(node, SPEC, WAIT_MS) == accepted
+        refused = await owner_calls.submit(
+            node,
+            dataclasses.replace(SPEC, customer=customer, queue=queue),
+            WAIT_MS,
+        )
+        assert isinstance(refused, outcomes.Refused)
+        assert refused.reason is outcomes.RefusalReason.ID_IN_USE
+        reference = jobs.JobReference('a', customer, queue)
+        missing = outcomes.NotFound('a')
+        shown = await owner_calls.get_job_state(node, reference, WAIT_MS)
+        assert shown == missing
+        cancelled = await owner_calls.cancel(node, reference, WAIT_MS)
+        assert cancelled == missing
+        assert await owner_calls.submit(node, SPEC, WAIT_MS) == accepted
+        assert (
+            job_views.get_state(node, 'a', 'c') is not jobs.JobState.CANCELLED
+        )
+
+    job_cells.run(script)
+
+
+def test_a_job_is_found_after_its_queue_was_renamed() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 100_000
+        node = await job_cells.start_owner(cell, 'one')
+        accepted = outcomes.Accepted('a')
+        assert await owner_calls.submit(node, SPEC, WAIT_MS) == accepted
+        cluster = job_views.get_ownership(node).cluster
+        renamed = job_cells.make_queue('renamed')
+        cluster.settings = job_cells.make_settings(renamed)
+        spec = dataclasses.replace(SPEC, queue='renamed')
+        assert await owner_calls.submit(node, spec, WAIT_MS) == accepted
+        reference = jobs.JobReference('a', 'c', 'renamed')
+        shown = await owner_calls.get_job_state(node, reference, WAIT_MS)
+        assert isinstance(shown, jobs.JobState)
+
+    job_cells.run(script)
--- a/tests/unit/jobs/test_long_rows.py
+++ b/tests/unit/jobs/test_long_rows.py
@@ -179,7 +179,9 @@
         await owner_election.end_ownership(first)
         second = await job_cells.start_owner(cell, 'two')
         ownership = job_views.get_ownership(second)
-        assert await owner_operations.cancel(ownership, 'a' * 16, '')
+        assert await owner_operations.cancel(
+            ownership, jobs.JobReference('a' * 16)
+        )
         left = [k for k in cell.table.rows if k.startswith(key)]
         assert left == [key]
         assert len(cell.table.rows[key].value) < 100
--- a/tests/unit/jobs/test_owner_calls.py
+++ b/tests/unit/jobs/test_owner_calls.py
@@ -217,11 +217,17 @@
         assert accepted == outcomes.Accepted('a')
         assert await owner_calls.count_waiting_jobs(node, 'queue', 1_000) == 1
         await asyncio.sleep(2.0)
-        state = await owner_calls.get_job_state(node, 'a', '', 1_000)
+        state = await owner_calls.get_job_state(
+            node, jobs.JobReference('a'), 1_000
+        )
         assert state is jobs.JobState.COMPLETED
-        missing = await owner_calls.get_job_state(node, 'b', '', 1_000)
+        missing = await owner_calls.get_job_state(
+            node, jobs.JobReference('b'), 1_000
+        )
         assert missing == outcomes.NotFound('b')
-        other = await owner_calls.get_job_state(node, 'a', 'another', 1_000)
+        other = await owner_calls.get_job_state(
+            node, jobs.JobReference('a', 'another'), 1_000
+        )
         assert other == outcomes.NotFound('a')
 
     job_cells.run(script)
--- a/tests/unit/jobs/test_ownerships.py
+++ b/tests/unit/jobs/test_ownerships.py
@@ -174,7 +174,7 @@
         )
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 4)
         cancelled = await owner_operations.cancel(
-            job_views.get_ownership(node), 'a', ''
+            job_views.get_ownership(node), jobs.JobReference('a')
         )
         assert isinstance(cancelled, outcomes.Cancelled)
         await asyncio.sleep(3.0)
--- a/tests/unit/jobs/test_silences.py
+++ b/tests/unit/jobs/test_silences.py
@@ -236,7 +236,9 @@
         assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 1)
         await asyncio.sleep(0.5)
         cell.targets['w1'].is_cut = True
-        await owner_operations.cancel(job_views.get_ownership(first), 'a', '')
+        await owner_operations.cancel(
+            job_views.get_ownership(first), jobs.JobReference('a')
+        )
         await owner_election.end_ownership(first)
         cell.targets['w1'].is_cut = False
         second = await job_cells.start_owner(cell, 'two')
