A job is refused if its cancel came before it

Cause: a cancel of an unknown job left nothing behind, so that the owner took the late call for a new one.

They are not stored: after a change of owner in between the job is still accepted.

Evidence: the new test submits 3.5 s after the cancel; without the check the job is accepted.

--- a/src/nutmegknot/_internal/jobs/owner_operations.py
+++ b/src/nutmegknot/_internal/jobs/owner_operations.py
@@ -6,6 +6,7 @@
 
 from nutmegknot._internal.decisions import feasibility
 from nutmegknot._internal.decisions import stage_ranking
+from nutmegknot._internal.jobs import early_cancels
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import reconciliation
 from nutmegknot._internal.jobs import rows
@@ -103,6 +104,16 @@
 def _find_refusal(
     ownership: ownerships.Ownership, spec: jobs.JobSpec
 ) -> outcomes.Refused | None:
+    if early_cancels.is_cancelled(
+        ownership.unknown_cancels,
+        spec.customer,
+        spec.id,
+        ownership.clock.now_ms(),
+    ):
+        reason = outcomes.RefusalReason.CANCELLED
+        return _log_refusal(
+            spec, outcomes.Refused(reason, 'cancelled before it arrived')
+        )
     queue = ownership.cluster.settings.queues.get(spec.queue)
     if queue is None:
         reason = outcomes.RefusalReason.UNKNOWN_QUEUE
@@ -216,6 +227,13 @@
 ) -> CancelOutcome:
     """Cancels a job, answering once that is in the store."""
     job = ownership.cluster.jobs.get(reference.id)
+    if job is None:
+        early_cancels.record_cancel(
+            ownership.unknown_cancels,
+            reference.customer,
+            reference.id,
+            ownership.clock.now_ms(),
+        )
     if job is None or not _is_meant(ownership, job, reference):
         return outcomes.NotFound(reference.id)
     if not jobs.is_final(job):
--- a/src/nutmegknot/_internal/models/outcomes.py
+++ b/src/nutmegknot/_internal/models/outcomes.py
@@ -19,6 +19,7 @@
     NEVER_RUNNABLE = 'never_runnable'
     OVERLOADED = 'overloaded'
     DEADLINE_PASSED = 'deadline_passed'
+    CANCELLED = 'cancelled'
     UNAVAILABLE = 'unavailable'
     STOPPING = 'stopping'
 
--- a/src/nutmegknot/_internal/platform/caller_api.py
+++ b/src/nutmegknot/_internal/platform/caller_api.py
@@ -40,6 +40,7 @@
     outcomes.RefusalReason.OVERLOADED: 429,
     outcomes.RefusalReason.NEVER_RUNNABLE: 503,
     outcomes.RefusalReason.DEADLINE_PASSED: 503,
+    outcomes.RefusalReason.CANCELLED: 503,
     outcomes.RefusalReason.UNAVAILABLE: 503,
     outcomes.RefusalReason.STOPPING: 503,
 }
--- a/tests/unit/jobs/test_job_references.py
+++ b/tests/unit/jobs/test_job_references.py
@@ -7,6 +7,7 @@
 from lib import job_views
 import pytest
 
+from nutmegknot._internal.jobs import early_cancels
 from nutmegknot._internal.jobs import owner_calls
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
@@ -74,3 +75,41 @@
         assert isinstance(shown, jobs.JobState)
 
     job_cells.run(script)
+
+
+def test_a_job_that_was_cancelled_before_it_came_is_refused() -> None:
+    """Guards against a job that runs unasked after its caller has left.
+
+    Its call is under way at an instance that is frozen, and its caller, who no
+    longer waits, gets 410 for a DELETE.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        node = await job_cells.start_owner(cell, 'one')
+        reference = jobs.JobReference('a', 'c', 'queue')
+        cancelled = await owner_calls.cancel(node, reference, WAIT_MS)
+        assert cancelled == outcomes.NotFound('a')
+        await asyncio.sleep(3.5)
+        refused = await owner_calls.submit(node, SPEC, WAIT_MS)
+        assert isinstance(refused, outcomes.Refused)
+        assert refused.reason is outcomes.RefusalReason.CANCELLED
+        assert refused.retry_after_ms == 0
+        other = dataclasses.replace(SPEC, customer='another')
+        accepted = outcomes.Accepted('a')
+        assert await owner_calls.submit(node, other, WAIT_MS) == accepted
+
+    job_cells.run(script)
+
+
+def test_early_cancels_are_bounded() -> None:
+    cancels = early_cancels.EarlyCancels()
+    for number in range(early_cancels.MAX_CANCELS + 1):
+        early_cancels.record_cancel(cancels, 'c', str(number), 1_000)
+    assert len(cancels.until_ms) == early_cancels.MAX_CANCELS
+    assert not early_cancels.is_cancelled(cancels, 'c', '0', 1_000)
+    assert early_cancels.is_cancelled(cancels, 'c', '1', 1_000)
+    late_ms = 1_001 + early_cancels.REMEMBERED_MS
+    assert not early_cancels.is_cancelled(cancels, 'c', '1', late_ms)
+    early_cancels.record_cancel(cancels, 'c', 'next', late_ms)
+    assert list(cancels.until_ms) == [('c', 'next')]
