A job whose row is in the table is not refused in an outage

Callers would have seen: 503 for a job that the next owner loads and runs.

Cause: a caller waits for all writes queued before its job's row. With more than 96 rows the row can be written before an older one that was queued again. If the store failed then, the caller was told that the row had been withdrawn, although it was no longer in the queue.

Change: only a row that is still queued counts as withdrawn; otherwise the job is accepted, and counts as stored, so that a repetition of its call is accepted as well.

Evidence: two new tests, which fail on the code before ("withdrawn" for a row in the table; 503 for the job); the second also fails without the mark as stored.

--- a/src/nutmegknot/_internal/jobs/owner_operations.py
+++ b/src/nutmegknot/_internal/jobs/owner_operations.py
@@ -68,6 +68,8 @@
     written = await writers.wait_durable(ownership.writer, (key,))
     match written:
         case writers.WriteOutcome.DURABLE:
+            # An older row may still wait to be written.
+            job.is_durable = True
             instruments.record(
                 ownership.metrics.accept_ms,
                 ownership.clock.now_ms() - arrived_ms,
--- a/src/nutmegknot/_internal/jobs/writers.py
+++ b/src/nutmegknot/_internal/jobs/writers.py
@@ -511,6 +511,9 @@
 def _withdraw_writes(writer: Writer, in_flight: frozenset[str]) -> None:
     """Withdraws the rows of new jobs, whose callers are then refused.
 
+    A job whose row is in the table already only waits for an older row, and is
+    accepted.
+
     Load pattern: new jobs arrive while a write has no answer. They wait behind
     it, and if the store stays silent, their callers would wait until their
     deadlines for an unknown outcome.
@@ -525,10 +528,13 @@
         if not waiter.keys or not in_flight.isdisjoint(waiter.keys):
             kept.append(waiter)
             continue
+        is_queued = any(key in writer.queued_writes for key in waiter.keys)
         for key in waiter.keys:
             writer.queued_writes.pop(key, None)
         if not waiter.done.done():
-            waiter.done.set_result(WriteOutcome.WITHDRAWN)
+            waiter.done.set_result(
+                WriteOutcome.WITHDRAWN if is_queued else WriteOutcome.DURABLE
+            )
     writer.waiters = kept
 
 
--- a/tests/unit/jobs/test_outages.py
+++ b/tests/unit/jobs/test_outages.py
@@ -14,6 +14,7 @@
 from nutmegknot._internal.jobs import owner_operations
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import peer_calls
+from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import store_routes
 from nutmegknot._internal.jobs import takeover
 from nutmegknot._internal.jobs import writers
@@ -405,3 +406,35 @@
         assert cell.violations == []
 
     job_cells.run(script)
+
+
+def test_a_job_whose_row_is_written_is_accepted_in_an_outage() -> None:
+    """Guards against a job that is refused and runs, also if its call comes
+    again.
+
+    The store fails when it has taken the job's row and not yet an older one.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        node = await job_cells.start_owner(cell, 'one')
+        ownership = job_views.get_ownership(node)
+        writers.queue_write(ownership.writer, 'old', lambda: b'1')
+        spec = job_cells.make_job_spec('a', job_cells.make_step())
+        first = asyncio.create_task(owner_operations.submit(ownership, spec))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        for number in range(writers.MAX_ROWS_PER_BATCH):
+            writers.queue_write(ownership.writer, f'o {number}', lambda: b'o')
+        writers.queue_write(ownership.writer, 'old', lambda: b'2')
+        cell.table.faults = ['', *['down'] * 60]
+        assert await first == outcomes.Accepted('a')
+        assert rows.get_job_key('a') in cell.table.rows
+        again = await owner_operations.submit(ownership, spec)
+        assert again == outcomes.Accepted('a')
+        assert await job_cells.wait_until(
+            cell,
+            lambda: job_views.get_state(node, 'a') is jobs.JobState.COMPLETED,
+        )
+
+    job_cells.run(script)
--- a/tests/unit/jobs/test_writers.py
+++ b/tests/unit/jobs/test_writers.py
@@ -104,6 +104,32 @@
     run_script(script)
 
 
+def test_a_job_that_is_in_the_table_is_not_refused() -> None:
+    """Guards against a job that is refused and runs.
+
+    The job's row was written in a batch that left out an older row, which had
+    been queued again. As the job's caller waited for that one too, it was told
+    in the outage that followed that the job's row had been withdrawn.
+    """
+
+    async def script(
+        writer: writers.Writer, fake: fakes.FakeTable, may_answer: asyncio.Event
+    ) -> None:
+        writers.queue_write(writer, 'old', lambda: b'1')
+        writers.queue_write(writer, 'job', lambda: b'j')
+        waiter = asyncio.create_task(writers.wait_durable(writer, ('job',)))
+        await asyncio.sleep(0)
+        for number in range(writers.MAX_ROWS_PER_BATCH):
+            writers.queue_write(writer, f'other {number}', lambda: b'o')
+        writers.queue_write(writer, 'old', lambda: b'2')
+        fake.faults = ['', *['down'] * 20]
+        outcome = await waiter
+        assert 'job' in fake.rows
+        assert outcome is writers.WriteOutcome.DURABLE
+
+    run_script(script)
+
+
 def test_a_batch_that_was_not_written_is_written_later() -> None:
     async def script(
         writer: writers.Writer, fake: fakes.FakeTable, may_answer: asyncio.Event
