A start that waits is not sent to a worker that drains meanwhile

Cause: whether a worker takes starts was checked when a start was decided, not when its command left the worker's queue of commands.

Change: the sender checks before each attempt whether the worker is listed, not draining, and its failure domain open.

--- a/src/nutmegknot/_internal/decisions/plans.py
+++ b/src/nutmegknot/_internal/decisions/plans.py
@@ -283,6 +283,17 @@
     return total
 
 
+def takes_starts(
+    cluster: cluster_state.ClusterState, info: cluster_state.WorkerInfo
+) -> bool:
+    """Returns whether a worker is to start anything, as the platform has it."""
+    return (
+        info.is_listed
+        and info.worker.state is workers.TargetState.LIVE
+        and info.worker.domain not in cluster.settings.closed_domains
+    )
+
+
 def is_usable(
     cluster: cluster_state.ClusterState,
     info: cluster_state.WorkerInfo,
@@ -291,11 +302,9 @@
     """Returns whether tasks may start on a worker now."""
     return (
         info.is_claimed
-        and info.is_listed
         and info.is_registered
         and not info.unexpected_runs
-        and info.worker.state is workers.TargetState.LIVE
-        and info.worker.domain not in cluster.settings.closed_domains
+        and takes_starts(cluster, info)
         and now_ms >= max(info.no_starts_before_ms, info.quarantine_until_ms)
         and (
             info.unanswered_since_ms is None
--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -5,6 +5,7 @@
 
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.decisions import crash_trials
+from nutmegknot._internal.decisions import plans
 from nutmegknot._internal.decisions import usage_bounds
 from nutmegknot._internal.jobs import command_queues
 from nutmegknot._internal.jobs import leases
@@ -277,6 +278,7 @@
         decision.task.run == decision.run
         and decision.task.phase is jobs.TaskPhase.STARTING
         and decision.info.worker.life == decision.life
+        and plans.takes_starts(ownership.cluster, decision.info)
         and ownerships.may_act(ownership)
     )
 
