A partition is not taken from an owner that is alive

In the logs, two instances had acquired fleet-north-0 in epoch 1, and ledger-4 changed its owner within 9 ms, which ended the first owner's lease.

Cause: an acquisition went on after a renewal had read that another instance owned the partition by now.

Change: with the lock held, an acquisition checks that the partition is still to be acquired, and makes epoch and conditions from one state.

--- a/src/nutmegknot/_internal/membership/partition_ownership.py
+++ b/src/nutmegknot/_internal/membership/partition_ownership.py
@@ -147,7 +147,7 @@
 
 
 async def acquire(context: leases.Context, partition: str) -> bool:
-    """Makes this instance the owner under the next epoch.
+    """Makes this instance the owner under the next epoch, if it still should.
 
     The transaction is conditional on this instance's own lease and on the
     version of the former owner's lease row whose expiry was observed. It
@@ -158,17 +158,20 @@
       later read of the owner row shows whether it names this instance.
     """
     view = context.view
-    before = view.owners.get(partition)
-    owner = partitions.Ownership(
-        partition,
-        (before.epoch if before else 0) + 1,
-        view.me.id,
-        view.me.address,
-    )
     key = rows.get_owner_key(partition)
     # A renewal at the same time would change the version of the lease row. As
     # a failed acquisition asks for a renewal, each could defeat the next.
     async with context.lease.lock:
+        # The renewal before may have read that another instance owns it.
+        if partition not in list_acquirable(context):
+            return False
+        before = view.owners.get(partition)
+        owner = partitions.Ownership(
+            partition,
+            (before.epoch if before else 0) + 1,
+            view.me.id,
+            view.me.address,
+        )
         result = await context.table.transact(
             _make_acquisition(context, owner, before),
             leases.compute_renewal_timeout(context),
--- a/tests/unit/membership/test_leases.py
+++ b/tests/unit/membership/test_leases.py
@@ -108,15 +108,38 @@
     assert node.served[PARTITION] == 2
 
 
-async def test_owner_renewed_before_takeover_keeps_partition() -> None:
+@pytest.mark.parametrize('renews', [True, False])
+async def test_owner_renewed_before_takeover_keeps_partition(
+    renews: bool,
+) -> None:
+    _, manual, nodes = make_cell(2)
+    await members.run_steps(nodes, manual, 4, 700)
+    owner, other = nodes
+    mine = sorted(owner.served)[0]
+    for _ in range(8):
+        manual.at_ms += 700
+        await leases.renew(other.context)
+    assert mine in partition_ownership.list_acquirable(other.context)
+    if renews:
+        assert await leases.renew(owner.context)
+    taken = await partition_ownership.acquire(other.context, mine)
+    assert taken is not renews
+    assert await leases.renew(owner.context)
+    assert views.owns(owner.context.view, mine) is renews
+
+
+async def test_owner_whose_lease_was_not_read_keeps_partition() -> None:
     fake, manual, nodes = make_cell(2)
     await members.run_steps(nodes, manual, 4, 700)
     owner, other = nodes
     mine = sorted(owner.served)[0]
-    key = rows.get_member_key('n0')
+    for _ in range(8):
+        manual.at_ms += 700
+        await leases.renew(other.context)
     other.context.view.members.pop('n0')
+    assert mine in partition_ownership.list_acquirable(other.context)
     assert not await partition_ownership.acquire(other.context, mine)
-    fake.rows.pop(key)
+    fake.rows.pop(rows.get_member_key('n0'))
     assert await partition_ownership.acquire(other.context, mine)
 
 
@@ -155,6 +178,40 @@
     assert node.context.lease.renewal_needed.count == 0
 
 
+@pytest.mark.parametrize('is_listed_before', [True, False])
+async def test_a_partition_is_not_taken_from_an_owner_that_is_alive(
+    is_listed_before: bool,
+) -> None:
+    """Guards against two instances that own a partition in one epoch.
+
+    Another instance acquired the partition after this one had found it without
+    an owner; this one then read that in a renewal, and took the partition over
+    with the version that it had read.
+    """
+    _, _, (node, other) = make_cell(2)
+    for each in (node, other):
+        assert await leases.renew(each.context)
+    assert await leases.renew(node.context)
+    mine = partition_ownership.list_acquirable(node.context)[0]
+    for each in (node, other):
+        each.context.view.members.pop('n0' if each is other else 'n1')
+    assert await partition_ownership.acquire(other.context, mine)
+    if is_listed_before:
+        assert mine in partition_ownership.list_acquirable(node.context)
+        assert await leases.renew(node.context)
+        assert not await partition_ownership.acquire(node.context, mine)
+    else:
+        renewed, acquired = await asyncio.gather(
+            leases.renew(node.context),
+            partition_ownership.acquire(node.context, mine),
+        )
+        assert renewed
+        assert not acquired
+    assert node.context.view.owners[mine].owner == 'n1'
+    assert await leases.renew(other.context)
+    assert other.context.view.owners[mine].owner == 'n1'
+
+
 async def test_configuration_is_never_older_or_invalid() -> None:
     fake, manual, (node,) = make_cell(1)
     put_configuration(fake, 5)
