Capacity is held only for calls for advice in progress

Cause: a stage held capacity from the moment its request for advice was queued. An adviser takes one call at a time, so a hundred requests wait for seconds when all tickets are over; less urgent stages found no free worker, not even to ask about.

Change: capacity is held while the call is in progress, and from the pass in which an idle adviser takes the request. The plain policy of the differential test follows, which now draws calls and idle advisers.

What is left waits for an adviser.

--- a/benchmarks/plain_task_placement.py
+++ b/benchmarks/plain_task_placement.py
@@ -17,7 +17,11 @@
 
 
 def plan_starts(
-    cluster: cluster_state.ClusterState, now_ms: int, wall_ms: int
+    cluster: cluster_state.ClusterState,
+    now_ms: int,
+    wall_ms: int,
+    *,
+    idle_advisers: int = 1,
 ) -> plans.Plan:
     """Decides which waiting tasks start now.
 
@@ -25,12 +29,14 @@
       cluster: State of the jobs and workers; it is not changed.
       now_ms: Monotonic time in ms.
       wall_ms: Time since the Unix epoch in ms.
+      idle_advisers: Number of advisers that can take a request at once.
 
     Returns:
       The tasks to start, runs to stop, requests for advice, and stages that
       can't start, each list with the most urgent first.
     """
     plan = plans.start_plan(cluster, now_ms)
+    plan.idle_advisers = idle_advisers
     for ranked in rank_stages(cluster, now_ms, wall_ms):
         _plan_stage(cluster, plan, ranked, now_ms)
     return plan
@@ -267,13 +273,18 @@
     """Requests advice on workers for a stage, and holds resources meanwhile.
 
     Resources are held on workers that earlier advice named for the stage, so
-    that stages of lower rank do not take them before new tickets arrive.
+    that stages of lower rank do not take them before new tickets arrive, while
+    the call for advice is in progress or begins.
     """
-    if not ranked.stage.advice.is_asking:
+    advice = ranked.stage.advice
+    if not advice.is_asking:
         ids = _choose_workers_to_ask(plan, ranked.stage, eligible, now_ms)
         advice_selection.add_advice_request(plan, ranked, ids)
-        if not ids:
+        if not ids or not plan.idle_advisers:
             return
+        plan.idle_advisers -= 1
+    elif not advice.is_called:
+        return
     advice_selection.hold_advised_workers(plan, ranked.stage, unplaced)
 
 
--- a/benchmarks/scheduling_passes.py
+++ b/benchmarks/scheduling_passes.py
@@ -110,7 +110,7 @@
     stage = jobs.make_stage(0, 0, step)
     stage.ready_ms = NOW_MS - 100
     if is_advised:
-        stage.advice.is_asking = True
+        stage.advice.is_asking = stage.advice.is_called = True
         for id in rng.sample(list(cluster.workers_by_id), TICKETS_PER_STAGE):
             stage.advice.asked[id] = 1
             stage.advice.tickets[id] = jobs.Ticket('t', NOW_MS + 2_000, 1)
--- a/src/nutmegknot/_internal/decisions/plans.py
+++ b/src/nutmegknot/_internal/decisions/plans.py
@@ -134,6 +134,7 @@
       lag_ms: How late the commands that follow from the plan may be sent.
       allows_trials: Whether tasks that are suspected of crashing workers may
         start.
+      idle_advisers: Number of advisers that can take one more request at once.
       on_trial: Ids of the workers on which such a trial is in progress;
         nothing else starts there.
       reserved: Ids of the workers that are reserved for a stage; stages of
@@ -158,6 +159,7 @@
     )
     lag_ms: int = 0
     allows_trials: bool = True
+    idle_advisers: int = 1
     on_trial: set[str] = dataclasses.field(default_factory=set)
     reserved: set[str] = dataclasses.field(default_factory=set)
     advice_requests: list[advice_requests_lib.AdviceRequest] = (
--- a/src/nutmegknot/_internal/decisions/task_placement.py
+++ b/src/nutmegknot/_internal/decisions/task_placement.py
@@ -50,6 +50,7 @@
     lag_ms: int = 0,
     *,
     allows_trials: bool = True,
+    idle_advisers: int = 1,
 ) -> plans.Plan:
     """Decides which waiting tasks start now.
 
@@ -62,6 +63,7 @@
       lag_ms: How late the commands that follow may be sent.
       allows_trials: Whether tasks that are suspected of crashing workers may
         start.
+      idle_advisers: Number of advisers that can take a request at once.
 
     Returns:
       The tasks to start, runs to stop, requests for advice, and stages that
@@ -70,6 +72,7 @@
     plan = plans.start_plan(cluster, now_ms, eligibility)
     plan.lag_ms = lag_ms
     plan.allows_trials = allows_trials
+    plan.idle_advisers = idle_advisers
     for ranked in rank_stages(cluster, now_ms, wall_ms):
         _plan_stage(cluster, plan, ranked, now_ms)
     return plan
@@ -382,14 +385,22 @@
 
     Resources are held on workers that earlier advice named for the stage, so
     that stages of lower rank do not take them before new tickets arrive.
+
+    Load pattern: many stages need advice at once, and their requests wait for
+    an adviser. What is held for a request that waits is idle for longer than a
+    call takes, so it is held only while the call is in progress or begins.
     """
-    if not ranked.stage.advice.is_asking:
+    advice = ranked.stage.advice
+    if not advice.is_asking:
         ids = advice_selection.choose_workers_to_ask(
             plan, ranked.stage, eligible, now_ms
         )
         advice_selection.add_advice_request(plan, ranked, ids)
-        if not ids:
+        if not ids or not plan.idle_advisers:
             return
+        plan.idle_advisers -= 1
+    elif not advice.is_called:
+        return
     advice_selection.hold_advised_workers(plan, ranked.stage, unplaced)
 
 
--- a/src/nutmegknot/_internal/jobs/advice_calls.py
+++ b/src/nutmegknot/_internal/jobs/advice_calls.py
@@ -51,16 +51,22 @@
         count = ownership.advice_needed.count
         name = _choose_request(ownership.advice_queue, ownership.clock.now_ms())
         if name is None:
-            await signals.wait_with_timeout(
-                ownership.advice_needed, count, MAX_IDLE_WAIT_MS
-            )
+            ownership.advice_queue.idle_advisers += 1
+            try:
+                await signals.wait_with_timeout(
+                    ownership.advice_needed, count, MAX_IDLE_WAIT_MS
+                )
+            finally:
+                ownership.advice_queue.idle_advisers -= 1
             continue
         request = ownership.advice_queue.waiting.pop(name)
         del ownership.advice_queue.queued_ms[name]
+        advice = request.stage.advice
+        advice.is_called = True
         try:
             await _call_adviser(ownership, advise, name, request)
         finally:
-            request.stage.advice.is_asking = False
+            advice.is_asking = advice.is_called = False
         signals.notify(ownership.scheduling_needed)
 
 
--- a/src/nutmegknot/_internal/jobs/task_scheduling.py
+++ b/src/nutmegknot/_internal/jobs/task_scheduling.py
@@ -88,6 +88,7 @@
         int(ownership.lag.peak_ms),
         # Trials are written before they start.
         allows_trials=not _is_store_unavailable(ownership),
+        idle_advisers=ownership.advice_queue.idle_advisers,
     )
     gang_runs: dict[int, int] = {}
     for placement in plan.placed:
--- a/src/nutmegknot/_internal/models/advice_requests.py
+++ b/src/nutmegknot/_internal/models/advice_requests.py
@@ -55,8 +55,10 @@
         comes first.
       queued_ms: When each of them was queued, by the stage's name.
       was_oldest_chosen: Whether the last request was chosen by its age.
+      idle_advisers: Number of advisers that wait for a request.
     """
 
     waiting: dict[str, AdviceRequest] = dataclasses.field(default_factory=dict)
     queued_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     was_oldest_chosen: bool = False
+    idle_advisers: int = 0
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -237,11 +237,13 @@
       tickets: Tickets by id of the worker. Expired ones are kept: the worker
         is still suitable, but needs a new ticket.
       is_asking: Whether a call to an adviser is queued or in progress.
+      is_called: Whether it is in progress.
     """
 
     asked: dict[str, int] = dataclasses.field(default_factory=dict)
     tickets: dict[str, Ticket] = dataclasses.field(default_factory=dict)
     is_asking: bool = False
+    is_called: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/unit/decisions/test_placement_differential.py
+++ b/tests/unit/decisions/test_placement_differential.py
@@ -129,6 +129,14 @@
                 stage.advice.tickets[id] = jobs.Ticket('t', until_ms, life)
 
 
+def draw_calls(cluster: cluster_state.ClusterState, rng: random.Random) -> int:
+    """Draws which stages ask for advice, and the number of idle advisers."""
+    for stage in cluster.waiting_stages.values():
+        stage.advice.is_asking = rng.random() < 0.3
+        stage.advice.is_called = stage.advice.is_asking and rng.random() < 0.5
+    return rng.randrange(3)
+
+
 def change_workers(
     cluster: cluster_state.ClusterState, rng: random.Random, number: int
 ) -> None:
@@ -207,8 +215,13 @@
         end_and_stop_runs(cluster, rng, now_ms)
         give_advice(cluster, rng, now_ms)
         change_workers(cluster, rng, number)
-        plan = task_placement.plan_starts(cluster, now_ms, now_ms, cache)
-        plain = plain_task_placement.plan_starts(cluster, now_ms, now_ms)
+        idle_advisers = draw_calls(cluster, rng)
+        plan = task_placement.plan_starts(
+            cluster, now_ms, now_ms, cache, idle_advisers=idle_advisers
+        )
+        plain = plain_task_placement.plan_starts(
+            cluster, now_ms, now_ms, idle_advisers=idle_advisers
+        )
         assert describe(plan, now_ms) == describe(plain, now_ms)
         apply_plan(cluster, plan, now_ms)
         now_ms += rng.choice((10, 100, 400))
--- a/tests/unit/decisions/test_task_placement.py
+++ b/tests/unit/decisions/test_task_placement.py
@@ -179,6 +179,35 @@
     assert list_blocking_reasons(plan) == ['ticket', 'room']
 
 
+def test_nothing_is_held_while_a_request_for_advice_waits() -> None:
+    """Guards against work that waits beside free workers (LOST).
+
+    Resources were held for each stage whose request for a ticket waited for an
+    adviser, for many seconds and for more stages than could be answered.
+    """
+    cluster = make_cluster(
+        job_cells.make_worker('w1'), job_cells.make_worker('w2')
+    )
+    stages = [
+        add_stage(cluster, id, job_cells.make_step(1, 4_000), queue='asked')
+        for id in 'ab'
+    ]
+    for number, stage in enumerate(stages, 1):
+        stage.advice.asked = {'w1': 1, 'w2': 1}
+        ticket = jobs.Ticket('old', NOW_MS - 1, 1)
+        stage.advice.tickets = {f'w{number}': ticket}
+    add_stage(cluster, 'c', job_cells.make_step(8))
+    plan = make_plan(cluster)
+    assert {p.info.worker.id for p in plan.placed} == {'w2'}
+    plan = task_placement.plan_starts(cluster, NOW_MS, NOW_MS, idle_advisers=0)
+    assert len(plan.placed) == 8
+    stages[1].advice.is_asking = True
+    plan = make_plan(cluster)
+    assert {p.info.worker.id for p in plan.placed} == {'w2'}
+    stages[1].advice.is_called = True
+    assert make_plan(cluster).placed == []
+
+
 def test_a_ticket_that_expires_before_the_start_is_sent_is_renewed() -> None:
     """Guards against starts that workers refuse as their tickets have expired.
 
