Several stop commands are on their way to a worker at a time

Cause: stops to one worker were sent one after the other.

Change: stops have a queue of their own, from which up to eight tasks send, started when stops come. The other commands are still sent one at a time, beside them.

Evidence: the new test stops 400 tasks on one worker with 25 ms for each command; on the code before, the tasks still run after 3.4 s.

--- a/src/nutmegknot/_internal/jobs/command_queues.py
+++ b/src/nutmegknot/_internal/jobs/command_queues.py
@@ -29,24 +29,27 @@
 
 @dataclasses.dataclass(slots=True)
 class CommandQueue:
-    """Commands that wait to be sent to one worker, one at a time.
+    """Commands that wait to be sent to one worker.
 
-    Stop commands go first: a run that is to be stopped must end within a time
-    that does not depend on how many starts wait. A stop may overtake the start
-    of its own run, as the worker then rejects the start.
+    Stop commands do not wait for others, and several are sent at a time: a run
+    that is to be stopped must end within a time that does not depend on how
+    many commands wait. A stop may overtake the start of its own run, as the
+    worker then rejects the start.
 
     Attributes:
-      stops: Stop commands.
-      others: All other commands.
-      changed: Notified when a command is added, and when the session ends.
-      open_stops: Runs whose stop command is queued or being sent.
+      stops: Runs for which a stop command waits.
+      stop_senders: Number of tasks that send stop commands.
+      others: All other commands, which are sent one at a time.
+      changed: Notified when one of these is added, and when the session ends.
+      open_stops: Runs whose stop command waits or is being sent.
       answered_stops: When the worker answered the stop command, by runs that
         it has listed since.
     """
 
-    stops: collections.deque[Send] = dataclasses.field(
+    stops: collections.deque[StopKey] = dataclasses.field(
         default_factory=collections.deque
     )
+    stop_senders: int = 0
     others: collections.deque[Send] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -55,22 +58,7 @@
     answered_stops: dict[StopKey, int] = dataclasses.field(default_factory=dict)
 
 
-def add_stop(commands: CommandQueue, key: StopKey, send: Send) -> None:
-    """Queues a stop command; whoever sends it takes its key from open_stops."""
-    commands.open_stops.add(key)
-    commands.stops.append(send)
-    signals.notify(commands.changed)
-
-
 def add_command(commands: CommandQueue, send: Send) -> None:
     """Queues a command that is not a stop."""
     commands.others.append(send)
     signals.notify(commands.changed)
-
-
-def take_command(commands: CommandQueue) -> Send | None:
-    """Removes the command that is sent next; None if none waits."""
-    for waiting in (commands.stops, commands.others):
-        if waiting:
-            return waiting.popleft()
-    return None
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -108,10 +108,10 @@
     info: cluster_state.WorkerInfo,
     commands: command_queues.CommandQueue,
 ) -> None:
-    """Sends the queued commands to one worker, one at a time."""
+    """Sends the queued commands to one worker, one at a time, but no stops."""
     while ownerships.has_session(ownership, info):
-        send = command_queues.take_command(commands)
-        if send is not None:
+        if commands.others:
+            send = commands.others.popleft()
             await send()
         else:
             await signals.wait_for_notification(
--- a/src/nutmegknot/_internal/jobs/stops.py
+++ b/src/nutmegknot/_internal/jobs/stops.py
@@ -15,6 +15,7 @@
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.telemetry import instruments
 from nutmegknot._internal.utils import clock
+from nutmegknot._internal.utils import tasks
 
 logger = logging.getLogger(__name__)
 
@@ -23,6 +24,8 @@
 # How long a worker may list a run after it has answered the stop command. Then
 # the command is sent again.
 ENDING_MS = 1_000
+# Largest number of stop commands that are on their way to one worker.
+MAX_STOP_SENDERS = 8
 
 
 def stop_run(
@@ -89,9 +92,15 @@
     key = command_queues.StopKey(name, run, info.worker.life)
     if commands is None or key in commands.open_stops:
         return
-    command_queues.add_stop(
-        commands, key, lambda: _send_stop(ownership, info, commands, key)
-    )
+    commands.open_stops.add(key)
+    commands.stops.append(key)
+    if commands.stop_senders < MAX_STOP_SENDERS:
+        commands.stop_senders += 1
+        tasks.spawn(
+            ownership.tasks,
+            _send_stops(ownership, info, commands),
+            f'stop {info.worker.id}',
+        )
 
 
 def repeat_stop(
@@ -146,6 +155,31 @@
     }
 
 
+async def _send_stops(
+    ownership: ownerships.Ownership,
+    info: cluster_state.WorkerInfo,
+    commands: command_queues.CommandQueue,
+) -> None:
+    """Sends the stop commands that wait for a worker."""
+    try:
+        while commands.stops:
+            key = commands.stops.popleft()
+            try:
+                await _send_stop(ownership, info, commands, key)
+            except Exception as error:
+                logger.exception(
+                    'stop_failed',
+                    extra={
+                        'task': jobs.format_task(key.name),
+                        'run': key.run,
+                        'worker': info.worker.id,
+                        'why': repr(error),
+                    },
+                )
+    finally:
+        commands.stop_senders -= 1
+
+
 async def _send_stop(
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
--- a/tests/unit/jobs/test_dropped_stops.py
+++ b/tests/unit/jobs/test_dropped_stops.py
@@ -22,8 +22,9 @@
 TASKS = 4
 # How long after the cancelling a task may be at work, by the users' rules.
 MAX_GONE_MS = 3_400
-# So slow that the starts of a large job take longer than MAX_GONE_MS.
-SLOW_START_S = 0.025
+# So slow that one command after the other, to all tasks of a large job, takes
+# longer than MAX_GONE_MS.
+SLOW_COMMAND_S = 0.025
 MANY_TASKS = 400
 
 
@@ -72,13 +73,13 @@
 
 
 def answer_starts_slowly(ownership: ownerships.Ownership) -> None:
-    """Has each start command take SLOW_START_S."""
+    """Has each start command take SLOW_COMMAND_S."""
     start = ownership.runners.start
 
     async def start_slowly(
         worker: workers.Worker, command: runners.StartCommand, timeout_ms: int
     ) -> runners.CommandResult:
-        await asyncio.sleep(SLOW_START_S)
+        await asyncio.sleep(SLOW_COMMAND_S)
         return await start(worker, command, timeout_ms)
 
     ownership.runners = dataclasses.replace(
@@ -86,6 +87,23 @@
     )
 
 
+def answer_stops_slowly(ownership: ownerships.Ownership) -> None:
+    """Has each stop command take SLOW_COMMAND_S."""
+    stop = ownership.runners.stop
+
+    async def stop_slowly(
+        worker: workers.Worker,
+        name: jobs.TaskName,
+        run: int,
+        token: int,
+        timeout_ms: int,
+    ) -> runners.CommandResult:
+        await asyncio.sleep(SLOW_COMMAND_S)
+        return await stop(worker, name, run, token, timeout_ms)
+
+    ownership.runners = dataclasses.replace(ownership.runners, stop=stop_slowly)
+
+
 def fail_to_send() -> runners.CommandResult:
     raise RuntimeError('the session is closed')
 
@@ -195,3 +213,38 @@
         assert cell.violations == []
 
     job_cells.run(script)
+
+
+def test_the_stops_of_a_large_job_do_not_wait_for_each_other() -> None:
+    """Guards against tasks of a cancelled job that run on behind its stops.
+
+    Stop commands to one worker were sent one at a time. Found in review/5 on a
+    machine with twice as much to do as it has processors.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(
+            loop,
+            job_cells.make_worker(
+                'w1', capacity=resources.Resources(1_000_000, 1_000_000)
+            ),
+        )
+        cell.run_ms = lambda name: 100_000
+        node = await job_cells.start_owner(cell, 'one')
+        ownership = job_views.get_ownership(node)
+        step = job_cells.make_step(MANY_TASKS)
+        await owner_operations.submit(
+            ownership, job_cells.make_job_spec('large', step)
+        )
+        target = cell.targets['w1']
+        assert await job_cells.wait_until(
+            cell, lambda: len(target.runs) == MANY_TASKS
+        )
+        await asyncio.sleep(0.5)
+        answer_stops_slowly(ownership)
+        await owner_operations.cancel(ownership, jobs.JobReference('large'))
+        await asyncio.sleep(MAX_GONE_MS / 1_000)
+        assert not target.runs
+        assert cell.violations == []
+
+    job_cells.run(script)
