An id with a slash is refused, as it could name a part of another row

Callers would have seen: an accepted job lost at the next change of owner because another caller handed in a job with the id a/part/0001. Found by reading; the new test shows it.

Cause: long values take further rows with keys KEY/part/N, and an id, of which the key is made, may contain anything.

Change: the owner refuses an id with a slash with 400.

Evidence: the new test; the job was accepted on the code before.

--- a/src/nutmegknot/_internal/jobs/owner_operations.py
+++ b/src/nutmegknot/_internal/jobs/owner_operations.py
@@ -121,6 +121,10 @@
         reason = outcomes.RefusalReason.UNKNOWN_QUEUE
         return _log_refusal(spec, outcomes.Refused(reason, spec.queue))
     refused = feasibility.find_refusal(ownership.cluster, queue, spec)
+    if refused is None and not rows.is_valid_id(spec.id):
+        refused = outcomes.Refused(
+            outcomes.RefusalReason.BAD_REQUEST, 'id of the job'
+        )
     if refused is None and rows.measure_spec(spec) > rows.MAX_JOB_BYTES:
         refused = outcomes.Refused(
             outcomes.RefusalReason.BAD_REQUEST, 'size of the job'
--- a/src/nutmegknot/_internal/jobs/rows.py
+++ b/src/nutmegknot/_internal/jobs/rows.py
@@ -45,6 +45,11 @@
     return f'{PROGRESS_PREFIX}{job_id}'
 
 
+def is_valid_id(job_id: str) -> bool:
+    """Tells whether a job's id can't be taken for a further row of another."""
+    return '/' not in job_id
+
+
 def get_part_key(key: str, number: int) -> str:
     """Returns the key of a further row of a long value.
 
--- a/tests/unit/jobs/test_job_references.py
+++ b/tests/unit/jobs/test_job_references.py
@@ -9,6 +9,7 @@
 
 from nutmegknot._internal.jobs import early_cancels
 from nutmegknot._internal.jobs import owner_calls
+from nutmegknot._internal.jobs import owner_election
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
 
@@ -113,3 +114,27 @@
     assert not early_cancels.is_cancelled(cancels, 'c', '1', late_ms)
     early_cancels.record_cancel(cancels, 'c', 'next', late_ms)
     assert list(cancels.until_ms) == [('c', 'next')]
+
+
+def test_an_id_that_names_a_part_of_another_row_is_refused() -> None:
+    """Guards against a job that the next owner can't read.
+
+    Its row was continued by that of a job whose id names a further row of it.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 100_000
+        first = await job_cells.start_owner(cell, 'one')
+        accepted = outcomes.Accepted('a')
+        assert await owner_calls.submit(first, SPEC, WAIT_MS) == accepted
+        other = dataclasses.replace(SPEC, id='a/part/0001', customer='another')
+        refused = await owner_calls.submit(first, other, WAIT_MS)
+        assert isinstance(refused, outcomes.Refused)
+        assert refused.reason is outcomes.RefusalReason.BAD_REQUEST
+        await owner_election.end_ownership(first)
+        second = await job_cells.start_owner(cell, 'two')
+        shown = job_views.get_state(second, 'a', 'c')
+        assert isinstance(shown, jobs.JobState)
+
+    job_cells.run(script)
