--- a/src/nutmegknot/_internal/decisions/plans.py
+++ b/src/nutmegknot/_internal/decisions/plans.py
@@ -288,7 +288,7 @@
 def takes_starts(
     cluster: cluster_state.ClusterState, info: cluster_state.WorkerInfo
 ) -> bool:
-    """Returns whether a worker is to start anything, as the platform has it."""
+    """Returns whether platform and operators let a worker start tasks."""
     return (
         info.is_listed
         and info.worker.state is workers.TargetState.LIVE
--- a/src/nutmegknot/_internal/jobs/early_cancels.py
+++ b/src/nutmegknot/_internal/jobs/early_cancels.py
@@ -7,8 +7,7 @@
 
 import dataclasses
 
-# Longest time for which a call may be under way, with the freezing of an
-# instance in between.
+# How long a cancel of an unknown job is kept, in ms.
 REMEMBERED_MS = 60_000
 # So that calls with drawn ids can't use up the memory.
 MAX_CANCELS = 10_000
--- a/src/nutmegknot/_internal/jobs/rows.py
+++ b/src/nutmegknot/_internal/jobs/rows.py
@@ -17,11 +17,10 @@
 PROGRESS_PREFIX = 'jobs/progress/'
 ROSTER_KEY = 'jobs/roster'
 CEILINGS_KEY = 'jobs/ceilings'
-# Largest number of tasks of a job whose crashes and trials are written. It
-# keeps the progress of the largest job below the store's limit for a row.
+# Largest number of tasks of a job whose crashes and trials are written.
 MAX_WRITTEN_SUSPECTS = 60
-# Longest row with a job's specification; longer jobs are refused. It is several
-# rows of the table long, and short enough for one call to the store.
+# Longest value with a job's specification in bytes; longer jobs are refused, as
+# it is written in one call to the store.
 MAX_JOB_BYTES = 262_144
 _PART_INFIX = '/part/'
 
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -31,8 +31,7 @@
         latest. Every call that may have extended the lease counts, also if it
         had no answer.
       latest_end_ms: Monotonic time of the owner until which a lease may last
-        whose end is not known by the worker's present clock; 0 if there is none
-        such.
+        that a call to an earlier life of the worker has given; 0 if none.
     """
 
     clock_ms: int = 0
--- a/src/nutmegknot/_internal/utils/work_slices.py
+++ b/src/nutmegknot/_internal/utils/work_slices.py
@@ -3,8 +3,7 @@
 import asyncio
 import dataclasses
 
-# Units of work after which other tasks run. A unit takes some ten microseconds
-# on a processor of today.
+# Units of work after which other tasks run.
 MAX_SLICE_UNITS = 500
 
 
