Calls to a worker reach only the life that they are meant for

Cause: nothing in a call tells a worker's lives apart, and the next life carried out what was meant for the one before. A poll repeated after a lost answer acknowledged the ends of the earlier life, up to number 216 say, and the new one forgot its first ends unread; a repeated start had just run there to its end.

Change: a connection ends with the process that accepted it. Each call goes over a connection on which the worker has answered in the life that the call is meant for; over a new connection goes first a probe, which acknowledges and renews nothing and whose answer names the life. Connections are given up after a call without an answer. A command for an earlier life is refused without being sent, and nothing starts on that worker until a poll has shown the new life.

Why it works: the end of a run can be forgotten only by a call over a connection to the life that listed it.

--- a/src/nutmegknot/_internal/backing/runners.py
+++ b/src/nutmegknot/_internal/backing/runners.py
@@ -5,6 +5,10 @@
 a time of the worker's own clock. A life of a worker is the time from one start
 of the worker to the next; lives have rising numbers. An adapter for a kind of
 worker provides the functions of Runners.
+
+A call is meant for the life of the worker that it names. It has no effect in
+another one: a poll then returns the inventory of that life, and a command is
+refused. Only a call that is carried out late can still reach the next life.
 """
 
 from collections.abc import Awaitable
@@ -191,6 +195,9 @@
     Awaitable[CommandResult],
 ]
 
+# Takes the id of the worker.
+Disconnect = Callable[[str], Awaitable[None]]
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Runners:
@@ -201,9 +208,11 @@
       start: Starts a run.
       stop: Stops a run; if it has not started yet, it never will.
       throttle: Sets the percentage of full speed at which a run may work.
+      disconnect: Closes the connections to a worker.
     """
 
     poll: PollWorker
     start: StartRun
     stop: StopRun
     throttle: ThrottleRun
+    disconnect: Disconnect
--- a/src/nutmegknot/_internal/jobs/refusals.py
+++ b/src/nutmegknot/_internal/jobs/refusals.py
@@ -15,6 +15,7 @@
 
 # After this time, tasks may start again on a worker that took no calls.
 UNHEALTHY_BACKOFF_MS = 700
+_BACKOFF_REASONS = (runners.Refusal.UNHEALTHY, runners.Refusal.OTHER_LIFE)
 
 
 def handle_refusal(
@@ -25,7 +26,8 @@
     """Acts on a refusal, depending on its reason.
 
     The ownership of the jobs is given up if the worker has seen a higher
-    fencing token. Nothing is started for a while on a worker that is unhealthy.
+    fencing token. Nothing is started for a while on a worker that is unhealthy,
+    or in another life than is known, which the next poll shows.
     """
     if reason is runners.Refusal.FENCED:
         logger.warning(
@@ -33,7 +35,7 @@
             extra={'worker': info.worker.id, 'epoch': ownership.cluster.epoch},
         )
         writers.stop_writing(ownership.writer)
-    elif reason is runners.Refusal.UNHEALTHY:
+    elif reason in _BACKOFF_REASONS:
         backoff_until_ms = ownership.clock.now_ms() + UNHEALTHY_BACKOFF_MS
         info.no_starts_before_ms = max(
             info.no_starts_before_ms, backoff_until_ms
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -121,6 +121,16 @@
 
 async def _poll_worker(
     ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
+) -> None:
+    """Polls one worker until the session ends, then disconnects it."""
+    try:
+        await _poll_repeatedly(ownership, info)
+    finally:
+        await ownership.runners.disconnect(info.worker.id)
+
+
+async def _poll_repeatedly(
+    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
 ) -> None:
     """Renews the lease of one worker and applies its answers, in a loop."""
     unanswered_calls = 0
@@ -249,6 +259,7 @@
     now_ms = ownership.clock.now_ms()
     if inventory.life < info.worker.life:
         # A late answer from before the worker's restart.
+        await clock.sleep(RETRY_INTERVAL_MS)
         return
     if info.unanswered_since_ms is not None:
         logger.info(
--- a/src/nutmegknot/_internal/platform/http_client.py
+++ b/src/nutmegknot/_internal/platform/http_client.py
@@ -4,9 +4,11 @@
 import dataclasses
 import json
 import logging
+import types
 
 import aiohttp
 
+from nutmegknot._internal.backing import life_connections
 from nutmegknot._internal.backing import platform_calls
 from nutmegknot._internal.utils import clock
 
@@ -27,21 +29,77 @@
     session: aiohttp.ClientSession
 
 
+class _NotConnectedError(Exception):
+    """A call that may not open a connection found no idle one."""
+
+
 def make_client() -> Client:
     """Returns a client that has no connections yet."""
+    return Client(_make_session([]))
+
+
+def _make_session(
+    trace_configs: list[aiohttp.TraceConfig],
+) -> aiohttp.ClientSession:
     connector = aiohttp.TCPConnector(
         limit=0, keepalive_timeout=KEEP_ALIVE_TIMEOUT_S, use_dns_cache=False
     )
-    return Client(
-        aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=('User-Agent', 'Accept-Encoding', 'Accept'),
-        )
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=('User-Agent', 'Accept-Encoding', 'Accept'),
+        trace_configs=trace_configs,
     )
 
 
+def open_pool(address: str, headers: dict[str, str]) -> life_connections.Pool:
+    """Returns connections to one address, without open ones.
+
+    Args:
+      address: The address.
+      headers: Headers of each call.
+    """
+    client = Client(_make_session([_make_connection_check()]))
+
+    async def send(
+        call: platform_calls.Call, timeout_ms: int, may_connect: bool
+    ) -> (
+        platform_calls.Reply
+        | platform_calls.NoAnswer
+        | life_connections.NotConnected
+    ):
+        try:
+            return await send_call(
+                client,
+                address,
+                call,
+                timeout_ms,
+                headers,
+                may_connect=may_connect,
+            )
+        except _NotConnectedError:
+            return life_connections.NotConnected()
+
+    return life_connections.Pool(send, client.session.close)
+
+
+def _make_connection_check() -> aiohttp.TraceConfig:
+    """Returns hooks that end a call which would open a connection."""
+
+    async def check(
+        session: aiohttp.ClientSession,
+        context: types.SimpleNamespace,
+        params: aiohttp.TraceConnectionCreateStartParams,
+    ) -> None:
+        if not context.trace_request_ctx:
+            raise _NotConnectedError
+
+    config = aiohttp.TraceConfig()
+    config.on_connection_create_start.append(check)
+    return config
+
+
 async def close(client: Client) -> None:
     """Closes all connections."""
     await client.session.close()
@@ -53,8 +111,15 @@
     platform_call: platform_calls.Call,
     timeout_ms: int,
     headers: dict[str, str] | None = None,
+    *,
+    may_connect: bool = True,
 ) -> platform_calls.Reply | platform_calls.NoAnswer:
-    """Makes a call; the time-out covers connecting and reading the response."""
+    """Makes a call; the time-out covers connecting and reading the response.
+
+    Raises:
+      _NotConnectedError: If it may not connect, and no connection is idle. Only
+        the clients of open_pool have that check.
+    """
     sent_headers = dict(headers or {})
     data = None
     if platform_call.body is not None:
@@ -70,6 +135,7 @@
                 headers=sent_headers,
                 allow_redirects=False,
                 timeout=_NO_TIMEOUT,
+                trace_request_ctx=may_connect,
             ) as response:
                 return decode_reply(response.status, await response.read())
     except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
--- a/src/nutmegknot/_internal/platform/instance_process.py
+++ b/src/nutmegknot/_internal/platform/instance_process.py
@@ -79,7 +79,7 @@
         backends=nodes.Backends(
             metadata_store.connect(fetch, settings.max_row_bytes),
             platform_listings.connect(fetch, settings.regions),
-            platform_workers.connect_runners(client),
+            platform_workers.connect_runners(http_client.open_pool),
             platform_workers.connect_adviser(client, settings.adviser),
         ),
         tasks=tasks.TaskSet(),
--- a/src/nutmegknot/_internal/platform/platform_workers.py
+++ b/src/nutmegknot/_internal/platform/platform_workers.py
@@ -1,11 +1,11 @@
 """Adapter to the platform's workers and to its advice service."""
 
-from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
 from typing import Any
 
 from nutmegknot._internal.backing import advisers
+from nutmegknot._internal.backing import life_connections
 from nutmegknot._internal.backing import platform_calls
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.models import jobs
@@ -39,36 +39,63 @@
 }
 
 
-# Takes the worker, the path, the body and a time-out in ms.
-_Send = Callable[
-    [workers.Worker, str, dict[str, Any], int],
-    Awaitable[platform_calls.Reply | platform_calls.NoAnswer],
-]
+# Takes an address and the headers of each call.
+OpenPool = Callable[[str, dict[str, str]], life_connections.Pool]
 
 
-def connect_runners(client: http_client.Client) -> runners.Runners:
-    """Returns access to the platform's workers."""
+def connect_runners(open_pool: OpenPool) -> runners.Runners:
+    """Returns access to the platform's workers.
 
-    async def send(
-        worker: workers.Worker, path: str, body: dict[str, Any], timeout_ms: int
-    ) -> platform_calls.Reply | platform_calls.NoAnswer:
-        return await http_client.send_call(
-            client,
-            worker.address,
-            platform_calls.Call('POST', path, body=body),
-            timeout_ms,
-            {'Expect-Instance': worker.id},
-        )
+    Args:
+      open_pool: Returns connections to an address, for calls with some headers.
+    """
+    connections = life_connections.Connections(
+        lambda worker: open_pool(
+            worker.address, {'Expect-Instance': worker.id}
+        ),
+        lambda reply: _read_time(reply.fields, 'born'),
+    )
+
+    async def disconnect(worker_id: str) -> None:
+        await life_connections.disconnect(connections, worker_id)
 
     return runners.Runners(
-        _make_poll(send),
-        _make_start(send),
-        _make_stop(send),
-        _make_throttle(send),
+        _make_poll(connections),
+        _make_start(connections),
+        _make_stop(connections),
+        _make_throttle(connections),
+        disconnect,
     )
 
 
-def _make_poll(send: _Send) -> runners.PollWorker:
+def _make_probe(token: int) -> platform_calls.Call:
+    """Returns a call that acknowledges nothing and renews no lease."""
+    body = {'fencingToken': token, 'lastSeen': 0}
+    return platform_calls.Call('POST', '/api/hold', body=body)
+
+
+async def _send_command(
+    connections: life_connections.Connections,
+    worker: workers.Worker,
+    path: str,
+    body: dict[str, Any],
+    timeout_ms: int,
+) -> runners.CommandResult:
+    reply = await life_connections.send_call(
+        connections,
+        worker,
+        platform_calls.Call('POST', path, body=body),
+        _make_probe(body['fencingToken']),
+        timeout_ms,
+    )
+    if isinstance(reply, life_connections.OtherLife):
+        return runners.Refused(runners.Refusal.OTHER_LIFE)
+    return _decode_command_result(reply)
+
+
+def _make_poll(
+    connections: life_connections.Connections,
+) -> runners.PollWorker:
     async def poll(
         worker: workers.Worker,
         token: int,
@@ -85,7 +112,23 @@
             body['untilMs'] = until_ms
         if wait_ms:
             body['waitMs'] = wait_ms
-        reply = await send(worker, '/api/hold', body, timeout_ms)
+        call = platform_calls.Call('POST', '/api/hold', body=body)
+        probe = _make_probe(token)
+        reply: (
+            platform_calls.Reply
+            | platform_calls.NoAnswer
+            | life_connections.OtherLife
+        )
+        if call == probe:
+            reply = await life_connections.send_probe(
+                connections, worker, probe, timeout_ms
+            )
+        else:
+            reply = await life_connections.send_call(
+                connections, worker, call, probe, timeout_ms
+            )
+        if isinstance(reply, life_connections.OtherLife):
+            reply = reply.reply
         if isinstance(reply, platform_calls.Reply) and reply.status == _OK:
             return _decode_inventory(reply.fields)
         result = _decode_command_result(reply)
@@ -96,7 +139,9 @@
     return poll
 
 
-def _make_start(send: _Send) -> runners.StartRun:
+def _make_start(
+    connections: life_connections.Connections,
+) -> runners.StartRun:
     async def start(
         worker: workers.Worker, command: runners.StartCommand, timeout_ms: int
     ) -> runners.CommandResult:
@@ -111,13 +156,16 @@
             body['checkpoint'] = command.checkpoint
         if command.ticket:
             body['ticket'] = command.ticket
-        reply = await send(worker, '/api/run-start', body, timeout_ms)
-        return _decode_command_result(reply)
+        return await _send_command(
+            connections, worker, '/api/run-start', body, timeout_ms
+        )
 
     return start
 
 
-def _make_stop(send: _Send) -> runners.StopRun:
+def _make_stop(
+    connections: life_connections.Connections,
+) -> runners.StopRun:
     async def stop(
         worker: workers.Worker,
         name: jobs.TaskName,
@@ -130,13 +178,16 @@
             'run': run,
             'fencingToken': token,
         }
-        reply = await send(worker, '/api/run-stop', body, timeout_ms)
-        return _decode_command_result(reply)
+        return await _send_command(
+            connections, worker, '/api/run-stop', body, timeout_ms
+        )
 
     return stop
 
 
-def _make_throttle(send: _Send) -> runners.ThrottleRun:
+def _make_throttle(
+    connections: life_connections.Connections,
+) -> runners.ThrottleRun:
     async def throttle(
         worker: workers.Worker,
         name: jobs.TaskName,
@@ -151,8 +202,9 @@
             'percent': percent,
             'fencingToken': token,
         }
-        reply = await send(worker, '/api/pace', body, timeout_ms)
-        return _decode_command_result(reply)
+        return await _send_command(
+            connections, worker, '/api/pace', body, timeout_ms
+        )
 
     return throttle
 
--- a/tests/lib/job_cells.py
+++ b/tests/lib/job_cells.py
@@ -155,6 +155,8 @@
       settings: Operators' settings.
       unlisted: Ids of workers that the list of workers leaves out.
       starts: All runs that workers have started, in order.
+      acknowledged: Tasks that have ended as done, where that end has been
+        acknowledged.
       violations: Violations: tasks run twice, run numbers used again, and the
         like.
       run_ms: Returns how long a task runs in ms.
@@ -181,6 +183,7 @@
     settings: job_settings.JobSettings
     unlisted: set[str] = dataclasses.field(default_factory=set)
     starts: list[StartedRun] = dataclasses.field(default_factory=list)
+    acknowledged: set[jobs.TaskName] = dataclasses.field(default_factory=set)
     violations: list[str] = dataclasses.field(default_factory=list)
     run_ms: Callable[[jobs.TaskName], int] = lambda name: 500
     outcome: Callable[[jobs.TaskName, int], jobs.EndKind] = lambda name, run: (
@@ -370,6 +373,10 @@
             for end in other.ends
         ):
             cell.violations.append(f'{command.name} starts after its end')
+    if command.name in cell.acknowledged and not _is_long_running(
+        cell, command.name
+    ):
+        cell.violations.append(f'{command.name} starts after its end was read')
     # A worker that has restarted takes a repeated command once more: it has
     # forgotten the run, which ended with the process.
     earlier = [
@@ -405,6 +412,11 @@
     )
 
 
+def _is_long_running(cell: Cell, name: jobs.TaskName) -> bool:
+    job = cell.find_job(name.job)
+    return job is not None and job.spec.steps[name.step].is_long_running
+
+
 def _record_size(cell: Cell, name: jobs.TaskName) -> None:
     """Records the customer and the resources of a task that starts."""
     job = cell.find_job(name.job)
@@ -459,9 +471,14 @@
         _make_start(cell),
         _make_stop(cell),
         _make_throttle(cell),
+        _disconnect,
     )
 
 
+async def _disconnect(worker_id: str) -> None:
+    """Does nothing: fake workers have no connections."""
+
+
 async def _connect(cell: Cell, worker: workers.Worker) -> FakeTarget | None:
     await asyncio.sleep(0.001)
     target = cell.targets.get(worker.id)
@@ -498,6 +515,18 @@
     target.until_ms = max(target.until_ms, min(until_ms, latest_ms))
 
 
+def _acknowledge(cell: Cell, target: FakeTarget, last_seen: int) -> None:
+    """Forgets the ends up to a number."""
+    cell.acknowledged |= {
+        end.name
+        for end in target.ends
+        if end.number <= last_seen
+        and end.kind is jobs.EndKind.DONE
+        and end.name is not None
+    }
+    target.ends = [end for end in target.ends if end.number > last_seen]
+
+
 def _make_poll(cell: Cell) -> runners.PollWorker:
     async def poll(
         worker: workers.Worker,
@@ -517,7 +546,7 @@
         if token < target.token:
             return runners.Refused(runners.Refusal.FENCED)
         target.token = token
-        target.ends = [end for end in target.ends if end.number > processed_end]
+        _acknowledge(cell, target, processed_end)
         if until_ms is not None:
             _extend_lease(cell, target, until_ms)
         waited_ms = 0
--- a/tests/unit/platform/test_worker_answers.py
+++ b/tests/unit/platform/test_worker_answers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from nutmegknot._internal.backing import advisers
+from nutmegknot._internal.backing import life_connections
 from nutmegknot._internal.backing import platform_calls
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.models import jobs
@@ -58,6 +59,22 @@
     return replies
 
 
+def open_pool(address: str, headers: dict[str, str]) -> life_connections.Pool:
+    """Returns connections that are always open."""
+
+    async def send(
+        call: platform_calls.Call, timeout_ms: int, may_connect: bool
+    ) -> platform_calls.Reply | platform_calls.NoAnswer:
+        session: Any = None
+        client = http_client.Client(session)
+        return await http_client.send_call(client, address, call, timeout_ms)
+
+    async def close() -> None:
+        pass
+
+    return life_connections.Pool(send, close)
+
+
 async def call_all(
     client: http_client.Client,
 ) -> tuple[
@@ -65,7 +82,7 @@
     runners.CommandResult,
     advisers.Advised | advisers.Unadvised,
 ]:
-    access = platform_workers.connect_runners(client)
+    access = platform_workers.connect_runners(open_pool)
     advise = platform_workers.connect_adviser(client, '127.0.0.1:1')
     worker = job_cells.make_worker('w1')
     name = jobs.TaskName('a' * 16, 0, 0, 0)
