The longest row is read from the section of the store

Cause: rowBytes stands under platform in the settings file, and was read from bounds, with the default of 64 KiB. Values were divided at that length, and the store refused the longer rows.

Change: it is read from platform. A limit that is no number above 0 makes the file invalid. The settings in use are logged at the start and after a change, and what is left out is named in a warning.

Why it works: no row is longer than the store allows.

--- a/src/nutmegknot/_internal/platform/instance_process.py
+++ b/src/nutmegknot/_internal/platform/instance_process.py
@@ -98,6 +98,7 @@
       BaseException: An exception that ended a background task; it means that an
         invariant does not hold.
     """
+    log_settings(settings)
     client = http_client.make_client()
     node = make_node(settings, client)
     running_instance = await lifecycle.start(node)
@@ -141,6 +142,30 @@
     return None
 
 
+def log_settings(settings: process_settings.ProcessSettings) -> None:
+    """Logs the settings in use, and warns of those that the file leaves out."""
+    logger.info(
+        'settings_used',
+        extra={
+            'instance': settings.instance,
+            'domain': settings.domain,
+            'domains': ' '.join(sorted(settings.regions)),
+            'front': settings.front,
+            'ready': settings.ready,
+            'peer': settings.peer,
+            'store': settings.store,
+            'adviser': settings.adviser,
+            'millicores': settings.millicores,
+            'max_row_bytes': settings.max_row_bytes,
+            'max_worker_lease_ms': settings.limits.max_worker_lease_ms,
+        },
+    )
+    if settings.defaulted:
+        logger.warning(
+            'settings_defaulted', extra={'names': ' '.join(settings.defaulted)}
+        )
+
+
 async def _run_settings_loop(
     node: nodes.Node,
     settings: process_settings.ProcessSettings,
@@ -172,6 +197,7 @@
         ]
         logger.info('settings_file_read', extra={'changed': ','.join(changed)})
         settings = new_settings
+        log_settings(settings)
         node.limits = new_settings.limits
         if node.ownership is not None:
             node.ownership.limits = new_settings.limits
--- a/src/nutmegknot/_internal/platform/process_settings.py
+++ b/src/nutmegknot/_internal/platform/process_settings.py
@@ -12,6 +12,8 @@
 SETTINGS_VARIABLE = 'NUTMEGKNOT_CONFIG'
 # Must equal the metrics port in deploy/system.toml, which never changes.
 METRICS_PORT = 9464
+# Section and name of the settings that have a default.
+_DEFAULTED_SETTINGS = (('platform', 'rowBytes'), ('bounds', 'maxHoldMs'))
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -31,6 +33,8 @@
       millicores: Processor time of the instance in thousandths of a core.
       max_row_bytes: Longest value of a row in the store.
       limits: Time limits and intervals.
+      defaulted: Names of the settings that the file leaves out, so that their
+        defaults are in force.
     """
 
     instance: str
@@ -45,6 +49,7 @@
     millicores: int
     max_row_bytes: int
     limits: time_limits.TimeLimits
+    defaulted: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -68,6 +73,12 @@
     listen = fields['listen']
     first_port, _ = fields['portRange']
     cpu_limits = fields['limits']
+    platform = fields['platform']
+    bounds = fields['bounds']
+    default = time_limits.TimeLimits()
+    max_worker_lease_ms = _decode_limit(
+        bounds, 'maxHoldMs', default.max_worker_lease_ms
+    )
     ip = fields['ip']
     return ProcessSettings(
         instance=fields['nodeName'],
@@ -77,23 +88,35 @@
         ready=listen.get('ready', ''),
         peer=f'{ip}:{first_port}',
         metrics=f'{ip}:{METRICS_PORT}',
-        store=fields['platform']['address'],
+        store=platform['address'],
         adviser=fields.get('advice') or '',
         millicores=int(cpu_limits['cpuShare'] * cpu_limits['cores'] * 1000),
-        max_row_bytes=int(
-            fields['bounds'].get('rowBytes', tables.DEFAULT_MAX_VALUE_BYTES)
+        max_row_bytes=_decode_limit(
+            platform, 'rowBytes', tables.DEFAULT_MAX_VALUE_BYTES
+        ),
+        limits=dataclasses.replace(
+            default,
+            max_worker_lease_ms=max_worker_lease_ms,
+            worker_lease_ms=min(default.worker_lease_ms, max_worker_lease_ms),
+        ),
+        defaulted=tuple(
+            f'{section}.{name}'
+            for section, name in _DEFAULTED_SETTINGS
+            if fields[section].get(name) is None
         ),
-        limits=_decode_time_limits(fields['bounds']),
     )
 
 
-def _decode_time_limits(fields: dict[str, Any]) -> time_limits.TimeLimits:
-    default = time_limits.TimeLimits()
-    max_worker_lease_ms = int(
-        fields.get('maxHoldMs', default.max_worker_lease_ms)
-    )
-    return dataclasses.replace(
-        default,
-        max_worker_lease_ms=max_worker_lease_ms,
-        worker_lease_ms=min(default.worker_lease_ms, max_worker_lease_ms),
-    )
+def _decode_limit(section: dict[str, Any], name: str, default: int) -> int:
+    """Returns a limit of the platform, or the default if there is none.
+
+    Raises:
+      TypeError, ValueError: If it is no number above 0.
+    """
+    value = section.get(name)
+    if value is None:
+        return default
+    limit = json_fields.check_integer(value)
+    if limit == 0:
+        raise ValueError(f'{name} is 0')
+    return limit
