A row that the store rejects does not count as written

Cause: such a row was dropped, so that it does not keep the others from being written, and the number up to which all writes are in the table passed it. The ends that depended on it were acknowledged, and the workers forgot them.

Change: a rejected row is set aside, is written again by itself once a second, and does not count as written until that has worked. The workers keep the ends of its tasks, and each new owner reads them there. The next steps of the job begin as in an outage; the list of workers, the ceilings, trials, cancels and final states wait for their own rows. A job whose row can't be written in one call is refused at once.

Why it works: an end is acknowledged only when the row of its job is in the table, whatever became of other rows.

--- a/src/nutmegknot/_internal/jobs/ceiling_updates.py
+++ b/src/nutmegknot/_internal/jobs/ceiling_updates.py
@@ -29,9 +29,8 @@
 def apply_completed_write(ownership: ownerships.Ownership) -> None:
     """Lets usage grow to the ceilings that are in the table now."""
     ceilings = ownership.cluster.ceilings
-    if (
-        ceilings.pending is not None
-        and ceilings.pending_write <= ownership.writer.last_durable
+    if ceilings.pending is not None and writers.is_durable(
+        ownership.writer, ceilings.pending_write, rows.CEILINGS_KEY
     ):
         ceilings.stored = ceilings.pending
         ceilings.pending = None
--- a/src/nutmegknot/_internal/jobs/owner_operations.py
+++ b/src/nutmegknot/_internal/jobs/owner_operations.py
@@ -125,7 +125,10 @@
         refused = outcomes.Refused(
             outcomes.RefusalReason.BAD_REQUEST, 'id of the job'
         )
-    if refused is None and rows.measure_spec(spec) > rows.MAX_JOB_BYTES:
+    max_bytes = min(
+        rows.MAX_JOB_BYTES, writers.compute_max_value_bytes(ownership.writer)
+    )
+    if refused is None and rows.measure_spec(spec) > max_bytes:
         refused = outcomes.Refused(
             outcomes.RefusalReason.BAD_REQUEST, 'size of the job'
         )
@@ -250,6 +253,8 @@
         written = await writers.wait_durable(ownership.writer)
         if written is not writers.WriteOutcome.DURABLE:
             return outcomes.Unknown('the ownership was lost while writing')
+        if not ownerships.is_written(ownership, job):
+            return outcomes.Unknown('the store rejects the state of the job')
     return outcomes.Cancelled(job.has_started)
 
 
--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -29,12 +29,14 @@
     """A start command that waits for a write.
 
     Attributes:
-      write: Number of the write that has to be in the table first.
+      write: Number of the write that has to be in the table first; 0 if none.
+      key: Key of the row of that write.
       worker: Id of the worker.
       send: Sends the command.
     """
 
     write: int
+    key: str
     worker: str
     send: command_queues.Send
 
@@ -171,6 +173,22 @@
     )
 
 
+def is_written(ownership: Ownership, job: jobs.Job) -> bool:
+    """Tells whether all that is known of a job is in the table."""
+    return writers.is_durable(
+        ownership.writer,
+        job.latest_write,
+        rows.get_job_key(job.spec.id),
+        rows.get_progress_key(job.spec.id),
+    )
+
+
+def is_progress_rejected(ownership: Ownership, job: jobs.Job) -> bool:
+    """Tells whether the table service rejects the progress of a job."""
+    key = rows.get_progress_key(job.spec.id)
+    return key in ownership.writer.rejected_writes
+
+
 def queue_progress_write(
     ownership: Ownership, job: jobs.Job, *, is_hurried: bool = False
 ) -> None:
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -95,9 +95,8 @@
     """Lets tasks start on workers that the store's roster names now."""
     signals.notify(ownership.write_completed)
     for info in ownership.cluster.workers_by_id.values():
-        if (
-            not info.is_registered
-            and info.registration_write <= ownership.writer.last_durable
+        if not info.is_registered and writers.is_durable(
+            ownership.writer, info.registration_write, rows.ROSTER_KEY
         ):
             info.is_registered = True
             signals.notify(ownership.scheduling_needed)
@@ -313,7 +312,15 @@
     if new_ends:
         info.processed_end = max(end.number for end in new_ends)
         info.unpersisted_ends.append(
-            (info.processed_end, ownership.writer.last_queued)
+            cluster_state.UnpersistedEnds(
+                info.processed_end,
+                ownership.writer.last_queued,
+                frozenset(
+                    rows.get_progress_key(end.name.job)
+                    for end in new_ends
+                    if end.name is not None
+                ),
+            )
         )
     if info.unpersisted_ends:
         await _wait_until_ends_written(ownership, info)
@@ -330,11 +337,12 @@
     until_ms = ownership.clock.now_ms() + MAX_END_WRITE_WAIT_MS
     while info.unpersisted_ends and ownership.clock.now_ms() < until_ms:
         count = ownership.write_completed.count
-        while (
-            info.unpersisted_ends
-            and info.unpersisted_ends[0][1] <= ownership.writer.last_durable
+        while info.unpersisted_ends and writers.is_durable(
+            ownership.writer,
+            info.unpersisted_ends[0].write,
+            *info.unpersisted_ends[0].keys,
         ):
-            info.persisted_end = info.unpersisted_ends.pop(0)[0]
+            info.persisted_end = info.unpersisted_ends.pop(0).number
         if info.unpersisted_ends:
             left_ms = until_ms - ownership.clock.now_ms()
             await signals.wait_with_timeout(
--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -12,7 +12,9 @@
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import reconciliation
 from nutmegknot._internal.jobs import refusals
+from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import stops
+from nutmegknot._internal.jobs import writers
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import jobs
@@ -105,6 +107,7 @@
     ownership.unsent_starts.append(
         ownerships.UnsentStart(
             number,
+            rows.get_progress_key(decision.job.spec.id),
             worker.id,
             lambda: _send_start_or_stop(ownership, decision, name),
         )
@@ -131,7 +134,9 @@
     """Queues the start commands that no longer wait for a write."""
     waiting = []
     for start in ownership.unsent_starts:
-        if start.write > ownership.writer.last_durable:
+        if start.write and not writers.is_durable(
+            ownership.writer, start.write, start.key
+        ):
             waiting.append(start)
             continue
         commands = ownership.commands_by_worker.get(start.worker)
--- a/src/nutmegknot/_internal/jobs/state_dump.py
+++ b/src/nutmegknot/_internal/jobs/state_dump.py
@@ -189,7 +189,7 @@
                 'customer': job.spec.customer,
                 'state': job.state.value,
                 'known_ms_ago': now_ms - job.known_since_ms,
-                'written': job.latest_write <= ownership.writer.last_durable,
+                'written': ownerships.is_written(ownership, job),
                 **_count_phases(job),
             },
         )
--- a/src/nutmegknot/_internal/jobs/task_scheduling.py
+++ b/src/nutmegknot/_internal/jobs/task_scheduling.py
@@ -13,6 +13,7 @@
 from nutmegknot._internal.jobs import ceiling_updates
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import reconciliation
+from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import starts
 from nutmegknot._internal.jobs import stops
 from nutmegknot._internal.jobs import writers
@@ -197,9 +198,7 @@
         due_ms = stage_ranking.compute_due_ms(
             job.spec, find_next_occurrence(job)
         )
-        is_written = (
-            job.is_durable and job.latest_write <= ownership.writer.last_durable
-        )
+        is_written = job.is_durable and ownerships.is_written(ownership, job)
         if (
             is_written
             and wall_ms >= due_ms + ownership.limits.due_time_margin_ms
@@ -276,10 +275,10 @@
 ) -> None:
     if stage.ready_ms is not None or stage.done_count == len(stage.tasks):
         return
-    is_written = job.latest_write <= ownership.writer.last_durable
     if (
         stage.step.depends_on
-        and not is_written
+        and not ownerships.is_written(ownership, job)
+        and not ownerships.is_progress_rejected(ownership, job)
         and not _is_store_unavailable(ownership)
     ):
         # The ends of tasks that it depends on may not be in the store yet.
@@ -308,13 +307,19 @@
         if job is None:
             ownership.unsaved_jobs.discard(job_id)
             continue
-        if (
-            not job.is_durable
-            and job.acceptance_write <= ownership.writer.last_durable
+        if not job.is_durable and writers.is_durable(
+            ownership.writer,
+            job.acceptance_write,
+            rows.get_job_key(job.spec.id),
         ):
             job.is_durable = True
             open_ready_stages(ownership, job)
-        if job.latest_write > ownership.writer.last_durable:
+        if not ownerships.is_written(ownership, job):
+            if job.is_durable and ownerships.is_progress_rejected(
+                ownership, job
+            ):
+                # The workers keep the ends that can't be written.
+                open_ready_stages(ownership, job)
             continue
         ownership.unsaved_jobs.discard(job_id)
         if jobs.is_final(job):
--- a/src/nutmegknot/_internal/jobs/writers.py
+++ b/src/nutmegknot/_internal/jobs/writers.py
@@ -4,6 +4,10 @@
 that this row still has the version that the previous write gave it. So a write
 whose answer was lost can't take effect after a later one, an owner that was
 replaced can't write at all, and each write renews the ownership.
+
+A row that the store rejects for what it contains is set aside, so that it does
+not keep the others from being written. It does not count as written, and is
+written again by itself from time to time.
 """
 
 import asyncio
@@ -40,6 +44,8 @@
 WRITE_TIMEOUT_FACTOR = 5
 # Weight of the newest answer in the moving average of the store's answer time.
 ANSWER_TIME_SMOOTHING = 0.2
+# Interval between two attempts to write the rows that were rejected.
+REJECTED_RETRY_MS = 1_000
 # How long writes may fail before new jobs are refused.
 MAX_STORE_FAILURE_MS = 250
 # How long a write may have no answer before new jobs behind it are refused. A
@@ -94,7 +100,7 @@
     keys: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
+@dataclasses.dataclass(slots=True)
 class Batch:
     """Rows that are written in one transaction.
 
@@ -103,11 +109,15 @@
       values: The values of the rows by key; None to remove a row. A long value
         takes several rows.
       part_counts: Number of rows that each value takes after its first one.
+      value_bytes: Length of all values.
+      is_rejected: Whether it is one of the writes that were rejected before.
     """
 
-    writes: dict[str, QueuedWrite]
-    values: dict[str, bytes | None]
-    part_counts: dict[str, int]
+    writes: dict[str, QueuedWrite] = dataclasses.field(default_factory=dict)
+    values: dict[str, bytes | None] = dataclasses.field(default_factory=dict)
+    part_counts: dict[str, int] = dataclasses.field(default_factory=dict)
+    value_bytes: int = 0
+    is_rejected: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -132,11 +142,15 @@
       failing_since_ms: Since when the store fails to answer writes; None if it
         answered the last one.
       mean_answer_ms: Moving average of the store's answer time.
-      last_durable: All writes up to this number are in the table.
+      last_durable: All writes up to this number are in the table, but those
+        that were rejected; see is_durable.
       part_counts: Number of rows that each long value in the table takes after
         its first one.
       max_batch_writes: Largest number of queued writes in a batch. It falls
         while the table service rejects batches for what they contain.
+      rejected_writes: Writes of rows that it has rejected by themselves, by
+        key. They are not among queued_writes.
+      next_rejected_ms: When these are written again.
       on_write_completed: Called after each write that took effect.
     """
 
@@ -162,6 +176,10 @@
     last_durable: int = 0
     part_counts: dict[str, int] = dataclasses.field(default_factory=dict)
     max_batch_writes: int = MAX_ROWS_PER_BATCH
+    rejected_writes: dict[str, QueuedWrite] = dataclasses.field(
+        default_factory=dict
+    )
+    next_rejected_ms: int = 0
     on_write_completed: Callable[[], None] = lambda: None
 
 
@@ -195,20 +213,44 @@
       The number of the queued write.
     """
     writer.last_queued += 1
-    earlier = writer.queued_writes.pop(key, None)
+    is_rejected = key in writer.rejected_writes
+    queue = writer.rejected_writes if is_rejected else writer.queued_writes
+    earlier = queue.pop(key, None)
     first = writer.last_queued if earlier is None else earlier.first_number
-    writer.queued_writes[key] = QueuedWrite(first, writer.last_queued, encode)
+    queue[key] = QueuedWrite(first, writer.last_queued, encode)
+    if is_rejected:
+        return writer.last_queued
     if is_hurried:
         writer.is_hurried = True
     signals.notify(writer.write_needed)
     return writer.last_queued
 
 
+def compute_max_value_bytes(writer: Writer) -> int:
+    """Returns the length of the longest value that one call can write."""
+    return MAX_ROWS_PER_BATCH * writer.table.max_value_bytes
+
+
+def is_durable(writer: Writer, number: int, *keys: str) -> bool:
+    """Tells whether queued writes are in the table.
+
+    Args:
+      writer: The writer.
+      number: Number of the last of these writes.
+      keys: Keys of the rows that matter; others may have been rejected.
+    """
+    return number <= writer.last_durable and not any(
+        key in writer.rejected_writes for key in keys
+    )
+
+
 async def wait_durable(
     writer: Writer, keys: tuple[str, ...] = ()
 ) -> WriteOutcome:
     """Waits until all writes that are queued now are in the table.
 
+    Rows that were rejected are not waited for; see is_durable.
+
     Args:
       writer: The writer.
       keys: Keys of the rows to withdraw if the store goes on failing.
@@ -254,6 +296,8 @@
         now_ms = writer.clock.now_ms()
         if writer.queued_writes and batch_due_ms is None:
             batch_due_ms = now_ms + batch_delay_ms
+        if _is_rejected_due(writer):
+            return
         until_ms = (
             renewal_due_ms
             if batch_due_ms is None
@@ -266,31 +310,56 @@
         )
 
 
+def _is_rejected_due(writer: Writer) -> bool:
+    return (
+        bool(writer.rejected_writes)
+        and writer.clock.now_ms() >= writer.next_rejected_ms
+    )
+
+
 def _take_batch(writer: Writer) -> Batch:
-    """Removes the oldest queued writes and returns them as a batch."""
-    batch = Batch({}, {}, {})
-    size = 0
-    for key in list(writer.queued_writes):
+    """Returns the next writes; removes them from the queue.
+
+    A write that was rejected is not removed before it has taken effect.
+    """
+    if _is_rejected_due(writer):
+        key, queued = next(iter(writer.rejected_writes.items()))
+        batch = Batch(is_rejected=True)
+        _add_to_batch(writer, batch, key, queued)
+        return batch
+    batch = Batch()
+    for key, queued in list(writer.queued_writes.items()):
         if len(batch.writes) >= writer.max_batch_writes:
             break
-        value = writer.queued_writes[key].encode()
-        values = rows.split_value(key, value, writer.table.max_value_bytes)
-        part_count = len(values) - 1
-        for number in range(part_count, writer.part_counts.get(key, 0)):
-            values[rows.get_part_key(key, number + 1)] = None
-        size += len(value or b'')
-        if batch.writes and (
-            len(batch.values) + len(values) > MAX_ROWS_PER_BATCH
-            or size > MAX_BYTES_PER_BATCH
-        ):
+        if not _add_to_batch(writer, batch, key, queued):
             break
-        batch.writes[key] = writer.queued_writes.pop(key)
-        batch.values.update(values)
-        batch.part_counts[key] = part_count
+        del writer.queued_writes[key]
     writer.is_hurried = bool(writer.queued_writes) and writer.is_hurried
     return batch
 
 
+def _add_to_batch(
+    writer: Writer, batch: Batch, key: str, queued: QueuedWrite
+) -> bool:
+    """Adds a write to a batch; tells whether the batch has room for it."""
+    value = queued.encode()
+    values = rows.split_value(key, value, writer.table.max_value_bytes)
+    part_count = len(values) - 1
+    for number in range(part_count, writer.part_counts.get(key, 0)):
+        values[rows.get_part_key(key, number + 1)] = None
+    value_bytes = batch.value_bytes + len(value or b'')
+    if batch.writes and (
+        len(batch.values) + len(values) > MAX_ROWS_PER_BATCH
+        or value_bytes > MAX_BYTES_PER_BATCH
+    ):
+        return False
+    batch.writes[key] = queued
+    batch.values.update(values)
+    batch.part_counts[key] = part_count
+    batch.value_bytes = value_bytes
+    return True
+
+
 async def _write_batch(writer: Writer, backoff: retries.Backoff) -> None:
     """Writes one batch; repeats the write until its outcome is known."""
     batch = _take_batch(writer)
@@ -338,10 +407,13 @@
 
 
 def _record_batch(writer: Writer, batch: Batch) -> None:
-    """Records how many rows the values of a batch take in the table."""
-    writer.max_batch_writes = min(
-        MAX_ROWS_PER_BATCH, 2 * writer.max_batch_writes
-    )
+    """Records that a batch is in the table, and how many rows it takes."""
+    if batch.is_rejected:
+        _readmit(writer, batch)
+    else:
+        writer.max_batch_writes = min(
+            MAX_ROWS_PER_BATCH, 2 * writer.max_batch_writes
+        )
     for key, part_count in batch.part_counts.items():
         if part_count:
             writer.part_counts[key] = part_count
@@ -349,12 +421,23 @@
             writer.part_counts.pop(key, None)
 
 
+def _readmit(writer: Writer, batch: Batch) -> None:
+    """Queues the newer requests for a row that is no longer rejected."""
+    for key, written in batch.writes.items():
+        newest = writer.rejected_writes.pop(key)
+        logger.info('row_accepted', extra={'key': key})
+        if newest.last_number > written.last_number:
+            writer.queued_writes[key] = dataclasses.replace(
+                newest, first_number=written.last_number + 1
+            )
+
+
 def _divide_batch(writer: Writer, batch: Batch, detail: str) -> None:
     """Handles a batch that the table service rejects for what it contains.
 
     It is written again in halves, so that the rows that can be written are. A
-    row that is rejected by itself is dropped: no repetition can succeed, and it
-    must not keep all other rows from being written.
+    row that is rejected by itself is set aside: it must not keep all others
+    from being written.
 
     Args:
       writer: The writer.
@@ -374,13 +457,20 @@
         'row_rejected',
         extra={
             'key': key,
-            'bytes': sum(len(value or b'') for value in batch.values.values()),
+            'bytes': batch.value_bytes,
+            'rows': len(batch.values),
+            'again': batch.is_rejected,
             'why': detail,
         },
     )
-    del writer.queued_writes[key]
+    writer.next_rejected_ms = writer.clock.now_ms() + REJECTED_RETRY_MS
+    queue = (
+        writer.rejected_writes if batch.is_rejected else writer.queued_writes
+    )
+    writer.rejected_writes[key] = queue.pop(key)
     for waiter in [w for w in writer.waiters if key in w.keys]:
         writer.waiters.remove(waiter)
+        writer.rejected_writes.pop(key, None)
         if not waiter.done.done():
             waiter.done.set_result(WriteOutcome.WITHDRAWN)
     _notify_waiters(writer)
@@ -500,6 +590,8 @@
 
 def _restore_queue(writer: Writer, batch: Batch) -> None:
     """Puts the writes of a batch back before those that were queued since."""
+    if batch.is_rejected:
+        return
     newer = writer.queued_writes
     writer.queued_writes = dict(batch.writes)
     for key, queued in newer.items():
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -56,6 +56,21 @@
     job: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class UnpersistedEnds:
+    """Ends of runs that may be acknowledged once their effects are written.
+
+    Attributes:
+      number: Number of the newest of these ends.
+      write: Number of the last write to the table of their effects.
+      keys: Keys of the rows with the progress of their jobs.
+    """
+
+    number: int
+    write: int
+    keys: frozenset[str]
+
+
 @dataclasses.dataclass(slots=True)
 class WorkerInfo:
     """A worker and what the owner of the jobs knows about it.
@@ -70,8 +85,7 @@
         table; it is acknowledged to the worker with the next call.
       processed_end: The highest number of an end that has been processed.
       unpersisted_ends: Ends that are processed but not yet acknowledged, lowest
-        number first. Each item is the number of an end and the number of the
-        write to the table after which that end may be acknowledged.
+        number first.
       runs: Tasks whose runs hold resources there.
       used: Resources that these runs hold.
       free: Its free resources when they were last computed; see get_free.
@@ -119,7 +133,7 @@
     lease: WorkerLease = dataclasses.field(default_factory=WorkerLease)
     persisted_end: int = 0
     processed_end: int = 0
-    unpersisted_ends: list[tuple[int, int]] = dataclasses.field(
+    unpersisted_ends: list[UnpersistedEnds] = dataclasses.field(
         default_factory=list
     )
     runs: dict[jobs_lib.TaskName, jobs_lib.Task] = dataclasses.field(
--- a/tests/unit/jobs/test_long_rows.py
+++ b/tests/unit/jobs/test_long_rows.py
@@ -212,12 +212,88 @@
     job_cells.run(script)
 
 
-def test_a_job_too_large_for_the_store_is_refused_at_once() -> None:
+@pytest.mark.parametrize('kills_after', [10, 60, 150])
+def test_ends_whose_row_is_rejected_are_kept_by_the_workers(
+    kills_after: int,
+) -> None:
+    """Guards against tasks that run again after they were done (TWICE).
+
+    The store rejected the progress of a job, and the row was dropped and
+    counted as written, so that the workers forgot the ends of its tasks. The
+    next owner did not know of them (review/8).
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        listed = [job_cells.make_worker(f'w{n}') for n in range(3)]
+        cell = job_cells.make_cell(loop, *listed)
+        cell.run_ms = lambda name: 200 + 20 * name.index
+        first = await job_cells.start_owner(cell, 'one')
+        ownership = job_views.get_ownership(first)
+        step = job_cells.make_step(200, 10)
+        await owner_operations.submit(
+            ownership,
+            job_cells.make_job_spec('a', step, job_cells.make_step()),
+        )
+        await owner_operations.submit(
+            ownership, job_cells.make_job_spec('b', job_cells.make_step(20, 10))
+        )
+        # The owner takes longer rows for allowed.
+        cell.table.max_value_bytes = 60
+        stage = ownership.cluster.jobs['a'].stages[0, 0]
+        assert await job_cells.wait_until(
+            cell, lambda: stage.done_count >= kills_after
+        )
+        await asyncio.sleep(1.0)
+        if kills_after > 10:
+            assert ownership.writer.rejected_writes
+        await owner_election.end_ownership(first)
+        second = await job_cells.start_owner(cell, 'two')
+        assert await job_cells.wait_until(
+            cell,
+            lambda: all(
+                job_views.get_state(second, id) is jobs.JobState.COMPLETED
+                for id in ('a', 'b')
+            ),
+        )
+        assert cell.violations == []
+        assert len(cell.starts) == 221
+
+    job_cells.run(script)
+
+
+def test_a_rejected_row_is_written_once_the_store_takes_it() -> None:
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop)
+        node = await job_cells.start_owner(cell, 'one')
+        writer = job_views.get_ownership(node).writer
+        cell.table.max_value_bytes = 100
+        number = writers.queue_write(writer, 'long', lambda: bytes(150))
+        await writers.wait_durable(writer)
+        assert not writers.is_durable(writer, number, 'long')
+        assert writers.is_durable(writer, number, 'other')
+        newer = writers.queue_write(writer, 'long', lambda: bytes(160))
+        cell.table.max_value_bytes = 1_000
+        assert await job_cells.wait_until(
+            cell, lambda: writers.is_durable(writer, newer, 'long')
+        )
+        assert cell.table.rows['long'].value == bytes(160)
+
+    job_cells.run(script)
+
+
+@pytest.mark.parametrize(
+    ('row_bytes', 'steps_after'),
+    [(tables.DEFAULT_MAX_VALUE_BYTES, feasibility.MAX_TASKS_PER_JOB), (64, 40)],
+)
+def test_a_job_too_large_for_the_store_is_refused_at_once(
+    row_bytes: int, steps_after: int
+) -> None:
     async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.table.max_value_bytes = row_bytes
         node = await job_cells.start_owner(cell, 'one')
         steps = tuple(
-            job_cells.make_step(depends_on=tuple(range(n)))
+            job_cells.make_step(depends_on=tuple(range(min(n, steps_after))))
             for n in range(feasibility.MAX_TASKS_PER_JOB)
         )
         result = await owner_operations.submit(
