A new owner counts with the longest lease of a restarted worker

What callers saw: two runs of a task at once, after workers had started again under their ids and were cut off, and the owner had changed (TWICE, the users' own runs).

Cause: the new owner counts on the usual lease, 4.5 s, for a worker that does not answer it. A call meant for the worker's earlier life that its next one carries out names the end of the lease by the earlier clock, so the worker grants its longest lease, 10 s.

Change: the bound for runs of earlier owners is one for each worker, and a worker that has restarted counts with the longest lease. The list of workers in the table names the earlier life until that is over, so a new owner finds the restart by comparing it with the platform's list and with answers.

Why it works: whoever gave the lease, no run there outlasts the bound, unless the call came more than a second after its owner had ended.

--- a/src/nutmegknot/_internal/jobs/leases.py
+++ b/src/nutmegknot/_internal/jobs/leases.py
@@ -5,9 +5,12 @@
 runs.
 
 A worker that restarts begins a new life under its id, with a clock that starts
-anew. Calls that were sent to its earlier life name the end of the lease by the
-earlier clock, which for the new one is far in the future. So until a lease that
-such a call may have given has certainly expired, runs there may be in progress.
+anew. A call to its earlier life that the new one carries out late names the end
+of the lease by the earlier clock, which for the new one is far in the future.
+So until a lease that such a call may have given has certainly expired, runs
+there may be in progress. The list of workers that the owner keeps in the table
+names the earlier life until then, so that a new owner finds that the worker has
+restarted.
 """
 
 from nutmegknot._internal.jobs import ownerships
@@ -22,6 +25,8 @@
 ) -> None:
     """Forgets the clock and the lease of a worker that has restarted.
 
+    Its earlier life is still the one that `info` names.
+
     A call sent to its earlier life may have given the new one the longest lease
     that a worker grants, at the latest now.
     """
@@ -30,10 +35,22 @@
         / (1 - ownership.limits.max_clock_drift)
     )
     info.lease = cluster_state.WorkerLease(
-        latest_end_ms=ownership.clock.now_ms() + longest_ms + EXPIRY_MARGIN_MS
+        latest_end_ms=ownership.clock.now_ms() + longest_ms + EXPIRY_MARGIN_MS,
+        earlier_life=get_recorded_life(info, ownership.clock.now_ms()),
     )
 
 
+def get_recorded_life(info: cluster_state.WorkerInfo, now_ms: int) -> int:
+    """Returns the life of a worker that a new owner is to compare with.
+
+    It is the earlier one while a call to it may have given the present one the
+    longest lease.
+    """
+    if now_ms < info.lease.latest_end_ms:
+        return info.lease.earlier_life
+    return info.worker.life
+
+
 def record_clock(
     info: cluster_state.WorkerInfo,
     clock_ms: int,
@@ -92,12 +109,15 @@
     return until_ms
 
 
-def compute_earlier_runs_expiry(ownership: ownerships.Ownership) -> int:
-    """Returns when no run of an earlier owner can be left.
+def compute_earlier_runs_expiry(
+    info: cluster_state.WorkerInfo, ownership: ownerships.Ownership
+) -> int:
+    """Returns when no run of an earlier owner can be left on a worker.
 
-    By then, the leases that it renewed have expired. An owner that was replaced
-    early may have gone on renewing them for authority_ms, the time for which an
-    owner may act without a new confirmation by the store.
+    By then, the lease that it renewed has expired. An owner that was replaced
+    early may have gone on renewing it for authority_ms, the time for which an
+    owner may act without a new confirmation by the store. The lease may last
+    longer if the worker has restarted.
 
     Returns:
       The time by this instance's clock.
@@ -106,11 +126,12 @@
         ownership.limits.worker_lease_ms
         / (1 - ownership.limits.max_clock_drift)
     )
-    return (
+    usual_end_ms = (
         ownership.cluster.owned_since_ms
         + lease_ms
         + ownership.limits.authority_ms
     )
+    return max(usual_end_ms, info.lease.latest_end_ms)
 
 
 def compute_expiry(
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -83,14 +83,31 @@
     Returns:
       The number of the write.
     """
-    infos = ownership.cluster.workers_by_id
     return writers.queue_write(
         ownership.writer,
         rows.ROSTER_KEY,
-        lambda: rows.encode_roster([info.worker for info in infos.values()]),
+        lambda: _encode_roster(ownership),
     )
 
 
+def _encode_roster(ownership: ownerships.Ownership) -> bytes:
+    now_ms = ownership.clock.now_ms()
+    return rows.encode_roster(
+        _with_life(info.worker, leases.get_recorded_life(info, now_ms))
+        for info in ownership.cluster.workers_by_id.values()
+    )
+
+
+def _record_life(
+    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
+) -> None:
+    """Queues a write of the present life of a worker once that is due."""
+    is_due = ownership.clock.now_ms() >= info.lease.latest_end_ms
+    if is_due and not info.is_life_recorded:
+        info.is_life_recorded = True
+        _write_roster(ownership)
+
+
 def mark_registered_workers(ownership: ownerships.Ownership) -> None:
     """Lets tasks start on workers that the store's roster names now."""
     signals.notify(ownership.write_completed)
@@ -172,6 +189,7 @@
                     0 if unanswered_calls == 1 else RETRY_INTERVAL_MS
                 )
         _check_lease_expiry(ownership, info)
+        _record_life(ownership, info)
 
 
 def _choose_poll_wait(
@@ -381,9 +399,10 @@
     worker_crashes.record_restart(ownership, info, why, life or worker.life)
     if life:
         worker = _with_life(worker, life)
+    leases.begin_life(info, ownership)
     info.worker = worker
     info.alive_clock_ms = 0
-    leases.begin_life(info, ownership)
+    info.is_life_recorded = False
     info.persisted_end = info.processed_end = 0
     info.unpersisted_ends.clear()
     info.is_claimed = False
@@ -504,7 +523,7 @@
     # started, until its lease under that owner has expired.
     is_known = info.last_answer_ms > 0 or info.is_replaced
     is_over = is_known or now_ms >= leases.compute_earlier_runs_expiry(
-        ownership
+        info, ownership
     )
     if not info.is_listed and is_over:
         close_session(ownership, info, 'not_listed')
--- a/src/nutmegknot/_internal/jobs/worker_discovery.py
+++ b/src/nutmegknot/_internal/jobs/worker_discovery.py
@@ -191,7 +191,15 @@
         for id in unanswered
         if _may_hold_lease(ownership, cluster.workers_by_id[id], now_ms)
     ]
-    expiry_ms = leases.compute_earlier_runs_expiry(ownership)
+    expiry_ms = max(
+        (
+            leases.compute_earlier_runs_expiry(
+                cluster.workers_by_id[id], ownership
+            )
+            for id in unanswered
+        ),
+        default=now_ms,
+    )
     if partly_answered or (unanswered and now_ms < expiry_ms):
         if not cluster.has_unsettled_runs:
             cluster.has_unsettled_runs = True
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -32,6 +32,7 @@
         had no answer.
       latest_end_ms: Monotonic time of the owner until which a lease may last
         that a call to an earlier life of the worker has given; 0 if none.
+      earlier_life: Number of that life.
     """
 
     clock_ms: int = 0
@@ -39,6 +40,7 @@
     estimate_ms: int = 0
     until_ms: int = 0
     latest_end_ms: int = 0
+    earlier_life: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -102,6 +104,7 @@
         workers in the table. No run is started there before that write is done,
         so that the next owner knows on which workers runs may be.
       is_registered: Whether that write is done.
+      is_life_recorded: Whether that list names its present life.
       last_answer_ms: When it last answered; 0 if it never did.
       unanswered_since_ms: When the first call since then was sent that had no
         answer; None while calls are answered.
@@ -151,6 +154,7 @@
     is_replaced: bool = False
     registration_write: int = 0
     is_registered: bool = False
+    is_life_recorded: bool = True
     last_answer_ms: int = 0
     unanswered_since_ms: int | None = None
     silence_noticed_ms: int = 0
--- a/tests/unit/jobs/test_worker_lives.py
+++ b/tests/unit/jobs/test_worker_lives.py
@@ -8,6 +8,7 @@
 
 from nutmegknot._internal.jobs import owner_operations
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.utils import tasks
 
 
 @pytest.mark.parametrize('dark_ms', [300, 700, 1_000, 2_300, 2_800])
@@ -120,3 +121,56 @@
         assert cell.violations == []
 
     job_cells.run(script)
+
+
+@pytest.mark.parametrize('cut_after_ms', [0, 100, 300])
+@pytest.mark.parametrize('killed_after_ms', [100, 300, 600, 1_700])
+@pytest.mark.parametrize('dark_ms', [300, 600, 1_000])
+def test_runs_of_a_restarted_worker_outlast_a_change_of_owner(
+    dark_ms: int, killed_after_ms: int, cut_after_ms: int
+) -> None:
+    """Guards against two runs of a task at once (TWICE).
+
+    The next life of a worker took a start with the end of the lease by the
+    clock of the earlier life, and with it the longest lease. The owner was
+    killed and the worker cut off, and the next owner waited for the usual lease
+    only.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(
+            loop, job_cells.make_worker('w1'), job_cells.make_worker('w2')
+        )
+        cell.run_ms = lambda name: 30_000
+        first = await job_cells.start_owner(cell, 'one')
+        await asyncio.sleep(0.8)
+        cell.targets['w1'].is_cut = True
+        await owner_operations.submit(
+            job_views.get_ownership(first),
+            job_cells.make_job_spec('a', job_cells.make_step(4)),
+        )
+        await asyncio.sleep(dark_ms / 1_000)
+        job_cells.restart(cell, cell.targets['w1'])
+        cell.targets['w1'].is_cut = False
+        # A worker that joins has the list in the table written again.
+        worker = job_cells.make_worker('w3')
+        cell.targets['w3'] = job_cells.FakeTarget(worker)
+        await asyncio.sleep(killed_after_ms / 1_000)
+        await tasks.cancel_all(job_views.get_ownership(first).tasks)
+        await asyncio.sleep(cut_after_ms / 1_000)
+        cell.targets['w1'].is_cut = True
+        await asyncio.sleep(0.5)
+        second = await job_cells.start_owner(cell, 'two')
+        assert await job_cells.wait_until(
+            cell,
+            lambda: all(
+                task.phase is jobs.TaskPhase.RUNNING
+                for task in job_views.get_ownership(second)
+                .cluster.jobs['a']
+                .stages[0, 0]
+                .tasks
+            ),
+        )
+        assert cell.violations == []
+
+    job_cells.run(script)
