No task starts on a restarted worker before its description is known

Cause: a poll shows a new life before the list of workers is read again. The owner kept labels and capacity of the earlier life until then.

Change: a worker whose present life has not been listed takes no start, and the list is read at once when a poll shows a new life. The fake workers of the tests can come back changed, and check labels.

Why it works: what a task is placed by is the description of the life that takes it.

--- a/src/nutmegknot/_internal/decisions/plans.py
+++ b/src/nutmegknot/_internal/decisions/plans.py
@@ -291,6 +291,7 @@
     """Returns whether platform and operators let a worker start tasks."""
     return (
         info.is_listed
+        and info.is_described
         and info.worker.state is workers.TargetState.LIVE
         and info.worker.domain not in cluster.settings.closed_domains
     )
--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -62,6 +62,7 @@
       last_lost_answer_ms: When a poll of any worker was last not answered in
         time; 0 if none was.
       scheduling_needed: Notified when tasks may have become ready to be placed.
+      list_needed: Notified when a worker is in a life that has not been listed.
       worker_claimed: Notified when a worker first answers this owner, or is
         gone.
       write_completed: Notified after each write that took effect.
@@ -96,6 +97,9 @@
     scheduling_needed: signals.Signal = dataclasses.field(
         default_factory=signals.Signal
     )
+    list_needed: signals.Signal = dataclasses.field(
+        default_factory=signals.Signal
+    )
     worker_claimed: signals.Signal = dataclasses.field(
         default_factory=signals.Signal
     )
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -397,8 +397,10 @@
     )
     _log_restart(ownership, info, why)
     worker_crashes.record_restart(ownership, info, why, life or worker.life)
+    info.is_described = not life
     if life:
         worker = _with_life(worker, life)
+        signals.notify(ownership.list_needed)
     leases.begin_life(info, ownership)
     info.worker = worker
     info.alive_clock_ms = 0
--- a/src/nutmegknot/_internal/jobs/worker_discovery.py
+++ b/src/nutmegknot/_internal/jobs/worker_discovery.py
@@ -39,11 +39,12 @@
     source: listings.Listings,
     availability: ListAvailability,
 ) -> None:
-    """Reads the list of workers at a fixed interval.
+    """Reads the list of workers at a fixed interval, or when it is needed.
 
     Between the readings it checks whether all runs of earlier owners are known.
     """
     while True:
+        requests = ownership.list_needed.count
         result = await source.list_workers(LIST_TIMEOUT_MS)
         claims = ownership.worker_claimed.count
         now_ms = ownership.clock.now_ms()
@@ -58,7 +59,7 @@
             ownership, result, _is_complete(ownership, availability, now_ms)
         )
         due_ms = now_ms + ownership.limits.list_interval_ms
-        while now_ms < due_ms:
+        while now_ms < due_ms and ownership.list_needed.count == requests:
             _update_settled_time(ownership, now_ms)
             claims = await signals.wait_with_timeout(
                 ownership.worker_claimed,
@@ -117,13 +118,14 @@
             sessions.open_session(ownership, worker)
             continue
         info.is_listed = True
-        if worker == info.worker:
+        if worker == info.worker and info.is_described:
             continue
         if worker.life > info.worker.life:
             sessions.reset_for_new_life(ownership, info, worker, 'listed')
         elif worker.life == info.worker.life:
             _log_state_change(info.worker, worker)
             info.worker = worker
+            info.is_described = True
         signals.notify(ownership.scheduling_needed)
     for id, info in list(infos.items()):
         if id not in listed.workers and is_complete and info.is_listed:
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -98,6 +98,8 @@
         started and this one has not read. It lists a limited number of ends at
         a time, and further ones once those are acknowledged.
       is_listed: Whether the platform still lists it.
+      is_described: Whether its description, with labels and capacity, is that
+        of its present life. A poll may show a new life before the list does.
       is_replaced: Whether another worker answers at its address, so that this
         worker can't be running any more.
       registration_write: Number of the write that adds it to the list of
@@ -151,6 +153,7 @@
     is_claimed: bool = False
     has_unread_ends: bool = True
     is_listed: bool = True
+    is_described: bool = True
     is_replaced: bool = False
     registration_write: int = 0
     is_registered: bool = False
--- a/tests/lib/job_cells.py
+++ b/tests/lib/job_cells.py
@@ -175,6 +175,9 @@
       keeps_id: Whether a crashed worker comes back under its id, in a new life;
         otherwise another worker comes at its address.
       crashes: All crashes of workers, in order.
+      binds_calls: Whether calls have no effect in another life of a worker than
+        the one that they are meant for; otherwise the next life carries them
+        out, as it may do with late ones.
     """
 
     clock: clock_lib.Clock
@@ -207,6 +210,7 @@
     crash_delay_ms: int = CRASH_DELAY_MS
     keeps_id: bool = False
     crashes: list[Crash] = dataclasses.field(default_factory=list)
+    binds_calls: bool = False
 
 
 def make_worker(id: str, **changes: object) -> workers.Worker:
@@ -320,14 +324,21 @@
     )
 
 
-def restart(cell: Cell, target: FakeTarget) -> None:
+def restart(cell: Cell, target: FakeTarget, **changes: object) -> None:
     """Restarts a worker, which keeps no state; its life number rises.
 
     Its clock starts anew.
+
+    Args:
+      cell: The cell.
+      target: The worker.
+      changes: Fields of the worker that differ in its new life.
     """
     target.began_ms = cell.clock.now_ms()
     target.worker = dataclasses.replace(
-        target.worker, life=target.worker.life + 1
+        target.worker,
+        life=target.worker.life + 1,
+        **changes,  # type: ignore[arg-type]
     )
     target.token = target.until_ms = target.last_end = 0
     target.runs.clear()
@@ -399,6 +410,7 @@
         used = resources.add(used, cell.sizes[name])
     if not resources.fits(used, target.worker.capacity):
         cell.violations.append(f'{target.worker.id} is over its capacity')
+    _check_label(cell, target, command.name)
     _check_limit(cell, command.name)
     cell.starts.append(
         StartedRun(
@@ -428,6 +440,16 @@
     cell.usage[name] = (job.spec.customer, step.size)
 
 
+def _check_label(cell: Cell, target: FakeTarget, name: jobs.TaskName) -> None:
+    """Records a violation if a worker lacks the label that a task requires."""
+    job = cell.find_job(name.job)
+    if job is None:
+        return
+    label = job.spec.steps[name.step].required_label
+    if label and label not in target.worker.labels:
+        cell.violations.append(f'{target.worker.id} lacks {label} for {name}')
+
+
 def _check_limit(cell: Cell, name: jobs.TaskName) -> None:
     """Records a violation if a start brings its customer over its limit."""
     if name not in cell.usage:
@@ -490,15 +512,21 @@
 
 
 def _find_obstacle(
-    target: FakeTarget,
+    cell: Cell, worker: workers.Worker, target: FakeTarget
 ) -> runners.Unreached | runners.Refused | None:
     if target.is_down:
         return runners.Unreached('refused')
-    if target.is_replaced:
+    if target.is_replaced or _is_for_other_life(cell, worker, target):
         return runners.Refused(runners.Refusal.OTHER_LIFE)
     return None
 
 
+def _is_for_other_life(
+    cell: Cell, worker: workers.Worker, target: FakeTarget
+) -> bool:
+    return cell.binds_calls and worker.life != target.worker.life
+
+
 async def _reply(
     target: FakeTarget, result: runners.CommandResult, timeout_ms: int
 ) -> runners.CommandResult:
@@ -540,7 +568,10 @@
         if target is None:
             await asyncio.sleep(timeout_ms / 1000)
             return runners.Unanswered('cut')
-        obstacle = _find_obstacle(target)
+        if _is_for_other_life(cell, worker, target):
+            worker = target.worker
+            processed_end, until_ms, wait_ms = 0, None, 0
+        obstacle = _find_obstacle(cell, worker, target)
         if obstacle is not None:
             return obstacle
         if token < target.token:
@@ -586,7 +617,7 @@
         if target is None:
             await asyncio.sleep(timeout_ms / 1000)
             return runners.Unanswered('cut')
-        obstacle = _find_obstacle(target)
+        obstacle = _find_obstacle(cell, worker, target)
         if obstacle is not None:
             return obstacle
         refused = _refuse_start(cell, target, command)
@@ -624,7 +655,7 @@
         if target is None:
             await asyncio.sleep(timeout_ms / 1000)
             return runners.Unanswered('cut')
-        obstacle = _find_obstacle(target)
+        obstacle = _find_obstacle(cell, worker, target)
         if obstacle is not None:
             return obstacle
         if token < target.token:
