No advice is asked for stages whose customers are at their limits

Cause: a stage whose customer is at its limit was asked about, again whenever its tickets had expired, and reserved workers. Advisers serve one call at a time for each instance, so stages that could start waited behind them.

Why it works: each call for advice is for a stage that may start, so the queue at the advisers is as long as the work that waits for nothing else.

--- a/benchmarks/plain_task_placement.py
+++ b/benchmarks/plain_task_placement.py
@@ -100,6 +100,9 @@
         )
     if not unplaced:
         return
+    if customer_limits.is_at_limit(cluster, plan, job, step):
+        plan.at_limit.append(ranked)
+        return
     if queue.needs_tickets:
         _request_advice(plan, ranked, eligible, unplaced, now_ms)
     reserved = _reserve_workers(plan, stage, eligible, unplaced, now_ms)
--- a/src/nutmegknot/_internal/decisions/customer_limits.py
+++ b/src/nutmegknot/_internal/decisions/customer_limits.py
@@ -34,6 +34,25 @@
     return False
 
 
+def is_at_limit(
+    cluster: cluster_state.ClusterState,
+    plan: plans.Plan,
+    job: jobs.Job,
+    step: jobs.Step,
+) -> bool:
+    """Returns whether no task of a step may start before others have ended.
+
+    The tasks of a gang start together.
+    """
+    customer = cluster.settings.customers.get(job.spec.customer)
+    if customer is None:
+        return False
+    usage = plan.usage.get(customer.name, resources.ZERO)
+    for _ in range(step.count if step.is_gang else 1):
+        usage = resources.add(usage, step.size)
+    return not job_settings.is_within(usage, customer.limit)
+
+
 def add_usage(plan: plans.Plan, job: jobs.Job, step: jobs.Step) -> None:
     """Adds one more task to its customer's usage."""
     usage = plan.usage.get(job.spec.customer, resources.ZERO)
--- a/src/nutmegknot/_internal/decisions/plans.py
+++ b/src/nutmegknot/_internal/decisions/plans.py
@@ -144,6 +144,8 @@
         worker is added when it is first needed; see evictions.list_victims.
       placed: Tasks to be started.
       evicted: Tasks whose runs are to be stopped so that others can start.
+      at_limit: Stages of which no task may start before others of their
+        customers have ended.
       blocked: Stages with tasks that can't start now, each with the reason.
     """
 
@@ -168,6 +170,7 @@
     victims: dict[str, list[Victim]] = dataclasses.field(default_factory=dict)
     placed: list[Placement] = dataclasses.field(default_factory=list)
     evicted: list[jobs.TaskName] = dataclasses.field(default_factory=list)
+    at_limit: list[RankedStage] = dataclasses.field(default_factory=list)
     blocked: list[tuple[RankedStage, str]] = dataclasses.field(
         default_factory=list
     )
--- a/src/nutmegknot/_internal/decisions/task_placement.py
+++ b/src/nutmegknot/_internal/decisions/task_placement.py
@@ -129,6 +129,11 @@
         )
     if not unplaced:
         return
+    if customer_limits.is_at_limit(cluster, plan, job, step):
+        # Advice expires, and a reservation is of no use, before a task may
+        # start.
+        plan.at_limit.append(ranked)
+        return
     if queue.needs_tickets:
         _request_advice(plan, ranked, eligible, unplaced, now_ms)
     reserved = _reserve_workers(plan, stage, eligible, unplaced, now_ms)
--- a/src/nutmegknot/_internal/jobs/advice_calls.py
+++ b/src/nutmegknot/_internal/jobs/advice_calls.py
@@ -41,6 +41,18 @@
     signals.notify(ownership.advice_needed)
 
 
+def withdraw_request(
+    ownership: ownerships.Ownership, job: jobs.Job, stage: jobs.Stage
+) -> None:
+    """Removes the request for a stage that can't start now, if it waits."""
+    if not stage.advice.is_asking or stage.advice.is_called:
+        return
+    name = jobs.format_stage(job.spec.id, stage)
+    if ownership.advice_queue.waiting.pop(name, None) is not None:
+        del ownership.advice_queue.queued_ms[name]
+        stage.advice.is_asking = False
+
+
 async def run_adviser_calls(
     ownership: ownerships.Ownership,
     advise: advisers.Advise,
--- a/src/nutmegknot/_internal/jobs/metrics_page.py
+++ b/src/nutmegknot/_internal/jobs/metrics_page.py
@@ -86,6 +86,18 @@
                 )
             ),
         ),
+        instruments.Gauge(
+            'advice_waiting',
+            'Requests for advice that wait for an adviser.',
+            '1',
+            lambda: read_one(
+                lambda: (
+                    len(node.ownership.advice_queue.waiting)
+                    if node.ownership
+                    else 0
+                )
+            ),
+        ),
         instruments.Gauge(
             'workers',
             'Workers known, by whether they answer.',
--- a/src/nutmegknot/_internal/jobs/task_scheduling.py
+++ b/src/nutmegknot/_internal/jobs/task_scheduling.py
@@ -128,6 +128,8 @@
             stops.stop_run(
                 ownership, name, evicted_stage.tasks[name.index], 'evicted'
             )
+    for ranked in plan.at_limit:
+        advice_calls.withdraw_request(ownership, ranked.job, ranked.stage)
     for request in plan.advice_requests:
         advice_calls.queue_request(ownership, request)
 
@@ -157,6 +159,7 @@
                 'band': turn.rank.urgency_band,
                 'suited': len(stage.advice.tickets),
                 'asking': stage.advice.is_asking,
+                'requests': len(ownership.advice_queue.waiting),
                 'fitting': fitting,
                 'roomy': roomy,
             },
--- a/tests/unit/decisions/test_task_placement.py
+++ b/tests/unit/decisions/test_task_placement.py
@@ -269,3 +269,40 @@
             setattr(cluster.workers_by_id['w1'], field, value)
         add_stage(cluster, 'a', job_cells.make_step())
         assert make_plan(cluster).placed == [], change
+
+
+def test_no_advice_is_requested_for_customers_at_their_limits() -> None:
+    """Guards against tasks that wait for advice beside free workers (LOST).
+
+    Stages whose customers were at their limits were asked about again and
+    again, as tickets expire, and those that could start waited for an adviser
+    (review/7).
+    """
+    cluster = make_cluster(
+        job_cells.make_worker('w1'),
+        job_cells.make_worker('w2'),
+        full=1_000,
+        free=9_000,
+    )
+    cluster.usage['full'] = resources.Resources(1_000, 100)
+    held = add_stage(
+        cluster, 'a', job_cells.make_step(3), 'asked', customer='full'
+    )
+    add_stage(cluster, 'b', job_cells.make_step(3), 'asked', customer='free')
+    plan = make_plan(cluster)
+    assert [request.job.spec.id for request in plan.advice_requests] == ['b']
+    assert [ranked.stage for ranked in plan.at_limit] == [held]
+    assert plan.reserved == set()
+    cluster.usage['full'] = resources.ZERO
+    plan = make_plan(cluster)
+    assert len(plan.advice_requests) == 2
+    assert plan.at_limit == []
+
+
+def test_a_gang_beyond_its_customers_limit_gets_no_advice() -> None:
+    cluster = make_cluster(job_cells.make_worker('w1'), half=2_500)
+    step = job_cells.make_step(3, is_gang=True)
+    add_stage(cluster, 'a', step, 'asked', customer='half')
+    plan = make_plan(cluster)
+    assert plan.advice_requests == []
+    assert len(plan.at_limit) == 1
--- a/tests/unit/jobs/test_advice_calls.py
+++ b/tests/unit/jobs/test_advice_calls.py
@@ -7,8 +7,11 @@
 
 from nutmegknot._internal.backing import advisers
 from nutmegknot._internal.jobs import advice_calls
+from nutmegknot._internal.jobs import owner_operations
 from nutmegknot._internal.models import advice_requests
+from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import jobs
+from nutmegknot._internal.models import resources
 from nutmegknot._internal.utils import tasks
 
 
@@ -62,3 +65,37 @@
         await tasks.cancel_all(calls)
 
     job_cells.run(script)
+
+
+def test_a_request_of_a_stage_that_can_not_start_is_withdrawn() -> None:
+    """Guards against advice for a customer that has reached its limit since."""
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        settings = job_cells.make_settings(
+            job_cells.make_queue(needs_tickets=True),
+            customers=(
+                job_settings.Customer('team', limit=resources.Resources(1_000)),
+            ),
+        )
+        cell = job_cells.make_cell(
+            loop, job_cells.make_worker('w1'), settings=settings
+        )
+        cell.run_ms = lambda name: 60_000
+        node = await job_cells.start_owner(cell, 'one')
+        ownership = job_views.get_ownership(node)
+        step = job_cells.make_step(estimate_ms=60_000)
+        for number in range(40):
+            await owner_operations.submit(
+                ownership,
+                job_cells.make_job_spec(f'j{number}', step, customer='team'),
+            )
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 1)
+        # A scheduling pass later no request is left, and none is added.
+        await asyncio.sleep(0.5)
+        assert ownership.advice_queue.waiting == {}
+        asked = len(cell.asked)
+        await asyncio.sleep(5.0)
+        assert len(cell.asked) == asked
+        assert cell.violations == []
+
+    job_cells.run(script)
