An instance that is being stopped still knows the owner

What callers saw: calls that reached an owner in the 2.5 s after its planned stop had begun ended with 504 at their deadlines.

Cause: the loop that monitors the owner ended when the stop began, so the instance did not learn of its successor, and held the calls.

Change: the loop goes on until the process ends. An instance that is being stopped takes over no more.

Why it works: the calls go to the successor as soon as it has confirmed its ownership, as at any other instance.

Evidence: the new test with processes had 504 for the first of ten calls and no answer for the others before, and 200 for all after.

--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -82,8 +82,12 @@
 
 
 async def run_election(node: nodes.Node) -> None:
-    """Monitors the owner, takes over when its lease has ended, and serves."""
-    while not node.is_stopping:
+    """Monitors the owner, takes over when its lease has ended, and serves.
+
+    An instance that is being stopped goes on monitoring, as it still brings
+    calls to the owner, but takes over no more.
+    """
+    while True:
         if node.ownership is not None:
             await _serve_until_lost(node, node.ownership)
             continue
@@ -190,11 +194,12 @@
     if wait_ms == 0 and node.settings is not None and not node.is_stopping:
         await _take_over(node, found)
         return
+    min_interval_ms = MIN_OWNER_ROW_READ_INTERVAL_MS
+    if node.is_stopping:
+        # It only waits for another instance to take over.
+        min_interval_ms = OWNER_ROW_READ_INTERVAL_MS
     await clock.sleep(
-        min(
-            OWNER_ROW_READ_INTERVAL_MS,
-            max(MIN_OWNER_ROW_READ_INTERVAL_MS, wait_ms),
-        )
+        min(OWNER_ROW_READ_INTERVAL_MS, max(min_interval_ms, wait_ms))
     )
 
 
--- a/tests/functional/test_attach.py
+++ b/tests/functional/test_attach.py
@@ -153,6 +153,40 @@
     run_script(tmp_path, script)
 
 
+def test_a_stopping_owner_answers_callers_until_it_ends(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against calls that find no owner and end at their deadlines.
+
+    An instance stopped following the owner row when its stop began, so that the
+    one that had handed over did not know its successor.
+    """
+
+    async def script(
+        platform: job_platform.Platform, session: aiohttp.ClientSession
+    ) -> None:
+        await submit(platform, session, '1' * 16)
+        owner = job_platform.find_owner(platform)
+        assert owner is not None
+        job_platform.send_signal(owner, signal.SIGTERM)
+        while 'event=handing_over' not in owner.log.read_text('utf-8'):
+            await asyncio.sleep(0.01)
+        statuses = []
+        for number in range(2, 7):
+            status, _ = await job_platform.call(
+                platform, session, owner, 'POST', f'{number:016x}', BODY
+            )
+            statuses.append(status)
+            status, _ = await job_platform.call(
+                platform, session, owner, 'GET', '1' * 16
+            )
+            statuses.append(status)
+        assert statuses == [200] * 10
+        assert await job_platform.wait_ended(owner) == 0
+
+    run_script(tmp_path, script)
+
+
 def test_a_refusal_in_an_outage_is_true(tmp_path: pathlib.Path) -> None:
     async def script(
         platform: job_platform.Platform, session: aiohttp.ClientSession
