Soak: workers that restart under their ids, changed, and are cut off soon after

The soak had no restart of several workers at a time, no cut soon after one, and no kill of the owner in between; its workers kept their connections over a restart, its rows had one length and its tasks too.

A job under whose tasks two workers have ended may be given up, by the users' terms.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -31,6 +31,18 @@
     assert observations.cancelled
 
 
+@pytest.mark.parametrize('seed', [1, 4])
+def test_no_promise_is_broken_while_workers_restart(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    """Workers are back under their ids, changed, and are cut off soon after."""
+    observations = asyncio.run(
+        soak.run_seed(seed, 2 * DURATION_S, tmp_path, has_restarts=True)
+    )
+    assert observations.violations == []
+    assert observations.accepted
+
+
 def test_no_promise_is_broken_while_tasks_crash_workers(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,17 +9,22 @@
 that crashes each worker that starts it. With --heavy, some have many hundred
 tasks that end at about the same time, some have tasks that last until they are
 cancelled, and all instances are killed, paused or stopped at once.
+With --restarts, up to three workers at a time are silent for a moment and back
+under their ids, some as another kind or with less capacity, some are cut off
+soon after, and the owner is killed in between; tasks run for 20 ms to 4 s, and
+the store has short rows.
 Another writer leaves odd entries in the list of workers. After the last fault,
 every accepted job must complete, or fail if it crashes workers, and no
 guarantee may have been violated, as seen by callers and workers.
 
 Usage: python tools/soak.py [--seeds N] [--first N] [--seconds S]
-                            [--without-crashes] [--heavy]
+                            [--without-crashes] [--heavy] [--restarts]
 Exits with 1 if a seed failed, and prints the folder that keeps its logs.
 """
 
 import argparse
 import asyncio
+import collections
 import dataclasses
 import pathlib
 import random
@@ -95,6 +100,25 @@
     'answers_lost',
 )
 HEAVY_FAULT_KINDS = (*FAULT_KINDS, 'kill_all', 'pause_all', 'term_all')
+RESTART_FAULT_KINDS = (
+    'kill_owner',
+    'term',
+    'store_lost',
+    'worker_cut',
+    'answers_lost',
+    'restart',
+    'restart',
+    'restart_cut',
+    'restart_kill_cut',
+)
+MAX_RESTARTED = 3
+# Workers that have ended under a task after which it may be given up.
+MIN_INTERRUPTED = 2
+# In a run with restarts, the tasks of a job run for so long, and the store's
+# rows are so long.
+RESTART_RUN_MS = (20, 20, 60, 60, 400, 400, 400, 4_000)
+ROW_BYTES = (4_096, 16_384, 65_536)
+SMALL_CAPACITY = resources.Resources(2_000, 16_000)
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,6 +134,7 @@
       submitted: Submitted jobs.
       run_ms: How long the tasks of a job run, if not RUN_MS.
       cancelled: When the cancelling of a job was answered, in ms.
+      interrupted: How many workers have restarted under tasks of a job.
       faults: Kinds of the injected faults, in order.
       violations: Descriptions of violated guarantees.
     """
@@ -121,6 +146,9 @@
     submitted: dict[str, jobs.Job] = dataclasses.field(default_factory=dict)
     run_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     cancelled: dict[str, int] = dataclasses.field(default_factory=dict)
+    interrupted: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     faults: list[str] = dataclasses.field(default_factory=list)
     violations: list[str] = dataclasses.field(default_factory=list)
 
@@ -130,6 +158,7 @@
     rng: random.Random,
     number: int,
     is_heavy: bool,
+    lengths_ms: tuple[int, ...] = (),
 ) -> list[dict[str, Any]]:
     """Returns the steps of a job as a caller submits them."""
     id = make_id(number)
@@ -140,6 +169,8 @@
     elif is_lasting:
         count, cpu, memory_mib = LASTING_COUNT, 10, 1
         run_ms = LASTING_RUN_MS
+    if lengths_ms:
+        run_ms = rng.choice(lengths_ms)
     observations.run_ms[id] = run_ms
     step = {
         'count': count,
@@ -194,6 +225,7 @@
     *,
     has_crashes: bool,
     is_heavy: bool,
+    lengths_ms: tuple[int, ...] = (),
 ) -> None:
     """Submits jobs to randomly chosen instances until cancelled.
 
@@ -204,7 +236,11 @@
       cancellations: Filled with the tasks that cancel jobs.
       has_crashes: Whether some jobs crash workers.
       is_heavy: Whether some jobs are large, and some last until cancelled.
+      lengths_ms: How long the tasks of a job may run; all alike if empty.
     """
+    interval_s = SUBMIT_INTERVAL_S
+    if lengths_ms:
+        interval_s *= sum(lengths_ms) / len(lengths_ms) / RUN_MS + 1
     number = 0
     async with aiohttp.ClientSession() as session:
         while True:
@@ -212,7 +248,7 @@
             id = make_id(number)
             if has_crashes and number % CRASH_INTERVAL == FIRST_CRASH:
                 observations.crashing.add(id)
-            steps = make_steps(observations, rng, number, is_heavy)
+            steps = make_steps(observations, rng, number, is_heavy, lengths_ms)
             body = {'spec': id, 'steps': steps}
             statuses = []
             for _ in range(3):
@@ -232,7 +268,7 @@
                     break
             if all(status in (429, 503) for status in statuses):
                 observations.refused.add(id)
-            await asyncio.sleep(SUBMIT_INTERVAL_S)
+            await asyncio.sleep(interval_s)
 
 
 async def crash_workers(
@@ -318,6 +354,8 @@
         await job_platform.wait_ended(instance)
         await asyncio.sleep(duration_s / 3)
         job_platform.start_process(instance)
+    elif kind.startswith('restart'):
+        await restart_workers(platform, observations, rng, kind)
     elif kind.endswith('_all'):
         await disrupt_all(platform, kind, duration_s / 2)
     elif kind == 'pause_owner':
@@ -339,6 +377,55 @@
         setattr(target, name, False)
 
 
+async def restart_workers(
+    platform: job_platform.Platform,
+    observations: Observations,
+    rng: random.Random,
+    kind: str,
+) -> None:
+    """Has some workers restart under their ids after a moment of silence.
+
+    Args:
+      platform: The platform.
+      observations: What is observed.
+      rng: Source of the choices.
+      kind: 'restart', or with '_cut' if they are cut off soon after, and with
+        '_kill_cut' if the owner is killed before that.
+    """
+    targets = rng.sample(
+        list(platform.cell.targets.values()), rng.randint(1, MAX_RESTARTED)
+    )
+    kinds: list[dict[str, object]] = [
+        {},
+        {'kind': 'plain', 'labels': frozenset(('plain', 'r1'))},
+        {'kind': 'slow', 'labels': frozenset(('slow', 'r1'))},
+        {'capacity': SMALL_CAPACITY},
+    ]
+    changes = rng.choice(kinds)
+    for target in targets:
+        target.is_cut = True
+        observations.interrupted.update({name.job for name in target.runs})
+        target.runs.clear()
+    await asyncio.sleep(rng.uniform(0.1, 1.5))
+    for target in targets:
+        target.is_cut = False
+        job_platform.restart_worker(platform, target.worker.id, **changes)
+    await asyncio.sleep(rng.uniform(0.05, 0.6))
+    owner = job_platform.find_owner(platform)
+    if '_kill' in kind and owner is not None:
+        job_platform.send_signal(owner, signal.SIGKILL)
+        await job_platform.wait_ended(owner)
+    if '_cut' in kind:
+        await asyncio.sleep(rng.uniform(0.05, 0.6))
+        for target in targets:
+            target.is_cut = True
+        await asyncio.sleep(rng.uniform(2.0, 9.0))
+        for target in targets:
+            target.is_cut = False
+    if '_kill' in kind and owner is not None:
+        job_platform.start_process(owner)
+
+
 async def inject_faults(
     platform: job_platform.Platform,
     observations: Observations,
@@ -422,7 +509,11 @@
                     wanted = jobs.JobState.FAILED
                 if id in observations.cancelled:
                     wanted = jobs.JobState.CANCELLED
-                if state == wanted.value:
+                may_be_given_up = (
+                    state == 'failed'
+                    and observations.interrupted[id] >= MIN_INTERRUPTED
+                )
+                if state == wanted.value or may_be_given_up:
                     open_jobs.discard(id)
                 elif status == 410 or state in (
                     'completed',
@@ -482,6 +573,7 @@
     *,
     has_crashes: bool = False,
     is_heavy: bool = False,
+    has_restarts: bool = False,
 ) -> Observations:
     """Runs the test with one seed and returns the observations.
 
@@ -493,11 +585,22 @@
         odd entries.
       is_heavy: Whether some jobs are large, some are cancelled, and some faults
         hit all instances.
+      has_restarts: Whether workers restart under their ids, tasks differ in
+        length, and the store's rows are short.
     """
     rng = random.Random(seed)
     observations = Observations()
     workers = HEAVY_WORKERS if is_heavy else WORKERS
-    platform = await job_platform.start(folder, workers, rng, limit=LIMIT)
+    drawn = random.Random(f'lengths {seed}')
+    platform = await job_platform.start(
+        folder,
+        workers,
+        rng,
+        limit=LIMIT,
+        row_bytes=drawn.choice(ROW_BYTES)
+        if has_restarts
+        else job_platform.MAX_ROW_BYTES,
+    )
     platform.cell.find_job = observations.submitted.get
     platform.cell.run_ms = lambda name: observations.run_ms.get(
         name.job, RUN_MS
@@ -517,6 +620,7 @@
                 cancellations,
                 has_crashes=has_crashes,
                 is_heavy=is_heavy,
+                lengths_ms=RESTART_RUN_MS if has_restarts else (),
             )
         )
         crashing = asyncio.create_task(crash_workers(platform, observations))
@@ -525,7 +629,7 @@
                 platform,
                 observations,
                 rng,
-                HEAVY_FAULT_KINDS if is_heavy else FAULT_KINDS,
+                _choose_fault_kinds(is_heavy, has_restarts),
             )
         )
         await asyncio.sleep(seconds)
@@ -548,6 +652,12 @@
     return observations
 
 
+def _choose_fault_kinds(is_heavy: bool, has_restarts: bool) -> tuple[str, ...]:
+    if has_restarts:
+        return RESTART_FAULT_KINDS
+    return HEAVY_FAULT_KINDS if is_heavy else FAULT_KINDS
+
+
 def main() -> int:
     """Runs the seeds given by the command line; returns the exit code."""
     parser = argparse.ArgumentParser(
@@ -558,6 +668,7 @@
     parser.add_argument('--seconds', type=float, default=15.0)
     parser.add_argument('--without-crashes', action='store_true')
     parser.add_argument('--heavy', action='store_true')
+    parser.add_argument('--restarts', action='store_true')
     args = parser.parse_args()
     failed = 0
     for seed in range(args.first, args.first + args.seeds):
@@ -567,8 +678,9 @@
                 seed,
                 args.seconds,
                 folder,
-                has_crashes=not args.without_crashes,
+                has_crashes=not args.without_crashes and not args.restarts,
                 is_heavy=args.heavy,
+                has_restarts=args.restarts,
             )
         )
         result = 'broken' if observations.violations else 'ok'
