Modules of their own for workers' lives and for the list of workers in the table

No behaviour changes. jobs/worker_lives.py has what changes when a worker has restarted or was replaced, jobs/rosters.py the list of workers that the owner keeps in the table; both were part of jobs/sessions.py, which is down to the session itself.

--- a/src/nutmegknot/_internal/jobs/metrics_page.py
+++ b/src/nutmegknot/_internal/jobs/metrics_page.py
@@ -78,25 +78,13 @@
             'stages_waiting',
             'Stages that wait for starts.',
             '1',
-            lambda: read_one(
-                lambda: (
-                    len(node.ownership.cluster.waiting_stages)
-                    if node.ownership
-                    else 0
-                )
-            ),
+            lambda: read_one(lambda: _count_waiting_stages(node)),
         ),
         instruments.Gauge(
             'advice_waiting',
             'Requests for advice that wait for an adviser.',
             '1',
-            lambda: read_one(
-                lambda: (
-                    len(node.ownership.advice_queue.waiting)
-                    if node.ownership
-                    else 0
-                )
-            ),
+            lambda: read_one(lambda: _count_advice_requests(node)),
         ),
         instruments.Gauge(
             'workers',
@@ -107,6 +95,14 @@
     ]
 
 
+def _count_waiting_stages(node: nodes.Node) -> int:
+    return len(node.ownership.cluster.waiting_stages) if node.ownership else 0
+
+
+def _count_advice_requests(node: nodes.Node) -> int:
+    return len(node.ownership.advice_queue.waiting) if node.ownership else 0
+
+
 def _count_open(node: nodes.Node) -> list[instruments.GaugeReading]:
     if node.ownership is None:
         return []
--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -15,6 +15,7 @@
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import peer_calls
 from nutmegknot._internal.jobs import retention
+from nutmegknot._internal.jobs import rosters
 from nutmegknot._internal.jobs import sessions
 from nutmegknot._internal.jobs import starts
 from nutmegknot._internal.jobs import store_routes
@@ -365,7 +366,7 @@
 def _process_completed_write(ownership: ownerships.Ownership) -> None:
     """Does what had to wait for a write that is in the table now."""
     task_scheduling.process_durable_jobs(ownership)
-    sessions.mark_registered_workers(ownership)
+    rosters.mark_registered_workers(ownership)
     starts.send_durable_starts(ownership)
     ceiling_updates.apply_completed_write(ownership)
 
--- a/src/nutmegknot/_internal/jobs/sessions.py
+++ b/src/nutmegknot/_internal/jobs/sessions.py
@@ -5,7 +5,6 @@
 runs.
 """
 
-import dataclasses
 import logging
 
 from nutmegknot._internal.backing import runners
@@ -14,13 +13,13 @@
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import reconciliation
 from nutmegknot._internal.jobs import refusals
+from nutmegknot._internal.jobs import rosters
 from nutmegknot._internal.jobs import rows
-from nutmegknot._internal.jobs import stops
 from nutmegknot._internal.jobs import throttling
 from nutmegknot._internal.jobs import worker_crashes
+from nutmegknot._internal.jobs import worker_lives
 from nutmegknot._internal.jobs import writers
 from nutmegknot._internal.models import cluster_state
-from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.utils import clock
 from nutmegknot._internal.utils import signals
@@ -41,8 +40,6 @@
 MAX_IDLE_POLLS_PER_S = 300
 # How long after a lost answer of any worker waits stay short.
 LOST_ANSWER_MEMORY_MS = 10_000
-# Largest number of runs of a restarted worker that are logged with it.
-MAX_LOGGED_RUNS = 8
 # Longest wait for ended runs to be written; then the worker is polled again,
 # as its lease has to be renewed.
 MAX_END_WRITE_WAIT_MS = 300
@@ -62,7 +59,7 @@
         worker, is_listed=is_listed, known_since_ms=ownership.clock.now_ms()
     )
     ownership.cluster.workers_by_id[worker.id] = info
-    info.registration_write = _write_roster(ownership)
+    info.registration_write = rosters.write_roster(ownership)
     commands = command_queues.CommandQueue()
     ownership.commands_by_worker[worker.id] = commands
     tasks.spawn_restartable(
@@ -77,48 +74,6 @@
     )
 
 
-def _write_roster(ownership: ownerships.Ownership) -> int:
-    """Queues a write of the workers that may have runs.
-
-    Returns:
-      The number of the write.
-    """
-    return writers.queue_write(
-        ownership.writer,
-        rows.ROSTER_KEY,
-        lambda: _encode_roster(ownership),
-    )
-
-
-def _encode_roster(ownership: ownerships.Ownership) -> bytes:
-    now_ms = ownership.clock.now_ms()
-    return rows.encode_roster(
-        _with_life(info.worker, leases.get_recorded_life(info, now_ms))
-        for info in ownership.cluster.workers_by_id.values()
-    )
-
-
-def _record_life(
-    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
-) -> None:
-    """Queues a write of the present life of a worker once that is due."""
-    is_due = ownership.clock.now_ms() >= info.lease.latest_end_ms
-    if is_due and not info.is_life_recorded:
-        info.is_life_recorded = True
-        _write_roster(ownership)
-
-
-def mark_registered_workers(ownership: ownerships.Ownership) -> None:
-    """Lets tasks start on workers that the store's roster names now."""
-    signals.notify(ownership.write_completed)
-    for info in ownership.cluster.workers_by_id.values():
-        if not info.is_registered and writers.is_durable(
-            ownership.writer, info.registration_write, rows.ROSTER_KEY
-        ):
-            info.is_registered = True
-            signals.notify(ownership.scheduling_needed)
-
-
 async def _send_commands(
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
@@ -169,7 +124,7 @@
             case runners.Refused(reason):
                 refusals.handle_refusal(ownership, info, reason)
                 if reason is runners.Refusal.OTHER_LIFE:
-                    _mark_replaced(ownership, info)
+                    worker_lives.mark_replaced(ownership, info)
                 await clock.sleep(RETRY_INTERVAL_MS)
             case runners.Unanswered(detail) | runners.Unreached(detail):
                 unanswered_calls += 1
@@ -189,7 +144,7 @@
                     0 if unanswered_calls == 1 else RETRY_INTERVAL_MS
                 )
         _check_lease_expiry(ownership, info)
-        _record_life(ownership, info)
+        rosters.record_life(ownership, info)
 
 
 def _choose_poll_wait(
@@ -287,7 +242,7 @@
             },
         )
     if info.worker.life and inventory.life > info.worker.life:
-        reset_for_new_life(
+        worker_lives.reset_for_new_life(
             ownership, info, info.worker, 'other_life_listed', inventory.life
         )
     worker_crashes.record_answer(ownership, info, inventory.life)
@@ -309,41 +264,59 @@
     reconciliation.apply_inventory(ownership, info, inventory, sent_ms)
     throttling.adjust_pace(ownership, info, inventory)
     if not info.is_claimed:
-        info.is_claimed = True
-        info.is_replaced = False
-        signals.notify(ownership.worker_claimed)
-        logger.info(
-            'worker_claimed',
-            extra={
-                'worker': info.worker.id,
-                'token': ownership.cluster.epoch,
-                'life': info.worker.life,
-                'runs': len(inventory.runs),
-                'ends': len(inventory.ends),
-                'more_ends': inventory.has_more_ends,
-            },
-        )
+        _claim(ownership, info, inventory)
     if info.has_unread_ends and not inventory.has_more_ends:
         info.has_unread_ends = False
         signals.notify(ownership.worker_claimed)
     signals.notify(ownership.scheduling_needed)
     if new_ends:
-        info.processed_end = max(end.number for end in new_ends)
-        info.unpersisted_ends.append(
-            cluster_state.UnpersistedEnds(
-                info.processed_end,
-                ownership.writer.last_queued,
-                frozenset(
-                    rows.get_progress_key(end.name.job)
-                    for end in new_ends
-                    if end.name is not None
-                ),
-            )
-        )
+        _record_ends(ownership, info, new_ends)
     if info.unpersisted_ends:
         await _wait_until_ends_written(ownership, info)
 
 
+def _claim(
+    ownership: ownerships.Ownership,
+    info: cluster_state.WorkerInfo,
+    inventory: runners.Inventory,
+) -> None:
+    """Records that a worker has accepted the fencing token of this owner."""
+    info.is_claimed = True
+    info.is_replaced = False
+    signals.notify(ownership.worker_claimed)
+    logger.info(
+        'worker_claimed',
+        extra={
+            'worker': info.worker.id,
+            'token': ownership.cluster.epoch,
+            'life': info.worker.life,
+            'runs': len(inventory.runs),
+            'ends': len(inventory.ends),
+            'more_ends': inventory.has_more_ends,
+        },
+    )
+
+
+def _record_ends(
+    ownership: ownerships.Ownership,
+    info: cluster_state.WorkerInfo,
+    ends: list[runners.ReportedEnd],
+) -> None:
+    """Records that ends may be acknowledged once what was queued is written."""
+    info.processed_end = max(end.number for end in ends)
+    info.unpersisted_ends.append(
+        cluster_state.UnpersistedEnds(
+            info.processed_end,
+            ownership.writer.last_queued,
+            frozenset(
+                rows.get_progress_key(end.name.job)
+                for end in ends
+                if end.name is not None
+            ),
+        )
+    )
+
+
 async def _wait_until_ends_written(
     ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
 ) -> None:
@@ -369,108 +342,6 @@
     await clock.sleep(END_BATCH_WAIT_MS)
 
 
-def reset_for_new_life(
-    ownership: ownerships.Ownership,
-    info: cluster_state.WorkerInfo,
-    worker: workers.Worker,
-    why: str,
-    life: int = 0,
-) -> None:
-    """Resets what is known of a worker that has restarted.
-
-    Args:
-      ownership: The ownership of the jobs.
-      info: The worker as it was known.
-      worker: The worker as it is listed now.
-      why: Cause for the log.
-      life: Number of the worker's new life, which rises with each restart; 0
-        to take that of `worker`.
-    """
-    logger.warning(
-        'worker_began_anew',
-        extra={
-            'worker': worker.id,
-            'life': life or worker.life,
-            'before': info.worker.life,
-            'why': why,
-        },
-    )
-    _log_restart(ownership, info, why)
-    worker_crashes.record_restart(ownership, info, why, life or worker.life)
-    info.is_described = not life
-    if life:
-        worker = _with_life(worker, life)
-        signals.notify(ownership.list_needed)
-    leases.begin_life(info, ownership)
-    info.worker = worker
-    info.alive_clock_ms = 0
-    info.is_life_recorded = False
-    info.persisted_end = info.processed_end = 0
-    info.unpersisted_ends.clear()
-    info.is_claimed = False
-    info.has_unread_ends = True
-    info.pace_percent = 100
-    # Other runs are kept until the first inventory of the new life: a start
-    # command that arrived after the restart may have started one of them.
-    for name, task in info.runs.items():
-        task.started_clock_ms = 0
-        if task.phase is jobs.TaskPhase.STOPPING:
-            stops.queue_stop(ownership, info, name, task.run)
-
-
-def _log_restart(
-    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo, why: str
-) -> None:
-    """Logs the runs that were on a worker that has restarted.
-
-    The run that started last comes first.
-    """
-    if not info.runs:
-        return
-    now_ms = ownership.clock.now_ms()
-    newest = sorted(
-        info.runs.items(),
-        key=lambda item: item[1].start_decided_ms,
-        reverse=True,
-    )
-    logger.warning(
-        'worker_restarted',
-        extra={
-            'worker': info.worker.id,
-            'state': info.worker.state.value,
-            'why': why,
-            'silent_ms': now_ms - (info.unanswered_since_ms or now_ms),
-            'runs': len(newest),
-            'newest': ' '.join(
-                f'{jobs.format_task(name)}#{task.run}'
-                f'@{now_ms - task.start_decided_ms}'
-                for name, task in newest[:MAX_LOGGED_RUNS]
-            ),
-        },
-    )
-
-
-def _mark_replaced(
-    ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
-) -> None:
-    """Marks a worker as replaced: another one answers at its address."""
-    is_known = info.is_replaced
-    info.is_claimed = False
-    info.is_replaced = True
-    signals.notify(ownership.worker_claimed)
-    if info.unanswered_since_ms is None:
-        info.unanswered_since_ms = ownership.clock.now_ms()
-    _log_restart(ownership, info, 'address_taken')
-    if not is_known:
-        worker_crashes.record_restart(ownership, info, 'address_taken')
-    for name in list(info.runs):
-        reconciliation.mark_run_lost(ownership, name, 'address_taken')
-
-
-def _with_life(worker: workers.Worker, life: int) -> workers.Worker:
-    return dataclasses.replace(worker, life=life)
-
-
 def _mark_unanswered(
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
@@ -537,7 +408,7 @@
     """Ends the session with a worker on which nothing runs any more."""
     logger.info('worker_dropped', extra={'worker': info.worker.id, 'why': why})
     ownership.cluster.workers_by_id.pop(info.worker.id, None)
-    _write_roster(ownership)
+    rosters.write_roster(ownership)
     commands = ownership.commands_by_worker.pop(info.worker.id, None)
     if commands is not None:
         signals.notify(commands.changed)
--- a/src/nutmegknot/_internal/jobs/worker_discovery.py
+++ b/src/nutmegknot/_internal/jobs/worker_discovery.py
@@ -9,6 +9,7 @@
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import sessions
 from nutmegknot._internal.jobs import worker_crashes
+from nutmegknot._internal.jobs import worker_lives
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import workers
 from nutmegknot._internal.utils import clock
@@ -121,7 +122,7 @@
         if worker == info.worker and info.is_described:
             continue
         if worker.life > info.worker.life:
-            sessions.reset_for_new_life(ownership, info, worker, 'listed')
+            worker_lives.reset_for_new_life(ownership, info, worker, 'listed')
         elif worker.life == info.worker.life:
             _log_state_change(info.worker, worker)
             info.worker = worker
@@ -170,6 +171,20 @@
     )
 
 
+def _compute_last_expiry(
+    ownership: ownerships.Ownership, ids: list[str], now_ms: int
+) -> int:
+    """Returns when no run of an earlier owner can be left on some workers."""
+    infos = ownership.cluster.workers_by_id
+    return max(
+        (
+            leases.compute_earlier_runs_expiry(infos[id], ownership)
+            for id in ids
+        ),
+        default=now_ms,
+    )
+
+
 def _update_settled_time(ownership: ownerships.Ownership, now_ms: int) -> None:
     """Updates the time from which no unknown run of an earlier owner is left.
 
@@ -193,15 +208,7 @@
         for id in unanswered
         if _may_hold_lease(ownership, cluster.workers_by_id[id], now_ms)
     ]
-    expiry_ms = max(
-        (
-            leases.compute_earlier_runs_expiry(
-                cluster.workers_by_id[id], ownership
-            )
-            for id in unanswered
-        ),
-        default=now_ms,
-    )
+    expiry_ms = _compute_last_expiry(ownership, unanswered, now_ms)
     if partly_answered or (unanswered and now_ms < expiry_ms):
         if not cluster.has_unsettled_runs:
             cluster.has_unsettled_runs = True
