--- a/src/nutmegknot/_internal/jobs/leases.py
+++ b/src/nutmegknot/_internal/jobs/leases.py
@@ -5,12 +5,12 @@
 runs.
 
 A worker that restarts begins a new life under its id, with a clock that starts
-anew. A call to its earlier life that the new one carries out late names the end
-of the lease by the earlier clock, which for the new one is far in the future.
-So until a lease that such a call may have given has certainly expired, runs
-there may be in progress. The list of workers that the owner keeps in the table
-names the earlier life until then, so that a new owner finds that the worker has
-restarted.
+from 0 again. A call to its earlier life that the new one carries out late names
+the end of the lease by the earlier clock, which for the new one is far in the
+future. So until a lease that such a call may have given has certainly expired,
+runs there may be in progress. The list of workers that the owner keeps in the
+table names the earlier life until then, so that a new owner finds that the
+worker has restarted.
 """
 
 from nutmegknot._internal.jobs import ownerships
--- a/src/nutmegknot/_internal/jobs/worker_crashes.py
+++ b/src/nutmegknot/_internal/jobs/worker_crashes.py
@@ -27,7 +27,7 @@
 def write_young_runs(
     ownership: ownerships.Ownership, info: cluster_state.WorkerInfo
 ) -> None:
-    """Writes the runs on a silent worker that may be the cause of a crash.
+    """Writes runs on a worker without answers that may be the cause of a crash.
 
     These are the ones that had just started, and those of tasks with earlier
     crashes. If the owner changes before the worker is back, the next owner then
--- a/src/nutmegknot/_internal/jobs/writers.py
+++ b/src/nutmegknot/_internal/jobs/writers.py
@@ -341,7 +341,7 @@
 def _add_to_batch(
     writer: Writer, batch: Batch, key: str, queued: QueuedWrite
 ) -> bool:
-    """Adds a write to a batch; tells whether the batch has room for it."""
+    """Adds a write to a batch; tells whether it fits."""
     value = queued.encode()
     values = rows.split_value(key, value, writer.table.max_value_bytes)
     part_count = len(values) - 1
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,10 +9,10 @@
 that crashes each worker that starts it. With --heavy, some have many hundred
 tasks that end at about the same time, some have tasks that last until they are
 cancelled, and all instances are killed, paused or stopped at once.
-With --restarts, up to three workers at a time are silent for a moment and back
-under their ids, some as another kind or with less capacity, some are cut off
-soon after, and the owner is killed in between; tasks run for 20 ms to 4 s, and
-the store has short rows.
+With --restarts, up to three workers at a time do not answer for a moment and
+are back under their ids, some as another kind or with less capacity, some are
+cut off soon after, and the owner is killed in between; tasks run for 20 ms to
+4 s, and the store has short rows.
 Another writer leaves odd entries in the list of workers. After the last fault,
 every accepted job must complete, or fail if it crashes workers, and no
 guarantee may have been violated, as seen by callers and workers.
@@ -383,7 +383,7 @@
     rng: random.Random,
     kind: str,
 ) -> None:
-    """Has some workers restart under their ids after a moment of silence.
+    """Has some workers restart under their ids after a moment without answers.
 
     Args:
       platform: The platform.
