Progress and pace of runs kept apart

The fourth entry of a listed run is the share of its work that is done.

The pace of a run is now what was last sent. After a failed command, and for a run of an earlier owner, it is unknown and set again. A run without a valid percentage is still listed, without progress; it counted as a run that can't be read, and was in the way of starts on its worker.

The fake worker lists progress. The test of decoded answers now demands None or 0 to 100 in place of any integer.

--- a/src/nutmegknot/_internal/backing/runners.py
+++ b/src/nutmegknot/_internal/backing/runners.py
@@ -116,7 +116,9 @@
       name: The task.
       run: Number of the run.
       checkpoint: Its newest checkpoint.
-      pace_percent: Percent of full speed that the run is throttled to.
+      progress_percent: Percentage of its work that is done; 100 for a
+        long-running run that is in operation. None if the worker reports no
+        valid number.
       load: Tail latency in ms if the task serves users, else the processor time
         in use in thousandths of a core; both are approximate.
     """
@@ -124,7 +126,7 @@
     name: jobs.TaskName
     run: int
     checkpoint: str
-    pace_percent: int
+    progress_percent: int | None
     load: float
 
 
--- a/src/nutmegknot/_internal/jobs/reconciliation.py
+++ b/src/nutmegknot/_internal/jobs/reconciliation.py
@@ -414,7 +414,6 @@
     if not task.started_clock_ms:
         task.started_clock_ms = clock_ms
     stage.has_started = job.has_started = True
-    task.pace_percent = row.pace_percent
     return True
 
 
@@ -431,6 +430,7 @@
     task.phase = jobs.TaskPhase.RUNNING
     task.confirmed_ms = ownership.clock.now_ms()
     task.start_decided_ms = 0
+    task.pace_percent = None
     if crash_trials.is_trial_start(stage, task):
         task.trial = jobs.Trial(
             row.run, info.worker.id, info.worker.life, info.worker.address
--- a/src/nutmegknot/_internal/jobs/throttling.py
+++ b/src/nutmegknot/_internal/jobs/throttling.py
@@ -98,20 +98,21 @@
         if task.pace_percent == info.pace_percent:
             continue
         task.pace_percent = info.pace_percent
-        _queue_throttle_command(
-            ownership, info, name, task.run, info.pace_percent
-        )
+        _queue_throttle_command(ownership, info, name, task, info.pace_percent)
 
 
 def _queue_throttle_command(
     ownership: ownerships.Ownership,
     info: cluster_state.WorkerInfo,
     name: jobs.TaskName,
-    run: int,
+    task: jobs.Task,
     percent: int,
 ) -> None:
+    run = task.run
+
     async def send() -> None:
         if not ownerships.may_act(ownership):
+            _forget_pace(task, run)
             return
         result = await ownership.runners.throttle(
             info.worker,
@@ -122,8 +123,9 @@
             ownership.limits.max_call_timeout_ms,
         )
         if not isinstance(result, runners.Taken):
-            # Not repeated here: the next inventory shows the pace in force, and
-            # the command is sent again if that is another one.
+            # Not repeated here, but after the next inventory: workers do not
+            # list the pace in force.
+            _forget_pace(task, run)
             logger.info(
                 'pace_not_taken',
                 extra={
@@ -136,3 +138,9 @@
     commands = ownership.commands_by_worker.get(info.worker.id)
     if commands is not None:
         command_queues.add_command(commands, send)
+
+
+def _forget_pace(task: jobs.Task, run: int) -> None:
+    """Records that the pace of a run is not known, so that it is set again."""
+    if task.run == run:
+        task.pace_percent = None
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -188,7 +188,8 @@
         if the worker does not list it.
       start_decided_ms: When the start of the current run was decided; 0 if an
         earlier owner of the jobs decided it.
-      pace_percent: Percentage of its full speed to which the run is throttled.
+      pace_percent: Percentage of its full speed to which the run was last
+        throttled; None if that is not known.
       waiting_since_ms: Since when it has had no run.
       avoided_workers: Ids of workers on which a run of it failed, or was
         stopped as it took too long.
@@ -209,7 +210,7 @@
     checkpoint: str = ''
     confirmed_ms: int = 0
     start_decided_ms: int = 0
-    pace_percent: int = 100
+    pace_percent: int | None = 100
     waiting_since_ms: int = 0
     avoided_workers: set[str] = dataclasses.field(default_factory=set)
     lost_runs: int = 0
--- a/src/nutmegknot/_internal/platform/platform_workers.py
+++ b/src/nutmegknot/_internal/platform/platform_workers.py
@@ -21,6 +21,7 @@
 # Largest number of ends in one answer of a worker; it lists the others once
 # these are acknowledged.
 _MAX_LISTED_ENDS = 500
+_MAX_PERCENT = 100
 _UNHEALTHY_STATUSES = frozenset((429, 503))
 _REFUSALS = {
     'fence': runners.Refusal.FENCED,
@@ -283,7 +284,7 @@
             name,
             json_fields.check_integer(row[1]),
             json_fields.check_text(row[2]),
-            json_fields.check_integer(row[3]),
+            _read_percent(row[3]) if len(row) > 3 else None,
             json_fields.check_number(row[4]) if len(row) > 4 else 0.0,
         )
     except json_fields.ERRORS as error:
@@ -291,6 +292,13 @@
         return None
 
 
+def _read_percent(value: object) -> int | None:
+    """Returns a percentage, or None if there is none that can be read."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return int(value) if 0 <= value <= _MAX_PERCENT else None
+
+
 def _decode_end(row: list[Any]) -> runners.ReportedEnd:
     return runners.ReportedEnd(
         json_fields.check_integer(row[0]),
--- a/tests/lib/job_cells.py
+++ b/tests/lib/job_cells.py
@@ -52,6 +52,10 @@
       run: Number of the run.
       end_ms: When it ends by itself, by the worker's clock.
       checkpoint: Checkpoint that it started from.
+      began_ms: When it began, by the worker's clock.
+      duration_ms: How long it takes in all; its progress follows from it.
+      hung_percent: Progress from which on it makes none; None if it hangs
+        nowhere.
       pace: Percent of its work that it may do.
       is_stopping: Whether it was told to stop.
     """
@@ -59,6 +63,9 @@
     run: int
     end_ms: int
     checkpoint: str = ''
+    began_ms: int = 0
+    duration_ms: int = 0
+    hung_percent: int | None = None
     pace: int = 100
     is_stopping: bool = False
 
@@ -602,7 +609,11 @@
             return runners.Unanswered('silent')
         rows = [
             runners.ReportedRun(
-                name, run.run, run.checkpoint, run.pace, target.tail_ms
+                name,
+                run.run,
+                run.checkpoint,
+                _compute_progress(run, get_target_clock(cell, target)),
+                target.tail_ms,
             )
             for name, run in target.runs.items()
         ]
@@ -618,6 +629,13 @@
     return poll
 
 
+def _compute_progress(run: FakeRun, now_ms: int) -> int:
+    percent = min(100, 100 * (now_ms - run.began_ms) // max(1, run.duration_ms))
+    if run.hung_percent is not None:
+        percent = min(percent, run.hung_percent)
+    return percent
+
+
 def _make_start(cell: Cell) -> runners.StartRun:
     async def start(
         worker: workers.Worker, command: runners.StartCommand, timeout_ms: int
@@ -636,10 +654,13 @@
         now_ms = get_target_clock(cell, target)
         if command.name not in target.runs:
             _record_start(cell, target, command)
+            duration_ms = cell.run_ms(command.name)
             target.runs[command.name] = FakeRun(
                 command.run,
-                now_ms + cell.run_ms(command.name),
+                now_ms + duration_ms,
                 command.checkpoint,
+                now_ms,
+                duration_ms,
             )
             if cell.crashes_worker(command.name):
                 asyncio.get_running_loop().call_later(
--- a/tests/lib/job_platform.py
+++ b/tests/lib/job_platform.py
@@ -440,7 +440,7 @@
                         jobs.format_task(r.name),
                         r.run,
                         r.checkpoint,
-                        r.pace_percent,
+                        r.progress_percent,
                         0,
                     ]
                     for r in result.runs
--- a/tests/unit/jobs/test_ownerships.py
+++ b/tests/unit/jobs/test_ownerships.py
@@ -8,12 +8,14 @@
 import pytest
 
 from nutmegknot._internal.backing import runners
+from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import owner_election
 from nutmegknot._internal.jobs import owner_operations
 from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
 from nutmegknot._internal.models import resources
+from nutmegknot._internal.models import workers
 
 
 def test_steps_run_one_after_the_other() -> None:
@@ -392,6 +394,66 @@
     job_cells.run(script)
 
 
+def test_pace_commands_are_sent_only_when_the_pace_changes() -> None:
+    """Guards against progress that is taken for the pace in force.
+
+    Each list of a worker then caused a command for each opportunistic run. A
+    command that failed has to be sent again, and a new owner does not know the
+    pace.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 60_000
+        sent = []
+        fails = False
+
+        def record_paces(node: nodes.Node) -> None:
+            ownership = job_views.get_ownership(node)
+            throttle = ownership.runners.throttle
+
+            async def record(
+                worker: workers.Worker,
+                name: jobs.TaskName,
+                run: int,
+                percent: int,
+                *rest: int,
+            ) -> runners.CommandResult:
+                sent.append(percent)
+                if fails:
+                    return runners.Unanswered('lost')
+                return await throttle(worker, name, run, percent, *rest)
+
+            ownership.runners = dataclasses.replace(
+                ownership.runners, throttle=record
+            )
+
+        node = await job_cells.start_owner(cell, 'one')
+        record_paces(node)
+        opportunistic = job_cells.make_step(1, is_opportunistic=True)
+        await owner_operations.submit(
+            job_views.get_ownership(node),
+            job_cells.make_job_spec('b', opportunistic),
+        )
+        assert await job_cells.wait_until(cell, lambda: len(cell.starts) == 1)
+        await asyncio.sleep(5)
+        assert sent == []
+        info = job_views.get_ownership(node).cluster.workers_by_id['w1']
+        fails, info.pace_percent = True, 40
+        assert await job_cells.wait_until(cell, lambda: len(sent) == 3)
+        fails = False
+        await asyncio.sleep(5)
+        assert sent == [60, 80, 100, 100]
+        await owner_election.end_ownership(node)
+        node = await job_cells.start_owner(cell, 'two')
+        record_paces(node)
+        await asyncio.sleep(5)
+        assert sent == [60, 80, 100, 100, 100]
+        assert cell.violations == []
+
+    job_cells.run(script)
+
+
 def test_a_new_owner_starts_tasks_once_all_workers_have_answered() -> None:
     async def script(loop: asyncio.AbstractEventLoop) -> None:
         cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
--- a/tests/unit/platform/test_worker_answers.py
+++ b/tests/unit/platform/test_worker_answers.py
@@ -112,7 +112,10 @@
         assert isinstance(result.clock_ms, int)
         for run in result.runs:
             assert isinstance(run.run, int)
-            assert isinstance(run.pace_percent, int)
+            assert run.progress_percent is None or (
+                isinstance(run.progress_percent, int)
+                and 0 <= run.progress_percent <= 100
+            )
             assert isinstance(run.checkpoint, str)
         for end in result.ends:
             assert isinstance(end.number, int)
@@ -148,6 +151,28 @@
     assert isinstance(started, runners.Taken)
 
 
+@pytest.mark.parametrize(
+    ('entry', 'percent'),
+    [
+        (',0', 0),
+        (',23', 23),
+        (',100.0', 100),
+        ('', None),
+        *((f',{e}', None) for e in ('101', '-1', 'null', '"50"', 'true', '[]')),
+    ],
+)
+async def test_a_run_without_valid_progress_is_still_listed(
+    answers: list[platform_calls.Reply], entry: str, percent: int | None
+) -> None:
+    """Guards against a run that counts as unknown for its progress alone."""
+    text = f'{{"clockMs":1,"born":1,"running":[["{NAME}",2,""{entry}]]}}'
+    answers.append(http_client.decode_reply(200, text.encode()))
+    session: Any = None
+    result, _, _ = await call_all(http_client.Client(session))
+    assert isinstance(result, runners.Inventory)
+    assert [run.progress_percent for run in result.runs] == [percent]
+
+
 async def test_a_full_list_of_ends_says_that_there_may_be_more(
     answers: list[platform_calls.Reply],
 ) -> None:
