Runs whose progress grows are not stopped as stuck

Cause: a run was stuck by its age alone, 1.8 times its longest sibling and 500 ms, or 4 times its estimate and 2,000 ms. A task that takes seven times as long was stopped and its work was lost.

Without progress, or without information on it, the limits hold as before. A run of an earlier owner, whose age is not known, is stuck once it has shown no progress for the limit; it was never stuck before.

--- a/src/nutmegknot/_internal/decisions/outliers.py
+++ b/src/nutmegknot/_internal/decisions/outliers.py
@@ -1,9 +1,12 @@
 """Detection of stuck runs, and quarantine of workers on which runs fail.
 
 Load pattern: some workers fail every run, hang, or work far below their normal
-speed, while they answer calls as if they were healthy.
+speed, while they answer calls as if they were healthy. A few tasks legitimately
+take seven times as long as others: what such a run has done is not thrown away
+while it makes progress.
 """
 
+from nutmegknot._internal.decisions import run_progress
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
 
@@ -38,7 +41,7 @@
 def find_stuck_runs(
     cluster: cluster_state.ClusterState, now_ms: int
 ) -> list[jobs.TaskName]:
-    """Returns the tasks whose runs take far longer than expected.
+    """Returns the tasks whose runs take far too long and make no progress.
 
     A run on a worker that does not answer may have ended long ago.
     """
@@ -70,11 +73,16 @@
         or stage.step.is_opportunistic
     ):
         return False
-    if not task.start_decided_ms:
+    if run_progress.is_moving(task, info.last_answer_ms):
         return False
-    return now_ms - task.start_decided_ms > compute_run_limit_ms(
-        cluster, info, stage
-    )
+    since_ms = task.start_decided_ms
+    if not since_ms:
+        # An earlier owner started the run, at a time that is not known. It was
+        # in progress when its progress was first listed.
+        if task.progress is None:
+            return False
+        since_ms = task.progress.base_ms
+    return now_ms - since_ms > compute_run_limit_ms(cluster, info, stage)
 
 
 def compute_run_limit_ms(
--- a/src/nutmegknot/_internal/jobs/reconciliation.py
+++ b/src/nutmegknot/_internal/jobs/reconciliation.py
@@ -8,6 +8,7 @@
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.decisions import crash_trials
 from nutmegknot._internal.decisions import outliers
+from nutmegknot._internal.decisions import run_progress
 from nutmegknot._internal.decisions import run_times
 from nutmegknot._internal.decisions import stage_ranking
 from nutmegknot._internal.jobs import ownerships
@@ -414,6 +415,9 @@
     if not task.started_clock_ms:
         task.started_clock_ms = clock_ms
     stage.has_started = job.has_started = True
+    run_progress.record_listed(
+        task, row.progress_percent, row.checkpoint, ownership.clock.now_ms()
+    )
     return True
 
 
@@ -431,6 +435,7 @@
     task.confirmed_ms = ownership.clock.now_ms()
     task.start_decided_ms = 0
     task.pace_percent = None
+    task.progress = None
     if crash_trials.is_trial_start(stage, task):
         task.trial = jobs.Trial(
             row.run, info.worker.id, info.worker.life, info.worker.address
--- a/src/nutmegknot/_internal/jobs/starts.py
+++ b/src/nutmegknot/_internal/jobs/starts.py
@@ -70,6 +70,7 @@
     task.run = decision.run
     task.start_decided_ms = ownership.clock.now_ms()
     task.pace_percent = 100
+    task.progress = None
     worker = decision.info.worker
     is_trial = crash_trials.is_trial_start(decision.stage, task)
     if is_trial:
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -169,6 +169,31 @@
     survived_ms: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """Progress of a run, as its worker lists it.
+
+    Times are the monotonic time of the instance that owns the jobs.
+
+    Attributes:
+      percent: Highest percentage of its work that was listed as done.
+      grown_ms: When a list first showed that.
+      base_percent: Progress from which on its speed is known.
+      base_ms: When it had that progress.
+      unchanged_lists: Number of lists since then that showed no growth.
+      checkpoint: Its newest checkpoint, as last listed.
+      saved_percent: Progress that this checkpoint has at least.
+    """
+
+    percent: int
+    grown_ms: int
+    base_percent: int
+    base_ms: int
+    unchanged_lists: int = 0
+    checkpoint: str = ''
+    saved_percent: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Task:
     """One task and its current run.
@@ -200,6 +225,7 @@
         otherwise None.
       started_clock_ms: Time of the worker's clock from which on the current run
         is known to be in progress; 0 if it is not known to be.
+      progress: Progress of the current run; None while its worker lists none.
     """
 
     index: int
@@ -217,6 +243,7 @@
     crashes: dict[int, Crash] = dataclasses.field(default_factory=dict)
     trial: Trial | None = None
     started_clock_ms: int = 0
+    progress: Progress | None = None
 
 
 @dataclasses.dataclass(slots=True)
