Placement follows the learned speed of each worker

Cause: the cost of a worker rested on the mean ratio of run time to estimate of its kind. Workers of one kind differ in speed by a third, and the mean mixed the speed of workers with the errors of estimates and with single long tasks.

A worker's ratio is the median of its last 25 runs, each against the other runs of the same step once that is done, so that the error of the step's estimate is left out; against learned run times for steps of fewer than 4 runs. It is drawn towards the ratio of its kind by 2 runs, discarded with a new life, and taken out of the run times that are learned. Gangs, opportunistic tasks, runs from checkpoints and runs outside their data's rack do not count.

--- a/benchmarks/plain_task_placement.py
+++ b/benchmarks/plain_task_placement.py
@@ -11,6 +11,7 @@
 from nutmegknot._internal.decisions import plans
 from nutmegknot._internal.decisions import stage_ranking
 from nutmegknot._internal.decisions import task_placement
+from nutmegknot._internal.decisions import worker_speeds
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import resources
@@ -257,10 +258,9 @@
             task_placement.INTERFERENCE_PENALTY * info.opportunistic_runs
             + counts.get(worker.id, 0)
         )
-    run_time_ratio = cluster.run_time_ratios.get(
-        (worker.pool, worker.kind), 1.0
+    cost += task_placement.SLOWNESS_PENALTY * worker_speeds.get_run_time_ratio(
+        cluster, info
     )
-    cost += task_placement.SLOWNESS_PENALTY * run_time_ratio
     if step.data_rack and step.data_rack != worker.rack:
         cost += task_placement.REMOTE_DATA_PENALTY
     return cost
--- a/src/nutmegknot/_internal/decisions/task_placement.py
+++ b/src/nutmegknot/_internal/decisions/task_placement.py
@@ -14,6 +14,7 @@
 from nutmegknot._internal.decisions import evictions
 from nutmegknot._internal.decisions import plans
 from nutmegknot._internal.decisions import stage_ranking
+from nutmegknot._internal.decisions import worker_speeds
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import resources
@@ -33,8 +34,8 @@
 # for their response times interfere with each other. All penalties have the
 # unit of the part of a worker that a placement leaves free.
 INTERFERENCE_PENALTY = 3.0
-# Cost of a worker of a kind that takes as long as estimated; a kind that takes
-# twice as long costs twice as much.
+# Cost of a worker of usual speed; one on which runs take twice as long costs
+# twice as much.
 SLOWNESS_PENALTY = 1.0
 # Cost of a worker outside the rack that holds the step's data.
 REMOTE_DATA_PENALTY = 4.0
@@ -370,10 +371,7 @@
         cost += INTERFERENCE_PENALTY * info.opportunistic_runs + counts.get(
             worker.id, 0
         )
-    run_time_ratio = cluster.run_time_ratios.get(
-        (worker.pool, worker.kind), 1.0
-    )
-    cost += SLOWNESS_PENALTY * run_time_ratio
+    cost += SLOWNESS_PENALTY * worker_speeds.get_run_time_ratio(cluster, info)
     if step.data_rack and step.data_rack != worker.rack:
         cost += REMOTE_DATA_PENALTY
     return cost
--- a/src/nutmegknot/_internal/jobs/reconciliation.py
+++ b/src/nutmegknot/_internal/jobs/reconciliation.py
@@ -11,6 +11,7 @@
 from nutmegknot._internal.decisions import run_progress
 from nutmegknot._internal.decisions import run_times
 from nutmegknot._internal.decisions import stage_ranking
+from nutmegknot._internal.decisions import worker_speeds
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import stops
 from nutmegknot._internal.models import cluster_state
@@ -216,6 +217,7 @@
     if stage.done_count == len(stage.tasks):
         key = (job.spec.id, stage.occurrence, stage.number)
         ownership.cluster.waiting_stages.pop(key, None)
+        worker_speeds.record_stage(ownership.cluster, job.spec.queue, stage)
     ownerships.queue_progress_write(ownership, job)
     if not jobs.is_final(job) and _are_all_stages_done(job):
         finish_job(ownership, job, jobs.JobState.COMPLETED, 'all_done')
@@ -293,15 +295,41 @@
     cluster.run_time_ratios[key] = (
         mean_ratio + (min(ratio, 4.0) - mean_ratio) * RUN_TIME_SMOOTHING_FACTOR
     )
-    if task.run == run and not (stage.step.is_opportunistic or task.checkpoint):
+    if task.run == run:
+        _record_run_time(cluster, info, stage, task, name, now_ms)
+
+
+def _record_run_time(
+    cluster: cluster_state.ClusterState,
+    info: cluster_state.WorkerInfo,
+    stage: jobs.Stage,
+    task: jobs.Task,
+    name: jobs.TaskName,
+    now_ms: int,
+) -> None:
+    """Records the run time of a task's current run, which has ended as done."""
+    step = stage.step
+    if step.is_opportunistic or task.checkpoint:
         # An opportunistic task takes as long as other tasks let it, and a run
         # from a checkpoint does a part of the work.
-        run_times.record_run(
-            cluster.run_times,
-            cluster.jobs[name.job].spec.queue,
-            stage.number,
-            stage.step.estimate_ms,
-            now_ms - task.start_decided_ms,
+        return
+    run_ms = now_ms - task.start_decided_ms
+    usual_ms = run_ms / worker_speeds.get_run_time_ratio(cluster, info)
+    run_times.record_run(
+        cluster.run_times,
+        cluster.jobs[name.job].spec.queue,
+        stage.number,
+        step.estimate_ms,
+        usual_ms,
+    )
+    # The tasks of a gang wait for each other, and a task is slower outside the
+    # rack of its data; neither tells about the speed of the worker.
+    is_gang = step.is_gang and step.count > 1
+    is_near = step.data_rack in ('', info.worker.rack)
+    if is_near and not is_gang:
+        worker = info.worker
+        stage.finished_runs.append(
+            jobs.FinishedRun(worker.id, worker.life, run_ms, usual_ms)
         )
 
 
--- a/src/nutmegknot/_internal/jobs/state_dump.py
+++ b/src/nutmegknot/_internal/jobs/state_dump.py
@@ -4,6 +4,7 @@
 import logging
 from typing import Any
 
+from nutmegknot._internal.decisions import worker_speeds
 from nutmegknot._internal.jobs import leases
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import ownerships
@@ -173,6 +174,9 @@
                 'unwanted': len(info.unexpected_runs),
                 'millicores_used': info.used.millicores,
                 'pace': info.pace_percent,
+                'run_time_ratio': round(
+                    worker_speeds.get_run_time_ratio(ownership.cluster, info), 2
+                ),
             },
         )
         for id, info in sorted(ownership.cluster.workers_by_id.items())
--- a/src/nutmegknot/_internal/jobs/worker_lives.py
+++ b/src/nutmegknot/_internal/jobs/worker_lives.py
@@ -3,6 +3,7 @@
 import dataclasses
 import logging
 
+from nutmegknot._internal.decisions import worker_speeds
 from nutmegknot._internal.jobs import leases
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import reconciliation
@@ -60,6 +61,7 @@
     info.is_claimed = False
     info.has_unread_ends = True
     info.pace_percent = 100
+    worker_speeds.forget_worker(info)
     # Other runs are kept until the first inventory of the new life: a start
     # command that arrived after the restart may have started one of them.
     for name, task in info.runs.items():
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -133,6 +133,10 @@
       latency_sensitive_runs: Number of runs there of tasks with a tail latency
         target.
       trial_runs: Number of runs there that started as trials.
+      recent_ratios: Run times of the last runs there, each divided by the usual
+        one; see decisions/worker_speeds.py.
+      run_time_ratio: What follows from them for further runs; 0 while there are
+        none, so that the value of its kind is in force.
     """
 
     worker: workers.Worker
@@ -175,6 +179,8 @@
     opportunistic_runs: int = 0
     latency_sensitive_runs: int = 0
     trial_runs: int = 0
+    recent_ratios: list[float] = dataclasses.field(default_factory=list)
+    run_time_ratio: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -237,6 +243,9 @@
         number of the occurrence and number of the step.
       run_time_ratios: Moving average of the run time divided by the caller's
         estimate, by pool and kind of worker.
+      recent_kind_ratios: Run times of the last runs on workers of each pool and
+        kind, each divided by the usual one.
+      kind_ratios: What follows from them for runs on workers of the kind.
       run_times: Observed run times by queue and step; see
         decisions/run_times.py.
       missing_workers: Workers of which it is not known whether they crashed, by
@@ -270,6 +279,12 @@
     run_time_ratios: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
+    recent_kind_ratios: dict[tuple[str, str], list[float]] = dataclasses.field(
+        default_factory=dict
+    )
+    kind_ratios: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
     run_times: run_time_histograms.RunTimes = dataclasses.field(
         default_factory=run_time_histograms.RunTimes
     )
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -283,6 +283,24 @@
     is_called: bool = False
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class FinishedRun:
+    """A run that did the whole work of a task.
+
+    Attributes:
+      worker: Id of its worker.
+      life: Number of the worker's life.
+      run_ms: How long it took.
+      usual_ms: How long it would have taken on a worker of usual speed, by what
+        was known of its worker.
+    """
+
+    worker: str
+    life: int
+    run_ms: int
+    usual_ms: float
+
+
 @dataclasses.dataclass(slots=True)
 class Stage:
     """One step of one occurrence of a job.
@@ -298,6 +316,8 @@
         tasks may start, as all steps that it depends on are done; None before.
       has_started: Whether a start of any of its tasks has been confirmed.
       durations_ms: Run times of its tasks that are done.
+      finished_runs: Runs that tell about the speed of workers, until all tasks
+        are done; see decisions/worker_speeds.py.
       stuck_runs: How many of its runs were stopped as they took too long.
       logged_blocker: The reason, as last logged, why its waiting tasks can't
         start; '' if none was logged.
@@ -313,6 +333,7 @@
     ready_ms: int | None = None
     has_started: bool = False
     durations_ms: list[int] = dataclasses.field(default_factory=list)
+    finished_runs: list[FinishedRun] = dataclasses.field(default_factory=list)
     stuck_runs: int = 0
     logged_blocker: str = ''
     blocker_logged_ms: int = 0
--- a/tests/unit/decisions/test_placement_differential.py
+++ b/tests/unit/decisions/test_placement_differential.py
@@ -58,6 +58,7 @@
     )
     settings = job_cells.make_settings(*queues, customers=customers)
     cluster = cluster_state.ClusterState(1, 0, settings)
+    cluster.kind_ratios['small', 'fast'] = 0.7
     for number in range(rng.randrange(1, 14)):
         add_worker(cluster, make_worker(rng, number))
     return cluster
@@ -110,6 +111,7 @@
         for name, task in list(info.runs.items()):
             if rng.random() < 0.2:
                 task.phase = jobs.TaskPhase.DONE
+                info.run_time_ratio = rng.choice((0.8, 1.0, 1.3))
                 cluster_state.release_run(cluster, name, now_ms)
             elif rng.random() < 0.1:
                 task.phase = jobs.TaskPhase.STOPPING
