A run that is about to end is not stopped for another one

Cause: evictions chose runs by size and age alone. A run that ends within the time of a stop frees its resources as soon by itself, and its work is lost.

The time left of a run follows from its progress; below 10 %, where rounding to whole percents matters, also from the expected run time. A run that is expected to end within 200 ms, about the time of a stop, is no victim.

On drawn runs the time left is within a tenth of the run time from 10 % on.

--- a/src/nutmegknot/_internal/decisions/evictions.py
+++ b/src/nutmegknot/_internal/decisions/evictions.py
@@ -5,6 +5,8 @@
 """
 
 from nutmegknot._internal.decisions import plans
+from nutmegknot._internal.decisions import run_progress
+from nutmegknot._internal.decisions import run_times
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import resources
@@ -15,6 +17,11 @@
 # Age from which a run that makes checkpoints may be stopped, in ms, so that it
 # makes progress even if it is stopped again and again.
 MIN_CHECKPOINTED_RUN_MS = 500
+# A run that is expected to end within this time is not stopped, in ms: about as
+# long as a stop takes, which needs the call, the end of the run (50 ms in the
+# tests' workers) and the next list of the worker. Its resources would not be
+# free sooner, and its work would be lost.
+MIN_LEFT_MS = 200
 # Largest number of runs that are stopped to start one task.
 MAX_EVICTIONS_PER_TASK = 8
 # Largest number of runs that are stopped in one planning pass.
@@ -117,7 +124,7 @@
     victims = plan.victims.get(info.worker.id)
     if victims is None:
         assessed = (
-            _assess_run(cluster, name, task, now_ms)
+            _assess_run(cluster, info, name, task, now_ms)
             for name, task in info.runs.items()
         )
         victims = [victim for victim in assessed if victim is not None]
@@ -128,15 +135,16 @@
 
 def _assess_run(
     cluster: cluster_state.ClusterState,
+    info: cluster_state.WorkerInfo,
     name: jobs.TaskName,
     task: jobs.Task,
     now_ms: int,
 ) -> plans.Victim | None:
     """Returns a run with its cost if it may be stopped, otherwise None.
 
-    Gangs, whose tasks run only together, and steps that run until their job is
-    cancelled are never stopped. The cost of a run is its processors, and its
-    accelerators at CORES_PER_ACCELERATOR each.
+    Gangs, whose tasks run only together, steps that run until their job is
+    cancelled, and runs that are about to end are never stopped. The cost of a
+    run is its processors, and its accelerators at CORES_PER_ACCELERATOR each.
     """
     job = cluster.jobs.get(name.job)
     if job is None or task.phase is not jobs.TaskPhase.RUNNING:
@@ -150,6 +158,14 @@
             return None
     elif age_ms > MAX_UNSAVED_RUN_MS:
         return None
+    expected_ms = run_times.estimate_quantile_ms(
+        cluster.run_times, job.spec.queue, name.step, step.estimate_ms, 0.5
+    )
+    left_ms = run_progress.estimate_left_ms(
+        task, expected_ms, info.last_answer_ms, now_ms
+    )
+    if left_ms is not None and left_ms <= MIN_LEFT_MS:
+        return None
     cores = (
         step.size.millicores / 1000
         + CORES_PER_ACCELERATOR * step.size.accelerators
--- a/src/nutmegknot/_internal/decisions/run_progress.py
+++ b/src/nutmegknot/_internal/decisions/run_progress.py
@@ -4,6 +4,7 @@
 the time, while other runs hang on workers that answer as if they were healthy.
 """
 
+from nutmegknot._internal.decisions import run_times
 from nutmegknot._internal.models import jobs
 
 # Number of lists in a row without growth up to which a run counts as moving. A
@@ -17,10 +18,6 @@
 # growth for many polls. A run counts as moving up to this multiple of the time
 # that it has taken for one percent on average.
 STALL_FACTOR = 4.0
-# Progress in percent from which on the prediction of a run's end rests on it
-# alone. Rounding to whole percents is up to a tenth of it there.
-MIN_RELIABLE_PERCENT = 10
-_PERCENT = 100
 
 
 def record_listed(
@@ -73,9 +70,45 @@
         return False
     if progress.unchanged_lists <= MAX_UNCHANGED_LISTS:
         return progress.percent > 0
-    gained = progress.percent - progress.base_percent
-    if gained <= 0:
+    ms_per_percent = compute_ms_per_percent(progress)
+    if ms_per_percent is None:
         return False
-    ms_per_percent = (progress.grown_ms - progress.base_ms) / gained
     stall_ms = max(MIN_STALL_MS, STALL_FACTOR * ms_per_percent)
     return listed_ms - progress.grown_ms <= stall_ms
+
+
+def compute_ms_per_percent(progress: jobs.Progress) -> float | None:
+    """Returns the time that one percent has taken; None without any growth."""
+    gained = progress.percent - progress.base_percent
+    if gained <= 0:
+        return None
+    return (progress.grown_ms - progress.base_ms) / gained
+
+
+def estimate_left_ms(
+    task: jobs.Task, expected_ms: int, listed_ms: int, now_ms: int
+) -> int | None:
+    """Returns the expected time in ms until a run ends, from its progress.
+
+    Args:
+      task: The task.
+      expected_ms: Its expected run time.
+      listed_ms: When its worker last listed its runs.
+      now_ms: Monotonic time in ms.
+
+    Returns:
+      The time, or None if too little progress was seen or it has stopped.
+    """
+    progress = task.progress
+    if progress is None or not is_moving(task, listed_ms):
+        return None
+    gained = progress.percent - progress.base_percent
+    ms_per_percent = compute_ms_per_percent(progress)
+    if ms_per_percent is None or (
+        progress.base_percent and gained < run_times.MIN_RELIABLE_PERCENT
+    ):
+        return None
+    left_ms = run_times.estimate_left_ms(
+        round(ms_per_percent * progress.percent), progress.percent, expected_ms
+    )
+    return max(0, left_ms - (now_ms - progress.grown_ms))
--- a/src/nutmegknot/_internal/decisions/run_times.py
+++ b/src/nutmegknot/_internal/decisions/run_times.py
@@ -32,6 +32,10 @@
 _MAX_HISTOGRAMS = 2_000
 # Quantile that a single task is expected at.
 _MEDIAN = 0.5
+# Progress in percent from which on the time left follows from it alone. It is
+# rounded to whole percents, so that its error is below a tenth there.
+MIN_RELIABLE_PERCENT = 10
+_PERCENT = 100
 
 _MIN_RATIO = 2.0**-run_time_histograms.OCTAVES
 _MAX_RATIO = 2.0**run_time_histograms.OCTAVES
@@ -202,3 +206,28 @@
             if before < number:
                 after[before] = max(after[before], paths[number])
     return tuple(paths)
+
+
+def estimate_left_ms(
+    age_ms: int, progress_percent: int, expected_ms: int
+) -> int:
+    """Returns the expected time in ms until a run ends.
+
+    With little or no progress it follows from the expected run time. A run that
+    has taken longer than that is expected to take as long again as it has.
+
+    Args:
+      age_ms: Time that the run has taken for its progress.
+      progress_percent: Its progress, from 0 to 100.
+      expected_ms: Its expected run time.
+    """
+    by_expected = expected_ms - age_ms if age_ms < expected_ms else age_ms
+    if progress_percent <= 0:
+        return by_expected
+    if progress_percent >= _PERCENT:
+        return 0
+    # A listed percentage stands for half a percent more on average.
+    done = progress_percent + 0.5
+    by_progress = age_ms * (_PERCENT - done) / done
+    trust = min(1.0, progress_percent / MIN_RELIABLE_PERCENT)
+    return round(trust * by_progress + (1 - trust) * by_expected)
--- a/tests/unit/decisions/test_run_times.py
+++ b/tests/unit/decisions/test_run_times.py
@@ -110,3 +110,24 @@
     known = run_time_histograms.RunTimes()
     paths = run_times.estimate_paths(known, QUEUE, steps)
     assert paths == (1_010, 910, 60, 10)
+
+
+@hypothesis.given(
+    strategies.integers(1_000, 10**5),
+    strategies.integers(10, 99),
+    strategies.integers(0, 10**5),
+)
+@hypothesis.settings(derandomize=True)
+def test_time_left_follows_progress(
+    run_ms: int, percent: int, expected_ms: int
+) -> None:
+    """Guards against an estimate that outweighs what a run shows."""
+    age_ms = run_ms * percent // 100
+    left_ms = run_times.estimate_left_ms(age_ms, percent, expected_ms)
+    assert abs(left_ms - (run_ms - age_ms)) <= 0.1 * run_ms + 2
+
+
+def test_time_left_without_progress_follows_the_expected_run_time() -> None:
+    assert run_times.estimate_left_ms(300, 0, 1_000) == 700
+    assert run_times.estimate_left_ms(1_500, 0, 1_000) == 1_500
+    assert run_times.estimate_left_ms(1_500, 100, 9_000) == 0
