Runs with checkpoints are moved off a degraded worker

A worker far below its speed makes progress with all its runs, so that none is stuck. A run there that has taken longer than all its siblings and will end past the limit is stopped as `slow` if it makes checkpoints, the worker takes at least twice the time of its kind by its ended or present runs, and the gain is twice what is lost. A task with more work than its siblings stays where it is.

The test of the whole path fails without the rule: a job of 12 tasks of 4 s on three workers, one of which is slower by 10, is not done within 30 s. The other one fails if progress is not looked at: a long task starts 3 times.

--- a/src/nutmegknot/_internal/decisions/outliers.py
+++ b/src/nutmegknot/_internal/decisions/outliers.py
@@ -6,7 +6,10 @@
 while it makes progress.
 """
 
+import statistics
+
 from nutmegknot._internal.decisions import run_progress
+from nutmegknot._internal.decisions import run_times
 from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
 
@@ -23,6 +26,18 @@
 ESTIMATE_FACTOR = 4.0
 # Margin that is added to the multiple of the estimate, in ms.
 ESTIMATE_MARGIN_MS = 2_000
+# Number of other runs on a worker whose progress tells how slow it is now. With
+# 3 % of long tasks, the median of three is one of them in 0.3 % of cases.
+MIN_PEERS = 3
+# Ratio of run times there to usual ones from which on a worker counts as
+# degraded. Workers in order differ by a third within one kind.
+DEGRADED_RATIO = 2.0
+# A run is moved if that gains this multiple of the time that it loses. The time
+# left and the ratio of the worker may each be off by a third.
+GAIN_FACTOR = 2.0
+# Time that a move costs beside work that is done again, in ms: stop, list of
+# the worker, placement and start are a call or a pass each.
+MOVE_MS = 500
 # Largest number of earlier run ends on a worker that count as recent.
 MAX_EARLIER_ENDS = 12
 # Age up to which the end of a run counts as recent, in ms.
@@ -85,6 +100,122 @@
     return now_ms - since_ms > compute_run_limit_ms(cluster, info, stage)
 
 
+def find_slow_runs(
+    cluster: cluster_state.ClusterState, now_ms: int
+) -> list[jobs.TaskName]:
+    """Returns the tasks that would end far sooner on another worker.
+
+    Their runs make progress and have taken longer than all their siblings, but
+    will end only after the limit for stuck runs. Other runs on their worker are
+    slow as well; else the task may just have more work than its siblings. A run
+    without checkpoints is left alone, as all that it has done would be lost.
+    """
+    slow = []
+    for info in cluster.workers_by_id.values():
+        if info.unanswered_since_ms is not None:
+            continue
+        late = [
+            (name, task, left_ms)
+            for name, task in info.runs.items()
+            if (left_ms := _find_late_run(cluster, info, name, task, now_ms))
+        ]
+        for name, task, left_ms in late:
+            ratio = _estimate_present_ratio(cluster, info, name, now_ms)
+            if ratio >= DEGRADED_RATIO and _is_move_gainful(
+                task, left_ms, ratio
+            ):
+                slow.append(name)
+    return slow
+
+
+def _find_late_run(
+    cluster: cluster_state.ClusterState,
+    info: cluster_state.WorkerInfo,
+    name: jobs.TaskName,
+    task: jobs.Task,
+    now_ms: int,
+) -> int:
+    """Returns the time left in ms of a run that could move and will end late.
+
+    It is 0 for all other runs.
+    """
+    if (
+        task.phase is not jobs.TaskPhase.RUNNING
+        or task.progress is None
+        or not task.start_decided_ms
+    ):
+        return 0
+    stage = cluster_state.find_stage(cluster, name)
+    if (
+        stage is None
+        or not stage.step.makes_checkpoints
+        or stage.step.is_long_running
+        or stage.step.is_opportunistic
+        or (stage.step.is_gang and stage.step.count > 1)
+        or len(stage.durations_ms) < MIN_SIBLINGS
+    ):
+        return 0
+    age_ms = now_ms - task.start_decided_ms
+    if age_ms <= max(stage.durations_ms):
+        return 0
+    expected_ms = int(statistics.median(stage.durations_ms))
+    left_ms = run_progress.estimate_left_ms(
+        task, expected_ms, info.last_answer_ms, now_ms
+    )
+    if left_ms is None:
+        return 0
+    limit_ms = compute_run_limit_ms(cluster, info, stage)
+    return left_ms if age_ms + left_ms > limit_ms else 0
+
+
+def _estimate_present_ratio(
+    cluster: cluster_state.ClusterState,
+    info: cluster_state.WorkerInfo,
+    name: jobs.TaskName,
+    now_ms: int,
+) -> float:
+    """Returns the run time on a worker now, divided by that of its kind.
+
+    It follows from the runs that have ended there, or from the progress of the
+    other runs there, as few runs end on a degraded worker.
+    """
+    kind = (info.worker.pool, info.worker.kind)
+    ended = info.run_time_ratio / cluster.kind_ratios.get(kind, 1.0)
+    ratios = []
+    for other, task in info.runs.items():
+        stage = cluster_state.find_stage(cluster, other)
+        if other == name or stage is None or not task.start_decided_ms:
+            continue
+        expected_ms = run_times.estimate_quantile_ms(
+            cluster.run_times,
+            cluster.jobs[other.job].spec.queue,
+            other.step,
+            stage.step.estimate_ms,
+            0.5,
+        )
+        if stage.durations_ms:
+            expected_ms = int(statistics.median(stage.durations_ms))
+        left_ms = run_progress.estimate_left_ms(
+            task, expected_ms, info.last_answer_ms, now_ms
+        )
+        if left_ms is not None and expected_ms > 0:
+            run_ms = now_ms - task.start_decided_ms + left_ms
+            ratios.append(run_ms / expected_ms)
+    if len(ratios) < MIN_PEERS:
+        return ended
+    return max(ended, statistics.median(ratios))
+
+
+def _is_move_gainful(task: jobs.Task, left_ms: int, ratio: float) -> bool:
+    progress = task.progress
+    if progress is None:
+        return False
+    ms_per_percent = run_progress.compute_ms_per_percent(progress) or 0.0
+    unsaved = progress.percent - progress.saved_percent
+    lost_ms = unsaved * ms_per_percent / ratio + MOVE_MS
+    return left_ms * (1 - 1 / ratio) > GAIN_FACTOR * lost_ms
+
+
 def compute_run_limit_ms(
     cluster: cluster_state.ClusterState,
     info: cluster_state.WorkerInfo,
--- a/src/nutmegknot/_internal/jobs/task_scheduling.py
+++ b/src/nutmegknot/_internal/jobs/task_scheduling.py
@@ -66,8 +66,14 @@
 
 def _stop_stuck_runs(ownership: ownerships.Ownership) -> None:
     """Stops runs that take far too long; their tasks start elsewhere."""
-    cluster = ownership.cluster
-    for name in outliers.find_stuck_runs(cluster, ownership.clock.now_ms()):
+    cluster, now_ms = ownership.cluster, ownership.clock.now_ms()
+    found = [
+        (name, 'stuck') for name in outliers.find_stuck_runs(cluster, now_ms)
+    ]
+    found += [
+        (name, 'slow') for name in outliers.find_slow_runs(cluster, now_ms)
+    ]
+    for name, why in found:
         stage = cluster_state.find_stage(cluster, name)
         if stage is None:
             continue
@@ -76,7 +82,7 @@
         reconciliation.record_bad_run(
             ownership, cluster.workers_by_id[task.worker], name, stage
         )
-        stops.stop_run(ownership, name, task, 'stuck')
+        stops.stop_run(ownership, name, task, why)
 
 
 def _start_and_evict(ownership: ownerships.Ownership) -> None:
