Progress and speed are forgotten with a worker's life

A start command that arrives after a restart runs the task again in the new life. Progress counts only above the highest that was listed, so such a run could have been taken for one that hangs. The speed was forgotten already, but no test showed it. The test fails without either line.

--- a/src/nutmegknot/_internal/jobs/worker_lives.py
+++ b/src/nutmegknot/_internal/jobs/worker_lives.py
@@ -66,6 +66,7 @@
     # command that arrived after the restart may have started one of them.
     for name, task in info.runs.items():
         task.started_clock_ms = 0
+        task.progress = None
         if task.phase is jobs.TaskPhase.STOPPING:
             stops.queue_stop(ownership, info, name, task.run)
 
--- a/tests/unit/jobs/test_uneven_work.py
+++ b/tests/unit/jobs/test_uneven_work.py
@@ -10,6 +10,7 @@
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import owner_election
 from nutmegknot._internal.jobs import owner_operations
+from nutmegknot._internal.jobs import worker_lives
 from nutmegknot._internal.models import jobs
 
 SLOW_WORKER = 'w2'
@@ -126,3 +127,39 @@
         assert cell.violations == []
 
     job_cells.run(script)
+
+
+def test_what_is_known_of_a_worker_ends_with_its_life() -> None:
+    """Guards against speed and progress of the machine that was there before.
+
+    A run that starts again in a new life would not grow until it has done more
+    than the one before.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        cell.run_ms = lambda name: 2_000
+        node = await job_cells.start_owner(cell, 'one')
+        ownership = job_views.get_ownership(node)
+        infos = ownership.cluster.workers_by_id
+        spec = job_cells.make_job_spec('a', job_cells.make_step())
+        await owner_operations.submit(ownership, spec)
+        assert await job_cells.wait_until(
+            cell,
+            lambda: any(
+                task.progress
+                for info in infos.values()
+                for task in info.runs.values()
+            ),
+        )
+        info = infos['w1']
+        (task,) = info.runs.values()
+        info.run_time_ratio, info.recent_ratios = 3.0, [3.0]
+        worker_lives.reset_for_new_life(
+            ownership, info, info.worker, 'test', info.worker.life + 1
+        )
+        assert task.progress is None
+        assert info.recent_ratios == []
+        assert worker_speeds.get_run_time_ratio(ownership.cluster, info) == 1
+
+    job_cells.run(script)
