Speeds of workers do not drift with a bias in their comparison

Cause: the usual time of a step follows from runs whose worker's ratio was taken out, so a bias in it adds up; only the weak pull of kinds towards 1 held it. In drawn stages with one run of 1 ms among 11, the mean ratio of 20 workers rose to 3.49.

The pool's middle costs accuracy, so the mean of the middle half takes the place of the median from 5 runs on, and the pull towards the kind falls with the square of the number of runs. Single ratios are limited to 3, so that one long task does not keep runs away from a new worker.

--- a/src/nutmegknot/_internal/decisions/worker_speeds.py
+++ b/src/nutmegknot/_internal/decisions/worker_speeds.py
@@ -6,11 +6,12 @@
 runs of a step are compared with each other.
 
 A ratio is the run time on a worker divided by what is usual; a slow worker has
-a high one. The median of the last ratios is not moved by single long tasks. It
-is drawn towards the value of the worker's kind while there are few, and the
-kind's towards 1. Both have a limited number of ratios and never lose that pull
-entirely: as run times are learned from runs whose ratio was taken out, only
-this keeps all ratios from drifting together.
+a high one. The mean of the middle half of the last ratios, or the median of a
+few, is not moved by single long tasks. It is drawn towards the value of the
+worker's kind while there are few, and the kind's towards 1. What is usual
+follows from runs whose ratio was taken out, so that a bias would add up from
+run to run. Ratios are therefore divided by the middle of those of the pool,
+which keeps a usual run there at 1.
 """
 
 import statistics
@@ -23,11 +24,19 @@
 MAX_WORKER_RUNS = 25
 # Number of the last runs on workers of a kind whose ratios count.
 MAX_KIND_RUNS = 101
-# Number of runs that weigh as much as the value of the worker's kind. With 3, a
-# worker slower by 1.3 was not seen as slower by 1.15 after 20 runs in 6 of 100
-# draws; with 2, in 3 of them.
-KIND_WEIGHT_RUNS = 2
-# Number of runs of a kind that weigh as much as the ratio 1.
+# Number of the last runs on workers of a pool whose middle counts as usual.
+MAX_POOL_RUNS = 101
+# Largest ratio that is recorded. A long task that is the first run on a worker
+# would otherwise keep other runs away from it.
+MAX_RATIO = 3.0
+# Number of ratios from which on the mean of their middle half is taken, which
+# has a smaller error than the median.
+MIN_MEAN_RUNS = 5
+# Number of runs that weigh as much as the value of the worker's kind. The
+# weight of runs grows with the square of their number: a single one may be a
+# long task, and 20 of them count almost alone.
+KIND_WEIGHT_RUNS = 3
+# Number of runs of a kind or a pool that weigh as much as the ratio 1.
 USUAL_WEIGHT_RUNS = 5
 # Number of finished runs in a step from which on they are compared with each
 # other rather than with learned run times.
@@ -80,7 +89,12 @@
     info: cluster_state.WorkerInfo,
     ratio: float,
 ) -> None:
-    key = (info.worker.pool, info.worker.kind)
+    pool, kind = info.worker.pool, info.worker.kind
+    key = (pool, kind)
+    pool_ratios = cluster.recent_pool_ratios.setdefault(pool, [])
+    ratio /= _update_ratio(
+        pool_ratios, ratio, MAX_POOL_RUNS, USUAL_WEIGHT_RUNS, 1.0
+    )
     kind_ratios = cluster.recent_kind_ratios.setdefault(key, [])
     kind_ratio = _update_ratio(
         kind_ratios, ratio, MAX_KIND_RUNS, USUAL_WEIGHT_RUNS, 1.0
@@ -98,14 +112,15 @@
     weight_runs: int,
     default: float,
 ) -> float:
-    """Adds a ratio; returns the median of the last ones, drawn to a default."""
-    recent.append(ratio)
+    """Adds a ratio; returns the middle of the last ones, drawn to a default."""
+    recent.append(min(ratio, MAX_RATIO))
     if len(recent) > max_runs:
         del recent[0]
     count = len(recent)
-    return (count * statistics.median(recent) + weight_runs * default) / (
-        count + weight_runs
-    )
+    left_out = count // 4 if count >= MIN_MEAN_RUNS else (count - 1) // 2
+    middle = statistics.fmean(sorted(recent)[left_out : count - left_out])
+    trust = count**2 / (count**2 + weight_runs**2)
+    return trust * middle + (1 - trust) * default
 
 
 def forget_worker(info: cluster_state.WorkerInfo) -> None:
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -243,6 +243,8 @@
         number of the occurrence and number of the step.
       run_time_ratios: Moving average of the run time divided by the caller's
         estimate, by pool and kind of worker.
+      recent_pool_ratios: Run times of the last runs on workers of each pool,
+        each divided by that of other runs of its step.
       recent_kind_ratios: Run times of the last runs on workers of each pool and
         kind, each divided by the usual one.
       kind_ratios: What follows from them for runs on workers of the kind.
@@ -279,6 +281,9 @@
     run_time_ratios: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
+    recent_pool_ratios: dict[str, list[float]] = dataclasses.field(
+        default_factory=dict
+    )
     recent_kind_ratios: dict[tuple[str, str], list[float]] = dataclasses.field(
         default_factory=dict
     )
