Tests of run times made shorter

Cases of one kind are now parameters of one test; each check is kept, and the hung run of an earlier owner has a case at 100 % as well.

--- a/tests/unit/decisions/listed_runs.py
+++ b/tests/unit/decisions/listed_runs.py
@@ -28,7 +28,7 @@
     start_ms: int = START_MS,
     **changes: Any,  # noqa: ANN401 - fields of the step
 ) -> tuple[jobs.Task, jobs.Stage]:
-    """Adds a run of the only task of a new job; start_ms is 0 if unknown."""
+    """Adds a run of a new job's first task; start_ms is 0 if unknown."""
     step = job_cells.make_step(**changes)
     job = jobs.Job(job_cells.make_job_spec(job_id, step))
     stage = job.stages[0, 0] = jobs.make_stage(0, 0, step)
@@ -45,9 +45,10 @@
     info: cluster_state.WorkerInfo,
     task: jobs.Task,
     percent: int | None,
-    now_ms: int,
+    at_ms: int,
     checkpoint: str = '',
-) -> None:
-    """Applies a list of the worker that has one run."""
-    info.last_answer_ms = now_ms
-    run_progress.record_listed(task, percent, checkpoint, now_ms)
+) -> int:
+    """Applies a list of the worker, at_ms after START_MS; returns that time."""
+    info.last_answer_ms = START_MS + at_ms
+    run_progress.record_listed(task, percent, checkpoint, info.last_answer_ms)
+    return info.last_answer_ms
--- a/tests/unit/decisions/test_outliers.py
+++ b/tests/unit/decisions/test_outliers.py
@@ -1,4 +1,4 @@
-"""Tests which runs are stopped as stuck, with drawn runs and polls."""
+"""Tests which runs are stopped as stuck or slow, with drawn runs and polls."""
 
 import random
 from typing import Any
@@ -7,26 +7,9 @@
 from unit.decisions import listed_runs
 
 from nutmegknot._internal.decisions import outliers
-from nutmegknot._internal.models import cluster_state
-from nutmegknot._internal.models import jobs
 
 DRAWS = 10_000
 START_MS = listed_runs.START_MS
-DEGRADED_FACTOR = 5
-
-
-def find_stop(
-    cluster: cluster_state.ClusterState,
-    info: cluster_state.WorkerInfo,
-    task: jobs.Task,
-    percent: int | None,
-) -> int | None:
-    """Returns when a run counts as stuck that lists one percentage for good."""
-    for now_ms in range(START_MS + 300, START_MS + 9_000, 300):
-        listed_runs.list_run(info, task, percent, now_ms)
-        if outliers.find_stuck_runs(cluster, now_ms):
-            return now_ms - START_MS
-    return None
 
 
 def draw_poll_ms(rng: random.Random) -> int:
@@ -58,50 +41,51 @@
         if rng.random() < 0.5:
             stage.durations_ms = [rng.randrange(base_ms // 2, base_ms)] * 3
         task.checkpoint = rng.choice(('', 'c'))
-        first = rng.randrange(90) if task.checkpoint else 0
+        done = float(rng.randrange(90)) if task.checkpoint else 0.0
         run_ms = base_ms * rng.choice((1, 1, 2, 7)) * rng.uniform(0.8, 1.6)
-        now_ms, done, is_late = START_MS, float(first), False
+        at_ms = 0
         while done < 100:
             poll_ms = draw_poll_ms(rng)
-            now_ms += poll_ms
+            at_ms += poll_ms
             done += poll_ms * rng.uniform(0.5, 1.5) * 100 / run_ms
-            listed_runs.list_run(info, task, min(100, int(done)), now_ms)
-            limit_ms = outliers.compute_run_limit_ms(cluster, info, stage)
-            is_late |= now_ms - START_MS > limit_ms
+            percent = min(100, int(done))
+            now_ms = listed_runs.list_run(info, task, percent, at_ms)
             assert outliers.find_stuck_runs(cluster, now_ms) == []
             assert outliers.find_slow_runs(cluster, now_ms) == []
-        late_runs += is_late
+        limit_ms = outliers.compute_run_limit_ms(cluster, info, stage)
+        late_runs += at_ms > limit_ms
     assert late_runs > DRAWS / 10
 
 
 @pytest.mark.parametrize('percent', [None, 0, 40, 100])
-def test_a_run_that_hangs_is_stuck_past_the_limit(percent: int | None) -> None:
+@pytest.mark.parametrize(
+    ('start_ms', 'durations_ms', 'earliest_ms', 'latest_ms'),
+    [(START_MS, [], 4_200, 4_200), (START_MS, [500, 500], 1_500, 1_800)]
+    # A run of an earlier owner; its limit counts from its first list.
+    + [(0, [], 4_500, 4_500)],
+)
+def test_a_run_that_hangs_is_stuck_past_the_limit(
+    percent: int | None,
+    start_ms: int,
+    durations_ms: list[int],
+    earliest_ms: int,
+    latest_ms: int,
+) -> None:
     """Guards against work on a hung worker that is never done.
 
-    The limit is 4 times the estimate of 500 ms and 2,000 ms; 1.8 times the
+    The limit is 4 times the estimate of 500 ms and 2,000 ms, or 1.8 times the
     siblings' 500 ms and 500 ms.
     """
     cluster, info = listed_runs.make_cluster()
-    task, _ = listed_runs.add_run(cluster, info)
-    assert find_stop(cluster, info, task, percent) == 4_200
-    cluster, info = listed_runs.make_cluster()
-    task, stage = listed_runs.add_run(cluster, info)
-    stage.durations_ms = [500, 500]
-    stop_ms = find_stop(cluster, info, task, percent)
-    assert stop_ms is not None
-    assert stop_ms <= 1_800
-
-
-@pytest.mark.parametrize(
-    ('percent', 'stop_ms'), [(None, None), (0, 4_500), (40, 4_500)]
-)
-def test_a_hung_run_of_an_earlier_owner_is_stuck_after_the_limit(
-    percent: int | None, stop_ms: int | None
-) -> None:
-    """Its age is not known, but its progress is seen not to grow."""
-    cluster, info = listed_runs.make_cluster()
-    task, _ = listed_runs.add_run(cluster, info, start_ms=0)
-    assert find_stop(cluster, info, task, percent) == stop_ms
+    task, stage = listed_runs.add_run(cluster, info, start_ms=start_ms)
+    stage.durations_ms = durations_ms
+    for at_ms in range(300, 9_000, 300):
+        now_ms = listed_runs.list_run(info, task, percent, at_ms)
+        if outliers.find_stuck_runs(cluster, now_ms):
+            assert earliest_ms <= at_ms <= latest_ms
+            return
+    # Nothing is known of its age.
+    assert (percent, start_ms) == (None, 0)
 
 
 def test_one_list_after_a_pause_of_the_worker_proves_nothing() -> None:
@@ -109,60 +93,41 @@
     cluster, info = listed_runs.make_cluster()
     task, _ = listed_runs.add_run(cluster, info)
     for percent, at_ms in ((20, 1_000), (30, 1_300), (30, 6_000)):
-        listed_runs.list_run(info, task, percent, START_MS + at_ms)
-    assert outliers.find_stuck_runs(cluster, START_MS + 6_000) == []
+        now_ms = listed_runs.list_run(info, task, percent, at_ms)
+    assert outliers.find_stuck_runs(cluster, now_ms) == []
 
 
 @pytest.mark.parametrize(
-    ('changes', 'peers', 'saved_percent', 'is_moved'),
+    ('peers', 'changes', 'is_saved', 'moved'),
     [
-        ({'makes_checkpoints': True}, 3, 29, True),
-        # All that it has done would be lost.
-        ({'makes_checkpoints': False}, 3, 0, False),
-        (
-            {'makes_checkpoints': True, 'is_gang': True, 'count': 2},
-            3,
-            19,
-            False,
-        ),
+        (3, {'makes_checkpoints': True}, True, (30, 80)),
+        # Each percent done would be lost, at 20 ms; each one left takes 80 ms
+        # less elsewhere.
+        (3, {'makes_checkpoints': True}, False, (30,)),
+        (3, {'makes_checkpoints': False}, False, ()),
+        (3, {'makes_checkpoints': True, 'is_gang': True, 'count': 2}, True, ()),
         # Without slow runs beside it, its task may just have more work.
-        ({'makes_checkpoints': True}, 0, 29, False),
+        (0, {'makes_checkpoints': True}, True, ()),
     ],
 )
 def test_a_slow_run_is_moved_only_for_a_clear_gain(
-    changes: dict[str, Any], peers: int, saved_percent: int, is_moved: bool
+    peers: int, changes: dict[str, Any], is_saved: bool, moved: tuple[int, ...]
 ) -> None:
-    """Guards against work on a degraded worker, and against lost work."""
+    """Guards against work on a worker slower by 5, and against lost work."""
     cluster, info = listed_runs.make_cluster()
     runs = [listed_runs.add_run(cluster, info, estimate_ms=2_000, **changes)]
-    runs += [
-        listed_runs.add_run(cluster, info, f'b{n}', estimate_ms=2_000)
-        for n in range(peers)
-    ]
     runs[0][1].durations_ms = [2_000, 2_100]
-    for percent in range(1, 31):
-        now_ms = START_MS + percent * 20 * DEGRADED_FACTOR
-        checkpoint = 'c' if percent > saved_percent else ''
-        for task, _ in runs:
-            listed_runs.list_run(info, task, percent, now_ms, checkpoint)
-    moved = outliers.find_slow_runs(cluster, now_ms)
-    assert [name.job for name in moved] == ['a'] * is_moved
-
-
-def test_a_slow_run_is_not_moved_if_much_would_be_lost() -> None:
-    cluster, info = listed_runs.make_cluster()
-    task, stage = listed_runs.add_run(
-        cluster, info, estimate_ms=2_000, makes_checkpoints=True
-    )
-    stage.durations_ms = [2_000, 2_100]
-    info.run_time_ratio = DEGRADED_FACTOR
-    moved = []
+    for n in range(peers):
+        runs.append(
+            listed_runs.add_run(cluster, info, f'b{n}', estimate_ms=2_000)
+        )
+    found = []
     for percent in range(1, 81):
-        now_ms = START_MS + percent * 20 * DEGRADED_FACTOR
-        listed_runs.list_run(info, task, percent, now_ms)
-        if outliers.find_slow_runs(cluster, now_ms):
-            moved.append(percent)
-    # Each percent left takes 80 ms less elsewhere; each one done is lost, at
-    # 20 ms, beside 500 ms for the move.
-    assert 30 in moved
-    assert 80 not in moved
+        for task, _ in runs:
+            checkpoint = str(percent) if is_saved else ''
+            now_ms = listed_runs.list_run(
+                info, task, percent, percent * 100, checkpoint
+            )
+        if percent in (30, 80) and outliers.find_slow_runs(cluster, now_ms):
+            found.append(percent)
+    assert tuple(found) == moved
--- a/tests/unit/decisions/test_run_times.py
+++ b/tests/unit/decisions/test_run_times.py
@@ -11,16 +11,15 @@
 from nutmegknot._internal.models import run_time_histograms
 
 QUEUE = 'queue'
-LONG_FRACTION = 0.03
-LONG_FACTOR = 7
 
 
 def draw_run(rng: random.Random, off: float) -> tuple[int, int]:
     """Returns an estimate that is off by a part, and a run time, in ms."""
     base_ms = rng.choice((480, 700, 2_400, 4_500))
-    estimate_ms = round(base_ms * rng.uniform(1 - off, 1 + off))
-    factor = LONG_FACTOR if rng.random() < LONG_FRACTION else 1
-    return estimate_ms, round(base_ms * factor * rng.lognormvariate(0, 0.2))
+    factor = rng.lognormvariate(0, 0.2) * (7 if rng.random() < 0.03 else 1)
+    return round(base_ms * rng.uniform(1 - off, 1 + off)), round(
+        base_ms * factor
+    )
 
 
 @hypothesis.given(
@@ -37,13 +36,12 @@
     run_times.record_run(known, 'other', 0, 100, 700)
     run_times.record_run(known, QUEUE, 1, 100, 700)
     step = job_cells.make_step(count, estimate_ms=estimate_ms)
-    assert estimate_ms == run_times.estimate_quantile_ms(
-        known, QUEUE, 0, estimate_ms, quantile
-    )
-    assert estimate_ms == run_times.estimate_mean_ms(
-        known, QUEUE, 0, estimate_ms
-    )
-    assert estimate_ms == run_times.estimate_stage_ms(known, QUEUE, 0, step)
+    key = (known, QUEUE, 0)
+    assert {
+        run_times.estimate_quantile_ms(*key, estimate_ms, quantile),
+        run_times.estimate_mean_ms(*key, estimate_ms),
+        run_times.estimate_stage_ms(*key, step),
+    } == {estimate_ms}
 
 
 @pytest.mark.parametrize('off', [0.2, 0.9])
@@ -72,10 +70,8 @@
 
 def test_estimates_follow_work_that_changes() -> None:
     known = run_time_histograms.RunTimes()
-    for _ in range(3_000):
-        run_times.record_run(known, QUEUE, 0, 100, 100)
-    for _ in range(500):
-        run_times.record_run(known, QUEUE, 0, 100, 400)
+    for run_ms in [100] * 6_000 + [400] * 500:
+        run_times.record_run(known, QUEUE, 0, 100, run_ms)
     for quantile in (0.5, 0.9):
         ms = run_times.estimate_quantile_ms(known, QUEUE, 0, 100, quantile)
         assert 380 <= ms <= 440
