--- a/src/nutmegknot/_internal/jobs/reconciliation.py
+++ b/src/nutmegknot/_internal/jobs/reconciliation.py
@@ -8,7 +8,10 @@
 from nutmegknot._internal.backing import runners
 from nutmegknot._internal.decisions import crash_trials
 from nutmegknot._internal.decisions import outliers
+from nutmegknot._internal.decisions import run_progress
+from nutmegknot._internal.decisions import run_times
 from nutmegknot._internal.decisions import stage_ranking
+from nutmegknot._internal.decisions import worker_speeds
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import stops
 from nutmegknot._internal.models import cluster_state
@@ -57,7 +60,7 @@
     is_current_run = task.worker == info.worker.id and task.run == end.run
     if end.kind is jobs.EndKind.DONE and not stage.step.is_long_running:
         _update_run_time_ratio(
-            cluster, info, stage, end.name, ownership.clock.now_ms()
+            cluster, info, stage, end.name, end.run, ownership.clock.now_ms()
         )
         _complete_task(ownership, job, stage, end.name, end.run)
         return
@@ -214,6 +217,7 @@
     if stage.done_count == len(stage.tasks):
         key = (job.spec.id, stage.occurrence, stage.number)
         ownership.cluster.waiting_stages.pop(key, None)
+        worker_speeds.record_stage(ownership.cluster, job.spec.queue, stage)
     ownerships.queue_progress_write(ownership, job)
     if not jobs.is_final(job) and _are_all_stages_done(job):
         finish_job(ownership, job, jobs.JobState.COMPLETED, 'all_done')
@@ -271,6 +275,7 @@
     info: cluster_state.WorkerInfo,
     stage: jobs.Stage,
     name: jobs.TaskName,
+    run: int,
     now_ms: int,
 ) -> None:
     """Records a completed run and updates the ratio of its kind of worker.
@@ -290,6 +295,42 @@
     cluster.run_time_ratios[key] = (
         mean_ratio + (min(ratio, 4.0) - mean_ratio) * RUN_TIME_SMOOTHING_FACTOR
     )
+    if task.run == run:
+        _record_run_time(cluster, info, stage, task, name, now_ms)
+
+
+def _record_run_time(
+    cluster: cluster_state.ClusterState,
+    info: cluster_state.WorkerInfo,
+    stage: jobs.Stage,
+    task: jobs.Task,
+    name: jobs.TaskName,
+    now_ms: int,
+) -> None:
+    """Records the run time of a task's current run, which has ended as done."""
+    step = stage.step
+    if step.is_opportunistic or task.checkpoint:
+        # An opportunistic task takes as long as other tasks let it, and a run
+        # from a checkpoint does a part of the work.
+        return
+    run_ms = now_ms - task.start_decided_ms
+    usual_ms = run_ms / worker_speeds.get_run_time_ratio(cluster, info)
+    run_times.record_run(
+        cluster.run_times,
+        cluster.jobs[name.job].spec.queue,
+        stage.number,
+        step.estimate_ms,
+        usual_ms,
+    )
+    # The tasks of a gang wait for each other, and a task is slower outside the
+    # rack of its data; neither tells about the speed of the worker.
+    is_gang = step.is_gang and step.count > 1
+    is_near = step.data_rack in ('', info.worker.rack)
+    if is_near and not is_gang:
+        worker = info.worker
+        stage.finished_runs.append(
+            jobs.FinishedRun(worker.id, worker.life, run_ms, usual_ms)
+        )
 
 
 def mark_run_lost(
@@ -402,7 +443,9 @@
     if not task.started_clock_ms:
         task.started_clock_ms = clock_ms
     stage.has_started = job.has_started = True
-    task.pace_percent = row.pace_percent
+    run_progress.record_listed(
+        task, row.progress_percent, row.checkpoint, ownership.clock.now_ms()
+    )
     return True
 
 
@@ -419,6 +462,8 @@
     task.phase = jobs.TaskPhase.RUNNING
     task.confirmed_ms = ownership.clock.now_ms()
     task.start_decided_ms = 0
+    task.pace_percent = None
+    task.progress = None
     if crash_trials.is_trial_start(stage, task):
         task.trial = jobs.Trial(
             row.run, info.worker.id, info.worker.life, info.worker.address
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -169,6 +169,31 @@
     survived_ms: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """Progress of a run, as its worker lists it.
+
+    Times are the monotonic time of the instance that owns the jobs.
+
+    Attributes:
+      percent: Highest percentage of its work that was listed as done.
+      grown_ms: When a list first showed that.
+      base_percent: Progress from which on its speed is known.
+      base_ms: When it had that progress.
+      unchanged_lists: Number of lists since then that showed no growth.
+      checkpoint: Its newest checkpoint, as last listed.
+      saved_percent: Progress that this checkpoint has at least.
+    """
+
+    percent: int
+    grown_ms: int
+    base_percent: int
+    base_ms: int
+    unchanged_lists: int = 0
+    checkpoint: str = ''
+    saved_percent: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class Task:
     """One task and its current run.
@@ -188,7 +213,8 @@
         if the worker does not list it.
       start_decided_ms: When the start of the current run was decided; 0 if an
         earlier owner of the jobs decided it.
-      pace_percent: Percentage of its full speed to which the run is throttled.
+      pace_percent: Percentage of its full speed to which the run was last
+        throttled; None if that is not known.
       waiting_since_ms: Since when it has had no run.
       avoided_workers: Ids of workers on which a run of it failed, or was
         stopped as it took too long.
@@ -199,6 +225,7 @@
         otherwise None.
       started_clock_ms: Time of the worker's clock from which on the current run
         is known to be in progress; 0 if it is not known to be.
+      progress: Progress of the current run; None while its worker lists none.
     """
 
     index: int
@@ -209,13 +236,14 @@
     checkpoint: str = ''
     confirmed_ms: int = 0
     start_decided_ms: int = 0
-    pace_percent: int = 100
+    pace_percent: int | None = 100
     waiting_since_ms: int = 0
     avoided_workers: set[str] = dataclasses.field(default_factory=set)
     lost_runs: int = 0
     crashes: dict[int, Crash] = dataclasses.field(default_factory=dict)
     trial: Trial | None = None
     started_clock_ms: int = 0
+    progress: Progress | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -255,6 +283,24 @@
     is_called: bool = False
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class FinishedRun:
+    """A run that did the whole work of a task.
+
+    Attributes:
+      worker: Id of its worker.
+      life: Number of the worker's life.
+      run_ms: How long it took.
+      usual_ms: How long it would have taken on a worker of usual speed, by what
+        was known of its worker.
+    """
+
+    worker: str
+    life: int
+    run_ms: int
+    usual_ms: float
+
+
 @dataclasses.dataclass(slots=True)
 class Stage:
     """One step of one occurrence of a job.
@@ -270,6 +316,8 @@
         tasks may start, as all steps that it depends on are done; None before.
       has_started: Whether a start of any of its tasks has been confirmed.
       durations_ms: Run times of its tasks that are done.
+      finished_runs: Runs that tell about the speed of workers, until all tasks
+        are done; see decisions/worker_speeds.py.
       stuck_runs: How many of its runs were stopped as they took too long.
       logged_blocker: The reason, as last logged, why its waiting tasks can't
         start; '' if none was logged.
@@ -285,6 +333,7 @@
     ready_ms: int | None = None
     has_started: bool = False
     durations_ms: list[int] = dataclasses.field(default_factory=list)
+    finished_runs: list[FinishedRun] = dataclasses.field(default_factory=list)
     stuck_runs: int = 0
     logged_blocker: str = ''
     blocker_logged_ms: int = 0
