--- a/src/nutmegknot/_internal/platform/platform_listings.py
+++ b/src/nutmegknot/_internal/platform/platform_listings.py
@@ -238,11 +238,11 @@
         malformed.
     """
     queues = [
-        _decode_queue(route)
+        decode_queue(route)
         for route in json_fields.check_list(fields.get('routes'))
     ]
     customers = [
-        _decode_customer(tenant)
+        decode_customer(tenant)
         for tenant in json_fields.check_list(fields.get('tenants'))
     ]
     limits = fields.get('limits') or {}
@@ -262,7 +262,12 @@
     )
 
 
-def _decode_queue(route: dict[str, Any]) -> job_settings.JobQueue:
+def decode_queue(route: dict[str, Any]) -> job_settings.JobQueue:
+    """Decodes one queue of a configuration.
+
+    Raises:
+      AttributeError, KeyError, TypeError, ValueError: If it is malformed.
+    """
     advice = route.get('advice')
     return job_settings.JobQueue(
         name=json_fields.check_text(route['name']),
@@ -288,7 +293,12 @@
     )
 
 
-def _decode_customer(tenant: dict[str, Any]) -> job_settings.Customer:
+def decode_customer(tenant: dict[str, Any]) -> job_settings.Customer:
+    """Decodes one customer of a configuration.
+
+    Raises:
+      AttributeError, KeyError, TypeError, ValueError: If it is malformed.
+    """
     return job_settings.Customer(
         name=json_fields.check_text(tenant['name']),
         keys=frozenset(
@@ -314,7 +324,8 @@
     )
 
 
-_TARGET_STATES = {
+# State of a worker's target by the word for it in the worker's row.
+TARGET_STATES = {
     'ready': workers.TargetState.LIVE,
     'draining': workers.TargetState.LEAVING,
 }
@@ -370,7 +381,7 @@
             rack=labels[1] if len(labels) > 1 else '',
             capacity=decode_resources(fields['capacity']),
             address=_check_address(fields['address']),
-            state=_TARGET_STATES[fields['state']],
+            state=TARGET_STATES[fields['state']],
             pool=json_fields.check_text(fields['service']),
             kind=labels[0] if labels else '',
             labels=frozenset(labels),
--- a/src/nutmegknot/_internal/utils/json_fields.py
+++ b/src/nutmegknot/_internal/utils/json_fields.py
@@ -18,15 +18,31 @@
     Raises:
       ValueError: If the text is no JSON object, or is nested too deeply.
     """
-    try:
-        fields = json.loads(raw, parse_constant=_reject_constant)
-    except RecursionError as error:
-        raise ValueError('nested too deeply') from error
+    fields = _decode(raw)
     if not isinstance(fields, dict):
         raise ValueError('not an object')
     return fields
 
 
+def decode_list(raw: bytes) -> list[Any]:
+    """Decodes a JSON list.
+
+    Raises:
+      ValueError: If the text is no JSON list, or is nested too deeply.
+    """
+    items = _decode(raw)
+    if not isinstance(items, list):
+        raise ValueError('not a list')
+    return items
+
+
+def _decode(raw: bytes) -> object:
+    try:
+        return json.loads(raw, parse_constant=_reject_constant)
+    except RecursionError as error:
+        raise ValueError('nested too deeply') from error
+
+
 def _reject_constant(text: str) -> float:
     raise ValueError(f'not a number: {text}')
 
