Command check-config

Cause: the checks of configurations for attach had no command. Change: nutmegknot check-config reads a configuration and, if given, the one in force and a list of workers, and prints findings as text or JSON.

--- a/src/nutmegknot/_internal/commands/registry.py
+++ b/src/nutmegknot/_internal/commands/registry.py
@@ -75,6 +75,45 @@
     ]
 
 
+@cappa.command(
+    name='check-config',
+    help="Check a configuration for the users' platform before its use.",
+    description='Example: nutmegknot check-config new.json --in-force old.json',
+)
+@dataclasses.dataclass(slots=True)
+class CheckConfig:
+    """Check a configuration for the users' platform before its use.
+
+    Attributes:
+      file: The configuration.
+      in_force: The configuration in force; None to list no differences.
+      workers: List of workers; None to leave out the checks that need it.
+      format: Output format, 'text' or 'json'.
+    """
+
+    file: Annotated[pathlib.Path, cappa.Arg(help='Configuration (JSON).')]
+    in_force: Annotated[
+        pathlib.Path | None,
+        cappa.Arg(
+            long='--in-force',
+            help='Configuration in force; list the differences from it.',
+        ),
+    ] = None
+    workers: Annotated[
+        pathlib.Path | None,
+        cappa.Arg(
+            long='--workers',
+            help='List of workers (JSON); compare limits with it.',
+        ),
+    ] = None
+    format: Annotated[
+        str,
+        cappa.Arg(
+            long='--format', choices=['text', 'json'], help='Output format.'
+        ),
+    ] = 'text'
+
+
 @cappa.command(
     name='local',
     help='Run a whole cell with stand-in workers in one process.',
@@ -110,6 +149,7 @@
         Serve
         | Attach
         | Explain
+        | CheckConfig
         | Local
         | caller_arguments.Submit
         | caller_arguments.Wait
@@ -134,6 +174,7 @@
     Serve: ('serve', 'run_instance'),
     Attach: ('attach', 'run_instance'),
     Explain: ('explain', 'explain_job'),
+    CheckConfig: ('check_config', 'check_config'),
     Local: ('local', 'run_cell'),
     caller_arguments.Submit: ('submit', 'submit_request'),
     caller_arguments.Wait: ('requests', 'wait_for_request'),
