Rates of customers, measured against their weights

Cause: a customer's weight was decoded and read by no decision, so one that submits several times its usual makes all others wait. Change: a sliding window over the accepted jobs tells which jobs exceed the weight, in jobs a second. The window and the allowance come from quotaWindowS and quotaOverage of the settings file. A customer without a weight has no rate; before, a missing weight was decoded as 1.

--- a/src/nutmegknot/_internal/jobs/time_limits.py
+++ b/src/nutmegknot/_internal/jobs/time_limits.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from nutmegknot._internal.decisions import customer_rates
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class TimeLimits:
@@ -45,6 +47,8 @@
       throttle_delay_ms: How long a tail latency may exceed its target without
         reaction. After that the opportunistic tasks on the same worker are
         throttled.
+      rate_limits: How the number of jobs that a customer submits is
+        measured against what it is entitled to.
     """
 
     lease_ms: int = 1_000
@@ -66,6 +70,9 @@
     retention_ms: int = 150_000
     due_time_margin_ms: int = 0
     throttle_delay_ms: int = 600
+    rate_limits: customer_rates.RateLimits = dataclasses.field(
+        default_factory=customer_rates.RateLimits
+    )
 
 
 def compute_attempt_timeout(limits: TimeLimits, attempt: int) -> int:
--- a/src/nutmegknot/_internal/models/job_settings.py
+++ b/src/nutmegknot/_internal/models/job_settings.py
@@ -60,14 +60,15 @@
     Attributes:
       name: Its name.
       keys: Keys with which its calls are authenticated.
-      weight: Weight of its share of the workers when all of them are full.
+      weight: Number of jobs a second for which it is entitled to service; 0 if
+        its rate is not limited.
       limit: The most resources that its running tasks may have; a resource of
         which the amount is 0 has no limit.
     """
 
     name: str
     keys: frozenset[str] = frozenset()
-    weight: float = 1.0
+    weight: float = 0.0
     limit: resources.Resources = resources.ZERO
 
 
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -415,6 +415,15 @@
         when it last wrote the job's progress, of tasks that need no run.
       critical_path_ms: Sum of the estimates along its critical path, that is,
         along the longest chain of steps that depend on each other.
+      step_ms: Expected time of each step, or at least what it took once it is
+        done; empty if that is not estimated.
+      path_ms_by_step: For each step, the expected time from its start to the
+        end of the job.
+      path_ms: Expected time of its longest chain of steps; 0 if that is not
+        estimated.
+      longest_path_ms: The most that this chain takes in nearly all cases.
+      is_excess: Whether its customer had submitted more jobs than it is
+        entitled to when this one was accepted.
     """
 
     spec: JobSpec
@@ -431,6 +440,11 @@
     latest_write: int = 0
     inherited_stopping: resources.Resources = resources.ZERO
     critical_path_ms: int = 0
+    step_ms: list[int] = dataclasses.field(default_factory=list)
+    path_ms_by_step: tuple[int, ...] = ()
+    path_ms: int = 0
+    longest_path_ms: int = 0
+    is_excess: bool = False
 
 
 # Longest number in the text form of a task's name.
--- a/src/nutmegknot/_internal/platform/platform_listings.py
+++ b/src/nutmegknot/_internal/platform/platform_listings.py
@@ -305,7 +305,7 @@
             json_fields.check_text(key)
             for key in json_fields.check_list(tenant.get('apiKeys'))
         ),
-        weight=json_fields.check_number(tenant.get('weight')) or 1.0,
+        weight=json_fields.check_number(tenant.get('weight')),
         # 'cap' limits the resources of all running tasks of the customer.
         limit=decode_resources(tenant.get('cap') or {}),
     )
--- a/src/nutmegknot/_internal/platform/process_settings.py
+++ b/src/nutmegknot/_internal/platform/process_settings.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from nutmegknot._internal.backing import tables
+from nutmegknot._internal.decisions import customer_rates
 from nutmegknot._internal.jobs import time_limits
 from nutmegknot._internal.utils import json_fields
 
@@ -98,6 +99,7 @@
             default,
             max_worker_lease_ms=max_worker_lease_ms,
             worker_lease_ms=min(default.worker_lease_ms, max_worker_lease_ms),
+            rate_limits=_decode_rate_limits(bounds),
         ),
         defaulted=tuple(
             f'{section}.{name}'
@@ -107,6 +109,28 @@
     )
 
 
+def _decode_rate_limits(bounds: dict[str, Any]) -> customer_rates.RateLimits:
+    """Returns how customers' rates are measured.
+
+    Raises:
+      TypeError, ValueError: If a value is no number, or the window is 0.
+    """
+    default = customer_rates.RateLimits()
+    window_s = bounds.get('quotaWindowS')
+    overage = bounds.get('quotaOverage')
+    window_ms = default.window_ms
+    if window_s is not None:
+        window_ms = int(json_fields.check_number(window_s) * 1000)
+    if window_ms <= 0:
+        raise ValueError('quotaWindowS is 0')
+    return customer_rates.RateLimits(
+        window_ms,
+        default.overage
+        if overage is None
+        else json_fields.check_number(overage),
+    )
+
+
 def _decode_limit(section: dict[str, Any], name: str, default: int) -> int:
     """Returns a limit of the platform, or the default if there is none.
 
