Delay and refuse what costs callers least under overload

Cause: stages went by the end of their objective alone. When not all can end in time, each waits until its slack is used up and all become late one after the other. Nothing was refused, and a result that had lost its value went before work that had not. Change: every 100 ms the owner chooses the waiting stages of each full pool that are delayed, by the method of Moore and Hodgson: as few as possible, first those above their customer's rate, then the largest. A new job that would be left out against the time at which its result loses its value is refused with 429. What has lost its value goes after all classes. Objectives count the longest task of each step, as learned, and the advice that each step needs.

--- a/src/nutmegknot/_internal/decisions/task_placement.py
+++ b/src/nutmegknot/_internal/decisions/task_placement.py
@@ -43,6 +43,10 @@
 FAILED_WORKER_PENALTY = 20.0
 
 
+# Reasons why a stage waits that mean that its pool is full.
+CAPACITY_REASONS = frozenset(('room', 'reservation'))
+
+
 def plan_starts(
     cluster: cluster_state.ClusterState,
     now_ms: int,
@@ -425,7 +429,7 @@
         now_ms - stage.ready_ms < EVICT_AFTER_MS
     )
     if (
-        rank.urgency_band == stage_ranking.EXPIRED
+        rank.urgency_band >= stage_ranking.TOO_LATE
         or is_recent
         or stage.step.is_opportunistic
     ):
--- a/src/nutmegknot/_internal/jobs/advice_calls.py
+++ b/src/nutmegknot/_internal/jobs/advice_calls.py
@@ -9,6 +9,7 @@
 import logging
 
 from nutmegknot._internal.backing import advisers
+from nutmegknot._internal.decisions import stage_ranking
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.models import advice_requests
 from nutmegknot._internal.models import jobs
@@ -61,7 +62,7 @@
     """Calls one adviser with the most urgent requests while it is usable."""
     while is_usable():
         count = ownership.advice_needed.count
-        name = _choose_request(ownership.advice_queue, ownership.clock.now_ms())
+        name = _choose_request(ownership)
         if name is None:
             ownership.advice_queue.idle_advisers += 1
             try:
@@ -82,33 +83,57 @@
         signals.notify(ownership.scheduling_needed)
 
 
-def _choose_request(
-    queue: advice_requests.AdviceQueue, now_ms: int
-) -> str | None:
+def _choose_request(ownership: ownerships.Ownership) -> str | None:
     """Returns the name of the stage whose request is sent next, or None.
 
-    It is the most urgent one. Load pattern: urgent stages need new advice again
-    and again, for instance as their workers are replaced, and less urgent ones
-    would never be asked about. So every other time, the oldest request goes
-    first if it has waited for long.
+    It is the most urgent one as of now. Load pattern: urgent stages need new
+    advice again and again, for instance as their workers are replaced, and less
+    urgent ones would never be asked about. So every other time, the oldest
+    request goes first if it has waited for long.
 
     Requests of jobs that have ended are removed.
     """
+    queue = ownership.advice_queue
     for name, request in list(queue.waiting.items()):
         if jobs.is_final(request.job):
             request.stage.advice.is_asking = False
             del queue.waiting[name]
             del queue.queued_ms[name]
     waiting = queue.waiting
-    oldest = next(iter(waiting), None)
+    ranks = {
+        name: stage_ranking.rank_stage(
+            ownership.cluster,
+            request.job,
+            request.stage,
+            ownership.clock.wall_ms(),
+        )
+        for name, request in waiting.items()
+    }
+    oldest = _find_oldest(ranks)
     queue.was_oldest_chosen = (
         oldest is not None
         and not queue.was_oldest_chosen
-        and now_ms - queue.queued_ms[oldest] >= MAX_REQUEST_WAIT_MS
+        and ownership.clock.now_ms() - queue.queued_ms[oldest]
+        >= MAX_REQUEST_WAIT_MS
     )
     if queue.was_oldest_chosen:
         return oldest
-    return min(waiting, key=lambda name: waiting[name].rank, default=None)
+    return min(ranks, key=lambda name: ranks[name], default=None)
+
+
+def _find_oldest(ranks: dict[str, advice_requests.Rank]) -> str | None:
+    """Returns the stage whose request has waited longest, or None.
+
+    Stages whose result will be worth nothing are left out, as each call for
+    them would delay others.
+
+    Args:
+      ranks: Ranks of the stages, by name; the oldest request comes first.
+    """
+    for name, rank in ranks.items():
+        if rank.urgency_band < stage_ranking.TOO_LATE:
+            return name
+    return None
 
 
 async def _call_adviser(
--- a/src/nutmegknot/_internal/jobs/job_metrics.py
+++ b/src/nutmegknot/_internal/jobs/job_metrics.py
@@ -27,6 +27,8 @@
     Attributes:
       calls: Callers' calls, by kind and outcome.
       refusals: Jobs and calls refused, by reason.
+      overload_refusals: Jobs refused as they would have ended too late, by
+        queue.
       jobs_ended: Jobs that ended, by queue and state.
       starts: Start commands to workers, by outcome.
       runs_ended: Runs that ended, by the way they ended.
@@ -48,6 +50,7 @@
 
     calls: instruments.Counter
     refusals: instruments.Counter
+    overload_refusals: instruments.Counter
     jobs_ended: instruments.Counter
     starts: instruments.Counter
     runs_ended: instruments.Counter
@@ -70,6 +73,9 @@
     return JobMetrics(
         calls=count('calls', 'Calls of callers.', ('kind', 'outcome')),
         refusals=count('refusals', 'Calls and jobs refused.', ('reason',)),
+        overload_refusals=count(
+            'overload_refusals', 'Jobs refused for overload.', ('queue',)
+        ),
         jobs_ended=count('jobs_ended', 'Jobs that ended.', ('queue', 'state')),
         starts=count('starts', 'Orders to start.', ('outcome',)),
         runs_ended=count('runs_ended', 'Runs that ended.', ('how',)),
--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -12,6 +12,7 @@
 from nutmegknot._internal.jobs import advice_calls
 from nutmegknot._internal.jobs import ceiling_updates
 from nutmegknot._internal.jobs import nodes
+from nutmegknot._internal.jobs import overload
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import peer_calls
 from nutmegknot._internal.jobs import retention
@@ -443,6 +444,7 @@
     # The settings may have changed while the jobs were loaded.
     if node.settings is not None:
         ownership.cluster.settings = node.settings
+    overload.restore_rates(ownership)
     node.ownership = ownership
     instruments.increment(node.metrics.ownership_changes, 'gained')
     logger.info(
--- a/src/nutmegknot/_internal/jobs/owner_operations.py
+++ b/src/nutmegknot/_internal/jobs/owner_operations.py
@@ -7,6 +7,7 @@
 from nutmegknot._internal.decisions import feasibility
 from nutmegknot._internal.decisions import stage_ranking
 from nutmegknot._internal.jobs import early_cancels
+from nutmegknot._internal.jobs import overload
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import reconciliation
 from nutmegknot._internal.jobs import rows
@@ -91,6 +92,7 @@
             return outcomes.Accepted(spec.id)
         case writers.WriteOutcome.WITHDRAWN:
             ownership.cluster.jobs.pop(spec.id, None)
+            overload.forget_rejected_job(ownership, job)
             return _log_refusal(
                 spec,
                 outcomes.Refused(
@@ -139,6 +141,8 @@
             'the store does not answer',
             choose_retry_after(ownership),
         )
+    if refused is None:
+        refused = overload.find_refusal(ownership, spec, queue)
     return None if refused is None else _log_refusal(spec, refused)
 
 
@@ -190,6 +194,8 @@
         known_since_ms=ownership.clock.now_ms(),
         critical_path_ms=jobs.compute_critical_path(spec.steps),
     )
+    stage_ranking.estimate_job(ownership.cluster, queue, job)
+    overload.record_accepted_job(ownership, job)
     ownership.cluster.jobs[spec.id] = job
     ownership.unsaved_jobs.add(spec.id)
     if jobs.has_schedule(spec):
--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -6,7 +6,9 @@
 
 from nutmegknot._internal.backing import advisers
 from nutmegknot._internal.backing import runners
+from nutmegknot._internal.decisions import customer_rates
 from nutmegknot._internal.decisions import plans
+from nutmegknot._internal.decisions import pool_load
 from nutmegknot._internal.jobs import command_queues
 from nutmegknot._internal.jobs import early_cancels
 from nutmegknot._internal.jobs import job_metrics
@@ -75,6 +77,11 @@
         job id.
       unknown_cancels: Cancels of jobs that are not known.
       advice_queue: Requests for advice that wait to be sent.
+      rates: Jobs that each customer has submitted recently.
+      backlog: What waited for capacity when that was last assessed.
+      backlog_due_ms: When it is assessed again.
+      load_averages: Average use of the pools by each class of priority.
+      customers_over: Customers that have exceeded their rates lately.
     """
 
     clock: clock_lib.Clock
@@ -124,6 +131,17 @@
     advice_queue: advice_requests.AdviceQueue = dataclasses.field(
         default_factory=advice_requests.AdviceQueue
     )
+    rates: customer_rates.CustomerRates = dataclasses.field(
+        default_factory=customer_rates.CustomerRates
+    )
+    backlog: pool_load.Backlog = dataclasses.field(
+        default_factory=pool_load.Backlog
+    )
+    backlog_due_ms: int = 0
+    load_averages: pool_load.LoadAverages = dataclasses.field(
+        default_factory=pool_load.LoadAverages
+    )
+    customers_over: set[str] = dataclasses.field(default_factory=set)
 
 
 def may_act(ownership: Ownership) -> bool:
--- a/src/nutmegknot/_internal/jobs/reconciliation.py
+++ b/src/nutmegknot/_internal/jobs/reconciliation.py
@@ -215,6 +215,7 @@
             )
     stage.has_started = job.has_started = True
     if stage.done_count == len(stage.tasks):
+        stage_ranking.record_stage_time(ownership.cluster, job, stage)
         key = (job.spec.id, stage.occurrence, stage.number)
         ownership.cluster.waiting_stages.pop(key, None)
         worker_speeds.record_stage(ownership.cluster, job.spec.queue, stage)
--- a/src/nutmegknot/_internal/jobs/takeover.py
+++ b/src/nutmegknot/_internal/jobs/takeover.py
@@ -7,6 +7,7 @@
 
 from nutmegknot._internal.backing import tables
 from nutmegknot._internal.decisions import crash_trials
+from nutmegknot._internal.decisions import stage_ranking
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import starts
 from nutmegknot._internal.models import cluster_state
@@ -210,6 +211,9 @@
     """Adds a job, and sets the number of the last known run of each task."""
     job.known_since_ms = now_ms
     job.critical_path_ms = jobs.compute_critical_path(job.spec.steps)
+    stage_ranking.estimate_job(
+        cluster, cluster_state.get_queue(cluster, job.spec), job
+    )
     cluster.jobs[job.spec.id] = job
     if jobs.is_final(job):
         return
--- a/src/nutmegknot/_internal/jobs/task_scheduling.py
+++ b/src/nutmegknot/_internal/jobs/task_scheduling.py
@@ -11,6 +11,7 @@
 from nutmegknot._internal.decisions import task_placement
 from nutmegknot._internal.jobs import advice_calls
 from nutmegknot._internal.jobs import ceiling_updates
+from nutmegknot._internal.jobs import overload
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.jobs import reconciliation
 from nutmegknot._internal.jobs import rows
@@ -51,6 +52,7 @@
             if began_ms >= stuck_check_ms:
                 stuck_check_ms = began_ms + STUCK_CHECK_INTERVAL_MS
                 _stop_stuck_runs(ownership)
+            overload.update_backlog(ownership)
             _start_and_evict(ownership)
         pass_ms = ownership.clock.now_ms() - began_ms
         await clock.sleep(compute_pass_interval(pass_ms))
@@ -126,6 +128,11 @@
             task.phase is jobs.TaskPhase.WAITING for task in stage.tasks
         ):
             del ownership.cluster.waiting_stages[key]
+    ownership.cluster.full_pools = {
+        cluster_state.get_queue(ownership.cluster, ranked.job.spec).pool
+        for ranked, reason in plan.blocked
+        if reason in task_placement.CAPACITY_REASONS
+    }
     ceiling_updates.update_ceilings(ownership, plan.needed_usage)
     _log_waiting_stages(ownership, plan)
     for name in plan.evicted:
--- a/src/nutmegknot/_internal/models/advice_requests.py
+++ b/src/nutmegknot/_internal/models/advice_requests.py
@@ -19,8 +19,8 @@
 
     Attributes:
       priority: Priority class of the queue; 0 is the most urgent.
-      urgency_band: 0 if the job can still meet its objective, 1 if it will be
-        late, 2 if it will be so late that its result is of no use.
+      urgency_band: 0 if the job can still meet its objective; higher the less
+        its result will be worth (see decisions/stage_ranking.py).
       due_ms: When the objective ends, in ms since the Unix epoch.
     """
 
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import enum
 
 from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import jobs as jobs_lib
@@ -219,6 +220,30 @@
     since_ms: int
 
 
+class RunKind(enum.Enum):
+    """How long runs hold their resources when others need them."""
+
+    # Until their job is cancelled.
+    SERVICE = 'service'
+    # Until they are stopped for more urgent ones.
+    RELEASABLE = 'releasable'
+    # Until they end.
+    FIXED = 'fixed'
+
+
+@dataclasses.dataclass(slots=True)
+class ClassUsage:
+    """Resources that the runs of one class and kind hold in a pool.
+
+    Attributes:
+      size: Their resources.
+      work: Their resources times their estimated run times in ms.
+    """
+
+    size: resources.Resources = resources.ZERO
+    work: resources.Resources = resources.ZERO
+
+
 @dataclasses.dataclass(slots=True)
 class ClusterState:
     """Jobs, workers and usage as the owner of the jobs knows them.
@@ -238,11 +263,16 @@
       predecessor_workers: Workers on which an earlier owner may have started
         runs.
       usage: Resources of the running tasks of each customer.
+      class_usage: Resources that runs hold, by pool, class of priority and
+        kind.
+      full_pools: Pools in which stages waited for room in the last planning
+        pass.
       ceilings: Ceilings of that usage.
       waiting_stages: Stages with tasks that wait to be started, by job id,
         number of the occurrence and number of the step.
       run_time_ratios: Moving average of the run time divided by the caller's
         estimate, by pool and kind of worker.
+      stage_times: Observed run times of the longest task of each stage.
       recent_pool_ratios: Run times of the last runs on workers of each pool,
         each divided by that of other runs of its step.
       recent_kind_ratios: Run times of the last runs on workers of each pool and
@@ -252,6 +282,10 @@
         decisions/run_times.py.
       missing_workers: Workers of which it is not known whether they crashed, by
         id.
+      deferred_stages: Waiting stages that are delayed beyond their objective in
+        favour of others, by job id, number of the occurrence and of the step.
+      too_late_stages: Waiting stages that will end after their result has lost
+        its value, likewise.
       tasks_by_crash: Tasks that have a record of a crash, by id of the worker
         and number of the life that ended.
     """
@@ -272,6 +306,10 @@
     usage: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
+    class_usage: dict[tuple[str, int, RunKind], ClassUsage] = dataclasses.field(
+        default_factory=dict
+    )
+    full_pools: set[str] = dataclasses.field(default_factory=set)
     ceilings: usage_ceilings.UsageCeilings = dataclasses.field(
         default_factory=usage_ceilings.UsageCeilings
     )
@@ -281,6 +319,9 @@
     run_time_ratios: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
+    stage_times: run_time_histograms.RunTimes = dataclasses.field(
+        default_factory=run_time_histograms.RunTimes
+    )
     recent_pool_ratios: dict[str, list[float]] = dataclasses.field(
         default_factory=dict
     )
@@ -296,6 +337,12 @@
     missing_workers: dict[str, MissingWorker] = dataclasses.field(
         default_factory=dict
     )
+    deferred_stages: set[tuple[str, int, int]] = dataclasses.field(
+        default_factory=set
+    )
+    too_late_stages: set[tuple[str, int, int]] = dataclasses.field(
+        default_factory=set
+    )
     tasks_by_crash: dict[tuple[str, int], set[jobs_lib.TaskName]] = (
         dataclasses.field(default_factory=dict)
     )
@@ -374,9 +421,31 @@
     customer = job.spec.customer
     usage = cluster.usage.get(customer, resources.ZERO)
     cluster.usage[customer] = resources.add(usage, step.size)
+    _add_class_usage(cluster, job, step, 1)
     task.worker = info.worker.id
 
 
+def _add_class_usage(
+    cluster: ClusterState,
+    job: jobs_lib.Job,
+    step: jobs_lib.Step,
+    count: int,
+) -> None:
+    """Adds runs of a step to what its class holds; removes if negative."""
+    kind = RunKind.FIXED
+    if step.is_long_running:
+        kind = RunKind.SERVICE
+    elif step.makes_checkpoints and (not step.is_gang or step.count == 1):
+        kind = RunKind.RELEASABLE
+    key = (job.spec.pool, job.spec.priority, kind)
+    usage = cluster.class_usage.setdefault(key, ClassUsage())
+    size = resources.multiply(jobs_lib.get_reserved(step), count)
+    usage.size = resources.add(usage.size, size)
+    usage.work = resources.add(
+        usage.work, resources.multiply(size, step.estimate_ms)
+    )
+
+
 def release_run(
     cluster: ClusterState, name: jobs_lib.TaskName, now_ms: int
 ) -> None:
@@ -404,6 +473,7 @@
     customer = job.spec.customer
     usage = cluster.usage.get(customer, resources.ZERO)
     cluster.usage[customer] = resources.subtract(usage, step.size)
+    _add_class_usage(cluster, job, step, -1)
 
 
 def get_queue(
