--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -12,6 +12,7 @@
 from benchmarks import decisions_placement
 from benchmarks import decisions_policies
 from benchmarks import measurements
+from benchmarks import overload_patterns
 from benchmarks import scheduling_passes
 
 RANDOM_SEED = 20_261
@@ -25,6 +26,7 @@
     decisions_policies.measure_starvation,
     decisions_placement.measure_packing,
     decisions_examples.measure_examples,
+    overload_patterns.measure_overload,
 )
 PROCESSES = 3
 
--- a/benchmarks/plain_task_placement.py
+++ b/benchmarks/plain_task_placement.py
@@ -309,7 +309,7 @@
         now_ms - stage.ready_ms < task_placement.EVICT_AFTER_MS
     )
     if (
-        rank.urgency_band == stage_ranking.EXPIRED
+        rank.urgency_band >= stage_ranking.TOO_LATE
         or is_recent
         or stage.step.is_opportunistic
     ):
