Lateness judged by a long objective; blocked parts of a pool passed by short work

A job counted as late by the median of what its chain of steps takes, went after others and so became late. Runs of other classes that can't be stopped delayed all work by all that they have left, although short work goes past them. Waiting times are the lower one of going past such runs and of waiting for them.

--- a/src/nutmegknot/_internal/decisions/admission_checks.py
+++ b/src/nutmegknot/_internal/decisions/admission_checks.py
@@ -76,11 +76,13 @@
     ):
         return None
     new = _describe_job(cluster, load, spec, queue, is_excess)
-    delay = _find_delay(waiting.useful, new, waiting.rate, waiting.ahead_ms)
+    delay = _find_delay(waiting.useful, new, waiting)
     limited = waiting.limited.get(spec.customer)
     if delay is None and limited is not None:
-        rate = pool_load.compute_limited_rate(cluster, spec.customer, load)
-        delay = _find_delay(limited, new, rate, 0.0)
+        limited_class = pool_load.ClassBacklog(
+            pool_load.compute_limited_rate(cluster, spec.customer, load)
+        )
+        delay = _find_delay(limited, new, limited_class)
     return delay
 
 
@@ -121,22 +123,23 @@
 def _find_delay(
     waiting: list[deferrals.Candidate],
     new: deferrals.Candidate,
-    rate: float,
-    ahead_ms: float,
+    waiting_class: pool_load.ClassBacklog,
 ) -> ExcessiveDelay | None:
-    # Less work at a given rate is a higher rate for the given work.
-    rate /= WORK_FACTOR
-    total_ms = (ahead_ms + sum(item.work_ms for item in waiting)) / rate
-    backlog_ms = total_ms + new.work_ms / rate
+    compute_start = pool_load.make_compute_start(waiting_class, WORK_FACTOR)
+    waiting_ms = sum(item.work_ms for item in waiting)
+    backlog_ms = compute_start(waiting_ms + new.work_ms)
     if backlog_ms <= new.latest_start_ms:
         return None
-    if new.work_ms / rate > new.latest_start_ms:
+    if compute_start(new.work_ms) > new.latest_start_ms:
         # It is too large to end in time even alone, so waiting would not help.
         return None
     # A job in excess goes after all others, so it waits for the whole backlog.
-    selection = deferrals.choose_deferred([*waiting, new], rate, ahead_ms)
-    if not new.is_excess and new.key not in selection.deferred:
-        return None
+    if not new.is_excess:
+        selection = deferrals.choose_deferred([*waiting, new], compute_start)
+        if new.key not in selection.deferred:
+            return None
     return ExcessiveDelay(
-        int(backlog_ms), int(new.latest_start_ms), int(total_ms)
+        int(backlog_ms),
+        int(new.latest_start_ms),
+        int(compute_start(waiting_ms)),
     )
--- a/src/nutmegknot/_internal/decisions/deferrals.py
+++ b/src/nutmegknot/_internal/decisions/deferrals.py
@@ -12,6 +12,7 @@
 workers behaves like one machine whose work is a flow.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import heapq
@@ -49,7 +50,7 @@
 
 
 def choose_deferred(
-    candidates: Iterable[Candidate], rate: float, ahead_ms: float = 0.0
+    candidates: Iterable[Candidate], compute_start: Callable[[float], float]
 ) -> Selection:
     """Chooses the work that is left out so that the rest starts in time.
 
@@ -58,23 +59,23 @@
 
     Args:
       candidates: Work that waits.
-      rate: Part of the pool that is available to it, above 0.
-      ahead_ms: Work of more urgent classes, in ms of the whole pool.
+      compute_start: Returns the time in ms after which all of some work has
+        started, in ms of the whole pool.
     """
     deferred: set[tuple[str, int, int]] = set()
     kept: list[tuple[bool, float, tuple[str, int, int]]] = []
-    total_ms = ahead_ms
+    total_ms = 0.0
     ordered = sorted(
         candidates, key=lambda item: (item.latest_start_ms, item.key)
     )
     for item in ordered:
-        if (ahead_ms + item.work_ms) / rate > item.latest_start_ms:
+        if compute_start(item.work_ms) > item.latest_start_ms:
             # It would start too late even alone.
             deferred.add(item.key)
             continue
         total_ms += item.work_ms
         heapq.heappush(kept, (not item.is_excess, -item.work_ms, item.key))
-        while kept and total_ms / rate > item.latest_start_ms:
+        while kept and compute_start(total_ms) > item.latest_start_ms:
             _, negative_ms, key = heapq.heappop(kept)
             total_ms += negative_ms
             deferred.add(key)
--- a/src/nutmegknot/_internal/decisions/pool_load.py
+++ b/src/nutmegknot/_internal/decisions/pool_load.py
@@ -10,6 +10,7 @@
 urgent runs that can't be stopped are work that goes first.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -47,8 +48,9 @@
       service_share: Dominant share of the tasks that run until they are
         cancelled.
       shares: Dominant share of the other running tasks, by class of priority.
-      fixed_ms: Work left of those of them that can't be stopped, by class, in
-        ms of the whole pool.
+      fixed_shares: Part of these whose runs can't be stopped, by class.
+      fixed_ms: Work that these runs have left, by class, in ms of the whole
+        pool.
       is_full: Whether stages wait for capacity.
     """
 
@@ -56,6 +58,7 @@
     share: float = 0.0
     service_share: float = 0.0
     shares: dict[int, float] = dataclasses.field(default_factory=dict)
+    fixed_shares: dict[int, float] = dataclasses.field(default_factory=dict)
     fixed_ms: dict[int, float] = dataclasses.field(default_factory=dict)
     is_full: bool = False
 
@@ -102,15 +105,19 @@
 
     Attributes:
       rate: Part of the pool that is available to the class.
-      ahead_ms: Work of more urgent classes that goes first, in ms of the whole
-        pool.
+      urgent_ms: Time that the waiting work of more urgent classes takes.
+      held_share: Part of the rate that less urgent runs hold that can't be
+        stopped.
+      held_ms: Work that these runs have left, in ms of the whole pool.
       useful: Work that can end while its result is worth anything, without that
         of customers at their limits.
       limited: Such work of customers at their limits, by customer.
     """
 
     rate: float
-    ahead_ms: float
+    urgent_ms: float = 0.0
+    held_share: float = 0.0
+    held_ms: float = 0.0
     useful: list[deferrals.Candidate] = dataclasses.field(default_factory=list)
     limited: dict[str, list[deferrals.Candidate]] = dataclasses.field(
         default_factory=dict
@@ -157,6 +164,7 @@
             continue
         found.shares[priority] = found.shares.get(priority, 0.0) + share
         if kind is cluster_state.RunKind.FIXED:
+            found.fixed_shares[priority] = share
             # On average, half of a run is left.
             found.fixed_ms[priority] = (
                 resources.compute_dominant_share(usage.work, found.capacity) / 2
@@ -233,24 +241,45 @@
     ahead: dict[str, float] = {}
     for (pool, priority), stages in sorted(waiting.items()):
         load = backlog.loads[pool]
-        rate = compute_rate(averages, load, pool, priority)
-        fixed_ms = sum(
-            work_ms
-            for other, work_ms in load.fixed_ms.items()
-            if other > priority
-        )
-        # More urgent work is done at the rate of the whole pool.
-        urgent_ms = ahead.get(pool, 0.0)
+        less_urgent = [other for other in load.fixed_ms if other > priority]
         found_class = ClassBacklog(
-            rate, (urgent_ms + fixed_ms) * rate / MAX_UTILIZATION
+            compute_rate(averages, load, pool, priority),
+            # More urgent work is done at the rate of the whole pool.
+            ahead.get(pool, 0.0) / MAX_UTILIZATION,
+            sum(load.fixed_shares[other] for other in less_urgent),
+            sum(load.fixed_ms[other] for other in less_urgent),
         )
         backlog.classes[pool, priority] = found_class
-        ahead[pool] = urgent_ms + _assess_class(
+        ahead[pool] = ahead.get(pool, 0.0) + _assess_class(
             cluster, backlog, found_class, stages, load
         )
     return backlog
 
 
+def make_compute_start(
+    waiting_class: ClassBacklog, work_factor: float = 1.0
+) -> Callable[[float], float]:
+    """Returns what computes when all of some work of a class has started.
+
+    The runs that can't be stopped hold their part of the pool until they end,
+    so short work goes past them in the rest of the pool.
+
+    Args:
+      waiting_class: The class.
+      work_factor: Part of its estimated time that the work takes.
+    """
+    rate = waiting_class.rate
+    free_rate = max(MIN_RATE, rate - waiting_class.held_share)
+
+    def compute_start(work_ms: float) -> float:
+        needed_ms = work_ms * work_factor
+        return waiting_class.urgent_ms + min(
+            needed_ms / free_rate, (needed_ms + waiting_class.held_ms) / rate
+        )
+
+    return compute_start
+
+
 def waits_for_capacity(
     queue: job_settings.JobQueue, job: jobs.Job, stage: jobs.Stage
 ) -> bool:
@@ -283,7 +312,7 @@
     useful_ms = times.worthless_from_ms - wall_ms - times.remaining_ms
     if not count or useful_ms < 0:
         return None
-    on_time_ms = times.objective_end_ms - wall_ms - times.remaining_ms
+    on_time_ms = times.latest_objective_end_ms - wall_ms - times.remaining_ms
     work_ms = count * compute_share(load, stage.step) * times.task_ms
     key = (job.spec.id, stage.occurrence, stage.number)
     return WaitingStage(
@@ -318,26 +347,23 @@
         if not any(stage.key in limited for stage in own):
             continue
         waiting_class.limited[name] = [stage.useful for stage in own]
-        rate = compute_limited_rate(cluster, name, load)
-        late, too_late, _ = _assess_stages(own, rate, 0.0)
+        limited_class = ClassBacklog(compute_limited_rate(cluster, name, load))
+        late, too_late, _ = _assess_stages(own, limited_class)
         backlog.deferred |= late & limited
         backlog.too_late |= too_late & limited
-    late, too_late, kept_ms = _assess_stages(
-        free, waiting_class.rate, waiting_class.ahead_ms
-    )
+    late, too_late, kept_ms = _assess_stages(free, waiting_class)
     backlog.deferred |= late
     backlog.too_late |= too_late
-    return kept_ms - waiting_class.ahead_ms
+    return kept_ms
 
 
 def _assess_stages(
-    stages: list[WaitingStage], rate: float, ahead_ms: float
+    stages: list[WaitingStage], waiting_class: ClassBacklog
 ) -> tuple[frozenset[StageKey], frozenset[StageKey], float]:
     """Returns what is delayed, what will end too late, and the work kept."""
+    compute_start = make_compute_start(waiting_class)
     selected = deferrals.choose_deferred(
-        (stage.on_time for stage in stages if not stage.is_late),
-        rate,
-        ahead_ms,
+        (stage.on_time for stage in stages if not stage.is_late), compute_start
     )
     left = deferrals.choose_deferred(
         (
@@ -345,10 +371,9 @@
             for stage in stages
             if stage.is_late or stage.key in selected.deferred
         ),
-        rate,
-        selected.kept_ms,
+        lambda work_ms: compute_start(selected.kept_ms + work_ms),
     )
-    return selected.deferred, left.deferred, left.kept_ms
+    return selected.deferred, left.deferred, selected.kept_ms + left.kept_ms
 
 
 def compute_limited_rate(
