--- a/tests/lib/job_platform.py
+++ b/tests/lib/job_platform.py
@@ -41,6 +41,7 @@
 QUEUE_PATH = '/checks/'
 DOMAINS = ('a', 'b', 'c')
 MAX_ROW_BYTES = 65_536
+MAX_BODY_BYTES = 262_144
 _REFUSAL_REASONS = {
     runners.Refusal.FENCED: 'fence',
     runners.Refusal.STALE_RUN: 'old',
@@ -138,6 +139,7 @@
     *,
     limit: resources.Resources = resources.ZERO,
     row_bytes: int = MAX_ROW_BYTES,
+    body_bytes: int = MAX_BODY_BYTES,
 ) -> Platform:
     """Starts serving a store, an advice service and some workers.
 
@@ -147,6 +149,7 @@
       rng: Source of the instances' first port.
       limit: Limit of the only customer.
       row_bytes: Longest value of a row of the store.
+      body_bytes: Longest body of a caller's call.
     """
     # Connections without an answer are injected faults, not errors to log.
     logging.getLogger('aiohttp.server').setLevel(logging.CRITICAL)
@@ -171,7 +174,9 @@
         target.worker = dataclasses.replace(target.worker, address=address)
         platform.worker_servers[target.worker.id] = platform.runners[-1]
         _put_worker(platform.store, target)
-    _put_row(platform.store, 'op', 'config', _make_configuration(limit))
+    configuration = _make_configuration(limit)
+    configuration['limits'] = {'maxBodyBytes': body_bytes}
+    _put_row(platform.store, 'op', 'config', configuration)
     return platform
 
 
@@ -507,7 +512,9 @@
     return web.Response(status=503)
 
 
-def add_instances(platform: Platform, count: int) -> None:
+def add_instances(
+    platform: Platform, count: int, memory_mb: int = 300, max_fds: int = 4_100
+) -> None:
     """Writes the settings of some instances and starts them."""
     for number in range(count):
         ip = _make_ip(number)
@@ -520,7 +527,12 @@
             'zones': dict.fromkeys(DOMAINS, 'region'),
             'listen': {'front': f'{ip}:{port}', 'ready': f'{ip}:{port + 1}'},
             'portRange': [port + 2, port + 9],
-            'limits': {'cpuShare': 0.5, 'cores': 2},
+            'limits': {
+                'cpuShare': 0.5,
+                'cores': 2,
+                'memoryMb': memory_mb,
+                'maxFds': max_fds,
+            },
             'bounds': {'graceS': 6, 'maxHoldMs': 10_000},
             'advice': platform.advice_address,
             'platform': {
