Limits on what clients send and keep open

Cause: a body was read whole without regard to the bodies of other calls, a head could be 128 lines of 16,384 bytes, each small chunk of a body cost far more memory than its bytes, and nothing bounded the number of connections or the time for a request. maxBodyBytes, memoryMb and maxFds were not read. Change: network/client_limits.py stands between the transport and aiohttp's protocol of each connection of the front, readiness and metrics ports. It bounds a head, a body, the memory of all requests, connections and times; idle connections are closed first. A body that can't be read is answered with 504 and Retry-After. A caller waits for at most 30,000 ms. The gRPC servers close connections without a first call.

--- a/src/nutmegknot/_internal/instance/http_endpoints.py
+++ b/src/nutmegknot/_internal/instance/http_endpoints.py
@@ -5,27 +5,24 @@
 import pathlib
 import sys
 
-from aiohttp import web as aiohttp_web
-
 from nutmegknot._internal.instance import authority
 from nutmegknot._internal.instance import dumps
 from nutmegknot._internal.instance import instance_metrics
 from nutmegknot._internal.instance import instances
+from nutmegknot._internal.network import client_limits
 from nutmegknot._internal.network import http_server
 from nutmegknot._internal.telemetry import exposition
+from nutmegknot._internal.telemetry import metrics
 from nutmegknot._internal.utils import clock
 from nutmegknot._internal.utils import signals
 from nutmegknot._internal.utils import tasks
 
 logger = logging.getLogger(__name__)
 
-# A running HTTP server of an instance.
-HttpServer = aiohttp_web.AppRunner
-
 
 async def start(
     inst: instances.Instance,
-) -> HttpServer | http_server.AddressUnavailable:
+) -> http_server.HttpServer | http_server.AddressUnavailable:
     """Starts the HTTP server and the task that writes state dumps."""
     instance_metrics.add_gauges(inst)
     pages = {
@@ -37,8 +34,12 @@
             exposition.CONTENT_TYPE,
         ),
     }
+    closings = client_limits.make_counter()
+    metrics.add_counter(inst.metrics, closings)
     server = await http_server.start_server(
-        inst.settings.instance.http_listen, pages
+        inst.settings.instance.http_listen,
+        pages,
+        client_limits.Clients(client_limits.PAGE_LIMITS, inst.clock, closings),
     )
     if not isinstance(server, http_server.AddressUnavailable):
         tasks.spawn(inst.tasks, run_dump_loop(inst), 'dump')
--- a/src/nutmegknot/_internal/instance/instance_lifecycle.py
+++ b/src/nutmegknot/_internal/instance/instance_lifecycle.py
@@ -62,7 +62,7 @@
 
     caller: grpclib.server.Server
     peer: grpclib.server.Server
-    http: http_endpoints.HttpServer
+    http: http_server.HttpServer
 
 
 def connect_platform(
@@ -196,7 +196,7 @@
     for server in (servers.caller, servers.peer):
         server.close()
         await server.wait_closed()
-    await servers.http.cleanup()
+    await http_server.stop(servers.http)
 
 
 async def run(
--- a/src/nutmegknot/_internal/jobs/job_metrics.py
+++ b/src/nutmegknot/_internal/jobs/job_metrics.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from nutmegknot._internal.network import client_limits
 from nutmegknot._internal.telemetry import instruments
 
 CALL_BUCKET_BOUNDS_MS = (2, 5, 10, 25, 50, 100, 250, 500, 1_000, 2_500)
@@ -35,6 +36,8 @@
       ownership_changes: Ownerships of the jobs, by whether they were gained or
         ended.
       advice: Calls for advice, by outcome.
+      client_closings: Connections closed and requests refused for the limits
+        on clients, by reason.
       call_ms: Duration of callers' calls, by kind.
       accept_ms: Time from a job's arrival at the owner to its acceptance.
       wait_ms: Time for which a task could run before its start was decided on,
@@ -55,6 +58,7 @@
     writes: instruments.Counter
     ownership_changes: instruments.Counter
     advice: instruments.Counter
+    client_closings: instruments.Counter
     call_ms: instruments.Histogram
     accept_ms: instruments.Histogram
     wait_ms: instruments.Histogram
@@ -79,6 +83,7 @@
             'ownerships', 'Changes of ownership.', ('change',)
         ),
         advice=count('advice', 'Calls for advice.', ('outcome',)),
+        client_closings=client_limits.make_counter(),
         call_ms=measure(
             'call_ms', 'Callers calls.', ('kind',), CALL_BUCKET_BOUNDS_MS
         ),
--- a/src/nutmegknot/_internal/jobs/lifecycle.py
+++ b/src/nutmegknot/_internal/jobs/lifecycle.py
@@ -49,6 +49,7 @@
         [peer_calls.bind_service(node, calls)],
         MAX_PEER_CONNECTIONS,
         None,
+        node.metrics.client_closings,
     )
     if isinstance(server, grpc_server.AddressUnavailable):
         return server
--- /dev/null
+++ b/src/nutmegknot/_internal/network/client_limits.py
@@ -0,0 +1,582 @@
+"""Limits on what the clients of a process may send and keep open.
+
+One state is shared by all HTTP servers of a process. aiohttp creates a protocol
+object for each connection; this module puts one of its own between that object
+and the transport. It counts bytes before they are parsed, and closes the
+connection or drops what follows when a limit is exceeded. Times are counted in
+sweeps over all connections, so that a process that was paused does not close
+connections for its own delay.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import enum
+import logging
+from typing import Any
+from typing import cast
+
+from aiohttp import web
+
+from nutmegknot._internal.telemetry import instruments
+from nutmegknot._internal.utils import clock as clock_lib
+
+logger = logging.getLogger(__name__)
+
+# Longest line of a head, as the callers' limits state it.
+MAX_LINE_BYTES = 16_384
+# Longest head with the empty lines before it: eight lines of the greatest
+# length. Up to three receptions of a body count as well, because the head is
+# taken from aiohttp's queue two iterations of the event loop after it arrives.
+MAX_HEAD_BYTES = 131_072
+# Largest number of line ends in a chunked body, two for each chunk: 262,144
+# bytes, the default limit of a body, in chunks of 32 bytes.
+MAX_BODY_LINES = 16_384
+# Memory of a line beside its bytes: aiohttp keeps an object and two list
+# entries for each chunk, 96 bytes for two lines.
+LINE_BYTES = 64
+# Largest reception, and the part of a request that is not taken from the
+# budget, so that ordinary requests are served while the budget is exhausted.
+RECEIVE_BYTES = 16_384
+# Memory of a connection: its objects, the parsed lines of a head and the
+# receptions outside the budget.
+CONNECTION_BYTES = 65_536
+# Bytes that aiohttp keeps of a body before it stops reading the connection.
+READ_BUFFER_BYTES = 32_768
+# File descriptors that are reserved for files.
+RESERVED_FDS = 200
+# A caller waits for about 3,000 ms and sends its request at once.
+HEAD_MS = 5_000
+BODY_MS = 5_000
+# Longer than clients keep an unused connection open for their next call.
+IDLE_MS = 300_000
+# How long the rest of a body is read after the response, so that the client
+# can read the response before the connection is closed.
+LINGERING_S = 2.0
+SWEEP_MS = 500
+# One log line for each reason in this time.
+LOG_INTERVAL_MS = 1_000
+
+
+class Phase(enum.Enum):
+    """What a connection is used for at present."""
+
+    IDLE = 'idle'
+    HEAD = 'head'
+    BODY = 'body'
+    CALL = 'call'
+    # Used by calls of its protocol until it is lost.
+    SERVING = 'serving'
+
+
+class Reason(enum.Enum):
+    """Why a connection was closed or a request was refused."""
+
+    CONNECTIONS = 'connections'
+    EVICTED = 'evicted'
+    HEAD_BYTES = 'head_bytes'
+    HEAD_TIME = 'head_time'
+    BODY_BYTES = 'body_bytes'
+    BODY_CHUNKS = 'body_chunks'
+    BODY_TIME = 'body_time'
+    BUDGET = 'budget'
+    IDLE_TIME = 'idle_time'
+    MALFORMED = 'malformed'
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Limits:
+    """Limits on the clients of a process.
+
+    Attributes:
+      max_connections: Most open connections.
+      max_held_bytes: Budget for the memory of all requests.
+      phase_ms: Time limit of each phase; none for a phase that is left out.
+    """
+
+    max_connections: int
+    max_held_bytes: int
+    phase_ms: dict[Phase, int] = dataclasses.field(
+        default_factory=lambda: {
+            Phase.IDLE: IDLE_MS,
+            Phase.HEAD: HEAD_MS,
+            Phase.BODY: BODY_MS,
+        }
+    )
+
+
+# For a process whose pages are only read by operators' programs.
+PAGE_LIMITS = Limits(max_connections=128, max_held_bytes=1_048_576)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Connection:
+    """One open connection, or a call whose connection was lost.
+
+    Attributes:
+      transport: Its transport; None before it is made and after it is lost.
+      phase: What it is used for.
+      since_sweep: Number of the sweep before the phase began.
+      received: Bytes received since the last request was complete.
+      lines: Line ends among them.
+      is_complete: Whether its present request was received to the end.
+      cost: Estimated memory of its requests.
+      later_cost: Part of the cost received since the request was complete.
+      charged: Part of the cost taken from the budget.
+      refused: Why what it sends is dropped; None if it is not.
+    """
+
+    transport: asyncio.Transport | None = None
+    phase: Phase = Phase.IDLE
+    since_sweep: int = 0
+    received: int = 0
+    lines: int = 0
+    is_complete: bool = False
+    cost: int = 0
+    later_cost: int = 0
+    charged: int = 0
+    refused: Reason | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Clients:
+    """All clients of a process.
+
+    Attributes:
+      limits: The limits.
+      clock: Source of time for the log lines.
+      closings: Counts closed connections and refused requests by reason.
+      connections: Connections by the protocol object that serves them.
+      idle: Idle connections, the one that has been idle longest first.
+      held_bytes: What is taken from the budget.
+      sweeps: Number of sweeps since the start.
+      sweep_timer: Timer of the next sweep; None while nothing is connected.
+      buffer: Where receptions of all connections are stored, one at a time.
+      unlogged: Number of closings since the last log line, by reason.
+      logged_ms: Time of the last log line, by reason.
+    """
+
+    limits: Limits
+    clock: clock_lib.Clock
+    closings: instruments.Counter
+    connections: dict[object, Connection] = dataclasses.field(
+        default_factory=dict
+    )
+    idle: dict[Connection, None] = dataclasses.field(default_factory=dict)
+    held_bytes: int = 0
+    sweeps: int = 0
+    sweep_timer: asyncio.TimerHandle | None = None
+    buffer: memoryview = dataclasses.field(
+        default_factory=lambda: memoryview(bytearray(RECEIVE_BYTES))
+    )
+    unlogged: dict[Reason, int] = dataclasses.field(default_factory=dict)
+    logged_ms: dict[Reason, int] = dataclasses.field(default_factory=dict)
+
+
+# Handles a request, like the handlers of aiohttp.
+Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class InvalidBody:
+    """The body exceeds a limit of its own, or is malformed.
+
+    Attributes:
+      status: HTTP status of the response.
+    """
+
+    status: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UnreadBody:
+    """The body could not be read; the job may be known from an earlier call."""
+
+
+def make_counter() -> instruments.Counter:
+    """Returns the counter of closings, with no closings yet."""
+    return instruments.Counter(
+        'client_closings',
+        'Connections closed and requests refused for the limits on clients.',
+        ('reason',),
+    )
+
+
+def derive_limits(memory_mb: int, max_fds: int) -> Limits:
+    """Returns the limits for a machine.
+
+    A sixteenth of the memory is for bodies, and up to a quarter for
+    connections. The connections get half of the file descriptors; the other
+    half is for the process's own connections and for accepted ones that are
+    about to be closed.
+
+    Args:
+      memory_mb: Memory of the process in MiB.
+      max_fds: Most file descriptors of the process.
+    """
+    memory_bytes = memory_mb * 1_048_576
+    by_memory = memory_bytes // 4 // CONNECTION_BYTES
+    by_fds = (max_fds - RESERVED_FDS) // 2
+    return Limits(max(1, min(by_memory, by_fds)), memory_bytes // 16)
+
+
+def report(clients: Clients, reason: Reason, detail: str = '') -> None:
+    """Counts a closing or refusal; logs it within the rate of log lines."""
+    instruments.increment(clients.closings, reason.value)
+    unlogged = clients.unlogged.get(reason, 0) + 1
+    now_ms = clients.clock.now_ms()
+    logged_ms = clients.logged_ms.get(reason)
+    if logged_ms is not None and now_ms - logged_ms < LOG_INTERVAL_MS:
+        clients.unlogged[reason] = unlogged
+        return
+    clients.unlogged[reason] = 0
+    clients.logged_ms[reason] = now_ms
+    logger.warning(
+        'client_limited',
+        extra={
+            'why': reason.value,
+            'count': unlogged,
+            'connections': len(clients.connections),
+            'held_bytes': clients.held_bytes,
+            'detail': detail,
+        },
+    )
+
+
+def close(clients: Clients, connection: Connection, reason: Reason) -> None:
+    """Closes a connection at once."""
+    if connection.refused is not reason:
+        report(clients, reason)
+    clients.idle.pop(connection, None)
+    connection.refused = reason
+    if connection.transport is not None:
+        connection.transport.abort()
+
+
+def admit(
+    clients: Clients,
+    key: object,
+    connection: Connection,
+    max_connections: int,
+) -> bool:
+    """Adds a new connection unless too many are open.
+
+    The connection that has been idle longest is closed for it. If none is
+    idle, the new one is closed.
+    """
+    if len(clients.connections) >= max_connections:
+        longest_idle = next(iter(clients.idle), None)
+        if longest_idle is None:
+            close(clients, connection, Reason.CONNECTIONS)
+            return False
+        close(clients, longest_idle, Reason.EVICTED)
+    clients.connections[key] = connection
+    enter(clients, connection, connection.phase)
+    if clients.sweep_timer is None:
+        _schedule_sweep(clients)
+    return True
+
+
+def enter(clients: Clients, connection: Connection, phase: Phase) -> None:
+    """Records that a phase of a connection begins."""
+    if phase is Phase.IDLE:
+        clients.idle[connection] = None
+    else:
+        clients.idle.pop(connection, None)
+    connection.phase = phase
+    connection.since_sweep = clients.sweeps
+
+
+def remove(clients: Clients, key: object) -> None:
+    """Forgets a lost connection, after its call if one is in progress."""
+    connection = clients.connections.get(key)
+    if connection is None:
+        return
+    connection.transport = None
+    clients.idle.pop(connection, None)
+    if connection.phase is not Phase.CALL:
+        del clients.connections[key]
+        _release(clients, connection, 0)
+
+
+def charge(clients: Clients, connection: Connection, size: int) -> bool:
+    """Adds to the memory of a connection; returns whether there is budget."""
+    connection.cost += size
+    added = max(connection.cost - RECEIVE_BYTES, 0) - connection.charged
+    connection.charged += added
+    clients.held_bytes += added
+    return not added or clients.held_bytes <= clients.limits.max_held_bytes
+
+
+def _release(clients: Clients, connection: Connection, cost: int) -> None:
+    """Lowers the memory of a connection to a cost."""
+    connection.cost = connection.later_cost = 0
+    clients.held_bytes -= connection.charged
+    connection.charged = 0
+    charge(clients, connection, cost)
+
+
+def receive(clients: Clients, connection: Connection, data: bytes) -> bool:
+    """Counts received bytes; returns whether they are to be parsed."""
+    if connection.refused is not None:
+        return False
+    if connection.phase is Phase.IDLE:
+        enter(clients, connection, Phase.HEAD)
+    lines = data.count(b'\n')
+    connection.received += len(data)
+    connection.lines += lines
+    is_reading_body = connection.phase is Phase.BODY
+    if not is_reading_body and connection.received > MAX_HEAD_BYTES:
+        close(clients, connection, Reason.HEAD_BYTES)
+        return False
+    cost = len(data) + lines * LINE_BYTES
+    if connection.phase is Phase.CALL:
+        connection.later_cost += cost
+    if not charge(clients, connection, cost):
+        # This reception is still parsed: it wakes up the reader of the body,
+        # which refuses the request. What follows is dropped.
+        connection.refused = Reason.BUDGET
+        report(clients, Reason.BUDGET)
+    return True
+
+
+def find_expired(clients: Clients, connection: Connection) -> Reason | None:
+    """Returns why a connection is to be closed now, or None."""
+    if connection.phase is Phase.HEAD and connection.refused is not None:
+        return connection.refused
+    limit_ms = clients.limits.phase_ms.get(connection.phase)
+    age_ms = (clients.sweeps - connection.since_sweep) * SWEEP_MS
+    if limit_ms is None or age_ms <= limit_ms:
+        return None
+    if connection.phase is Phase.IDLE:
+        return Reason.IDLE_TIME
+    is_head = connection.phase is Phase.HEAD
+    return Reason.HEAD_TIME if is_head else Reason.BODY_TIME
+
+
+def sweep(clients: Clients) -> None:
+    """Closes the connections whose time is over."""
+    clients.sweeps += 1
+    for connection in list(clients.connections.values()):
+        reason = find_expired(clients, connection)
+        if reason is not None:
+            close(clients, connection, reason)
+
+
+def _schedule_sweep(clients: Clients) -> None:
+    def run() -> None:
+        clients.sweep_timer = None
+        sweep(clients)
+        if clients.connections:
+            _schedule_sweep(clients)
+
+    clients.sweep_timer = asyncio.get_running_loop().call_later(
+        clock_lib.to_seconds(SWEEP_MS), run
+    )
+
+
+class _Protocol(asyncio.BufferedProtocol):
+    """Stands between the transport of a connection and aiohttp's protocol.
+
+    The event loop calls its methods. They only pass on what the functions of
+    this module admit.
+
+    Attributes:
+      clients: All clients.
+      connection: The connection.
+      max_connections: Limit that applies to it.
+      inner: aiohttp's protocol.
+    """
+
+    __slots__ = ('clients', 'connection', 'inner', 'max_connections')
+
+    def __init__(
+        self,
+        clients: Clients,
+        max_connections: int,
+        inner: web.RequestHandler,
+    ) -> None:
+        self.clients = clients
+        self.connection = Connection()
+        self.max_connections = max_connections
+        self.inner = inner
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Transports of uvloop are not instances of asyncio's class.
+        self.connection.transport = cast(asyncio.Transport, transport)
+        if admit(
+            self.clients, self.inner, self.connection, self.max_connections
+        ):
+            self.inner.connection_made(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.inner in self.clients.connections:
+            remove(self.clients, self.inner)
+            self.inner.connection_lost(exc)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.clients.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        data = bytes(self.clients.buffer[:nbytes])
+        if receive(self.clients, self.connection, data):
+            self.inner.data_received(data)
+
+    def eof_received(self) -> None:
+        self.inner.eof_received()
+
+    def pause_writing(self) -> None:
+        self.inner.pause_writing()
+
+    def resume_writing(self) -> None:
+        self.inner.resume_writing()
+
+
+def make_protocol_factory(
+    clients: Clients, server: web.Server, max_connections: int
+) -> Callable[[], asyncio.BaseProtocol]:
+    """Returns what creates the protocol objects of a listening socket."""
+    return lambda: _Protocol(clients, max_connections, server())
+
+
+def make_parser_logger(clients: Clients) -> logging.Logger:
+    """Returns a logger for aiohttp that reports malformed requests.
+
+    aiohttp logs a traceback for each of them, which costs more than the
+    request.
+    """
+
+    def report_malformed(record: logging.LogRecord) -> bool:
+        error = record.exc_info[1] if record.exc_info else None
+        report(clients, Reason.MALFORMED, type(error).__name__)
+        return False
+
+    parser_logger = logging.Logger(f'{__name__}.parser')
+    parser_logger.addFilter(report_malformed)
+    return parser_logger
+
+
+def limit_calls(clients: Clients, handle: Handle) -> Handle:
+    """Returns a handler that keeps account of the requests it handles."""
+
+    async def handle_limited(request: web.BaseRequest) -> web.StreamResponse:
+        connection = clients.connections.get(request.protocol)
+        if connection is None:
+            # The connection was lost before; nobody receives the response.
+            return web.Response(status=504)
+        enter(clients, connection, Phase.CALL)
+        connection.is_complete = False
+        if request.content.is_eof():
+            _record_complete(connection)
+        try:
+            response = await handle(request)
+        finally:
+            _end_call(clients, request, connection)
+        if connection.refused is not None:
+            response.force_close()
+        return response
+
+    return handle_limited
+
+
+def _record_complete(connection: Connection) -> None:
+    connection.is_complete = True
+    connection.received = connection.lines = connection.later_cost = 0
+
+
+def _end_call(
+    clients: Clients, request: web.BaseRequest, connection: Connection
+) -> None:
+    if connection.transport is None:
+        clients.connections.pop(request.protocol, None)
+        _release(clients, connection, 0)
+        return
+
+    def settle() -> None:
+        if connection.transport is None:
+            return
+        if not connection.is_complete:
+            _record_complete(connection)
+        is_pipelining = _has_queued_requests(request.protocol)
+        cost = connection.cost if is_pipelining else connection.later_cost
+        _release(clients, connection, cost)
+        enter(clients, connection, Phase.HEAD if cost else Phase.IDLE)
+
+    if not request.content.is_eof():
+        # aiohttp reads the rest after the response.
+        enter(clients, connection, Phase.BODY)
+    request.content.on_eof(settle)
+
+
+def _has_queued_requests(protocol: Any) -> bool:  # noqa: ANN401 - private part of aiohttp's protocol
+    return bool(protocol._messages)
+
+
+def refuse(clients: Clients, connection: Connection, reason: Reason) -> None:
+    """Lets the connection be closed after the response to its request."""
+    if connection.refused is None:
+        connection.refused = reason
+        report(clients, reason)
+
+
+async def read_body(
+    clients: Clients, request: web.BaseRequest, max_bytes: int
+) -> bytes | InvalidBody | UnreadBody:
+    """Reads the body of a request within the limits.
+
+    Its memory stays taken from the budget until the request was handled.
+
+    Args:
+      clients: All clients.
+      request: The request.
+      max_bytes: Maximum length of the body, after it was decompressed.
+    """
+    connection = clients.connections.get(request.protocol)
+    if connection is None:
+        return UnreadBody()
+    if (request.content_length or 0) > max_bytes:
+        refuse(clients, connection, Reason.BODY_BYTES)
+        return InvalidBody(413)
+    enter(clients, connection, Phase.BODY)
+    is_chunked = request.content_length is None
+    is_encoded = 'Content-Encoding' in request.headers
+    body = bytearray()
+    try:
+        while not request.content.at_eof():
+            piece = await request.content.readany()
+            body += piece
+            if len(body) > max_bytes:
+                refuse(clients, connection, Reason.BODY_BYTES)
+                return InvalidBody(413)
+            if is_chunked and connection.lines > MAX_BODY_LINES:
+                refuse(clients, connection, Reason.BODY_CHUNKS)
+                return InvalidBody(413)
+            # What a decompressed piece takes was not counted on reception.
+            if is_encoded and not charge(clients, connection, len(piece)):
+                refuse(clients, connection, Reason.BUDGET)
+            if connection.refused is not None:
+                return UnreadBody()
+    except web.RequestPayloadError:
+        refuse(clients, connection, Reason.MALFORMED)
+        return InvalidBody(400)
+    except ConnectionError:
+        return UnreadBody()
+    enter(clients, connection, Phase.CALL)
+    _record_complete(connection)
+    return bytes(body)
+
+
+def hold(clients: Clients, request: web.BaseRequest, size: int) -> bool:
+    """Takes memory from the budget until a request was handled.
+
+    Returns:
+      Whether the budget suffices. If not, the request is to be refused.
+    """
+    connection = clients.connections.get(request.protocol)
+    if connection is None:
+        return False
+    if charge(clients, connection, size):
+        return True
+    refuse(clients, connection, Reason.BUDGET)
+    return False
--- a/src/nutmegknot/_internal/network/grpc_server.py
+++ b/src/nutmegknot/_internal/network/grpc_server.py
@@ -1,7 +1,9 @@
 """gRPC servers with TLS and a limit on the number of open connections.
 
 grpclib has no such limit. So this module wraps the protocol object that grpclib
-creates for each connection, and counts the connections there.
+creates for each connection, and counts the connections there. It also closes
+connections on which no call has been made in time. HTTP/2 flow control bounds
+what a connection sends before it is read.
 """
 
 from collections.abc import Callable
@@ -12,20 +14,14 @@
 import grpclib.server
 
 from nutmegknot._internal.network import channels
+from nutmegknot._internal.network import client_limits
 from nutmegknot._internal.network import services
+from nutmegknot._internal.telemetry import instruments
+from nutmegknot._internal.utils import clock
 
-
-@dataclasses.dataclass(slots=True)
-class Connections:
-    """Number of open connections of a server.
-
-    Attributes:
-      max_open: Upper limit; connections above it are closed at once.
-      open: Number of connections that are open now.
-    """
-
-    max_open: int
-    open: int = 0
+# A client connects when it makes its first call. Includes the time for the
+# handshake of TLS on a busy machine.
+FIRST_CALL_MS = 10_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -40,10 +36,27 @@
     bound: list[services.BoundService],
     max_connections: int,
     tls: ssl.SSLContext | None,
+    closings: instruments.Counter | None = None,
 ) -> grpclib.server.Server | AddressUnavailable:
-    """Starts a server for bound services at an address, 'IP:PORT'."""
+    """Starts a server for bound services at an address, 'IP:PORT'.
+
+    Args:
+      address: Where to listen.
+      bound: The services.
+      max_connections: Most open connections.
+      tls: TLS context; None for connections without TLS.
+      closings: Counts closed connections by reason; None to count them here.
+    """
     server = grpclib.server.Server(bound)
-    _limit_connections(server, Connections(max_connections))
+    limits = client_limits.Limits(
+        max_connections, 0, {client_limits.Phase.HEAD: FIRST_CALL_MS}
+    )
+    clients = client_limits.Clients(
+        limits,
+        clock.make_system_clock(),
+        closings or client_limits.make_counter(),
+    )
+    _limit_connections(server, clients)
     host, port = channels.split_address(address)
     try:
         await server.start(host, port, ssl=tls)
@@ -53,38 +66,46 @@
 
 
 def _limit_connections(
-    server: grpclib.server.Server, connections: Connections
+    server: grpclib.server.Server, clients: client_limits.Clients
 ) -> None:
-    """Makes the server close each connection above the limit at once."""
+    """Makes the server admit connections within the limits."""
     untyped_server: Any = server
     make_protocol: Callable[[], Any] = untyped_server._protocol_factory
 
     def make_limited_protocol() -> object:
         protocol = make_protocol()
-        _wrap_protocol(protocol, connections)
+        _wrap_protocol(protocol, clients)
         return protocol
 
     untyped_server._protocol_factory = make_limited_protocol
 
 
-def _wrap_protocol(protocol: Any, connections: Connections) -> None:  # noqa: ANN401 - protocol of grpclib
-    is_counted = False
+def _wrap_protocol(protocol: Any, clients: client_limits.Clients) -> None:  # noqa: ANN401 - protocol of grpclib
+    connection = client_limits.Connection(phase=client_limits.Phase.HEAD)
     handle_made = protocol.connection_made
+    handle_data = protocol.data_received
     handle_lost = protocol.connection_lost
 
     def connection_made(transport: Any) -> None:  # noqa: ANN401 - asyncio transport
-        nonlocal is_counted
-        if connections.open >= connections.max_open:
-            transport.abort()
-            return
-        connections.open += 1
-        is_counted = True
-        handle_made(transport)
+        connection.transport = transport
+        max_connections = clients.limits.max_connections
+        if client_limits.admit(clients, protocol, connection, max_connections):
+            handle_made(transport)
+
+    def data_received(data: bytes) -> None:
+        handle_data(data)
+        if (
+            connection.phase is client_limits.Phase.HEAD
+            and protocol.connection.streams_started
+        ):
+            serving = client_limits.Phase.SERVING
+            client_limits.enter(clients, connection, serving)
 
     def connection_lost(error: BaseException | None) -> None:
-        if is_counted:
-            connections.open -= 1
+        if protocol in clients.connections:
+            client_limits.remove(clients, protocol)
             handle_lost(error)
 
     protocol.connection_made = connection_made
+    protocol.data_received = data_received
     protocol.connection_lost = connection_lost
--- a/src/nutmegknot/_internal/platform/caller_api.py
+++ b/src/nutmegknot/_internal/platform/caller_api.py
@@ -14,7 +14,8 @@
 from nutmegknot._internal.jobs import owner_operations
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import outcomes
-from nutmegknot._internal.network import channels
+from nutmegknot._internal.network import client_limits
+from nutmegknot._internal.network import http_server
 from nutmegknot._internal.platform import platform_listings
 from nutmegknot._internal.telemetry import instruments
 from nutmegknot._internal.utils import clock
@@ -25,11 +26,26 @@
 READY_PATH = '/api/ready'
 # Time that a caller waits if its call has no header Deadline-Ms.
 DEFAULT_WAIT_MS = 3_000
-MAX_BODY_BYTES = 1_048_576
+# Longest time that a caller may wait; callers wait for about 3,000 ms. It
+# bounds how long a call keeps its memory.
+MAX_WAIT_MS = 30_000
+# Longest body before the settings are known, the default of the setting.
+MAX_BODY_BYTES = 262_144
+# Memory of a decoded step beside its part of the body.
+STEP_BYTES = 512
 # Longest description of what a job runs (the field 'spec').
 MAX_PAYLOAD_BYTES = 4_000
 # How long calls in progress may go on when the server is shut down.
 SHUTDOWN_TIMEOUT_S = 3.0
+# Connections that wait to be accepted. As many are accepted at a time, before
+# they are counted.
+CALLERS_BACKLOG = 512
+READINESS_BACKLOG = 64
+# Part of the connections that callers leave to the other ports, so that they
+# can't make the load balancer's readiness checks fail.
+RESERVED_CONNECTIONS_RATIO = 0.125
+# Sent with the response to a call whose body can't be read.
+UNREAD_RETRY_AFTER_MS = 1_000
 _BEARER_PREFIX = 'Bearer '
 # HTTP status by reason of refusal.
 _REFUSAL_STATUSES = {
@@ -49,8 +65,11 @@
 
 
 async def serve(
-    node: nodes.Node, address: str, ready_address: str
-) -> web.ServerRunner:
+    node: nodes.Node,
+    address: str,
+    ready_address: str,
+    clients: client_limits.Clients,
+) -> http_server.HttpServer:
     """Serves callers at one address and the readiness check at another.
 
     Raises:
@@ -61,7 +80,7 @@
         if request.path == READY_PATH:
             return web.Response(status=200 if lifecycle.is_ready(node) else 503)
         try:
-            response = await _handle(node, request)
+            response = await _handle(node, request, clients)
         except Exception as error:
             # The operation may have taken effect before the error.
             logger.exception(
@@ -76,18 +95,25 @@
             response.force_close()
         return response
 
-    server = web.Server(
-        handle, access_log=None, max_line_size=16_384, max_field_size=16_384
-    )
-    runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
-    await runner.setup()
-    for listen_address in {address, ready_address} - {''}:
-        host, port = channels.split_address(listen_address)
-        await web.TCPSite(runner, host, port, backlog=512).start()
-    return runner
+    server = http_server.make_server(clients, handle, SHUTDOWN_TIMEOUT_S)
+    max_connections = clients.limits.max_connections
+    reserved = int(max_connections * RESERVED_CONNECTIONS_RATIO)
+    if address:
+        await http_server.listen(
+            server, address, max_connections - reserved, CALLERS_BACKLOG
+        )
+    if ready_address not in ('', address):
+        await http_server.listen(
+            server, ready_address, max_connections, READINESS_BACKLOG
+        )
+    return server
 
 
-async def _handle(node: nodes.Node, request: web.BaseRequest) -> web.Response:
+async def _handle(
+    node: nodes.Node,
+    request: web.BaseRequest,
+    clients: client_limits.Clients,
+) -> web.Response:
     authorization = request.headers.get('Authorization', '')
     key = ''
     if authorization.startswith(_BEARER_PREFIX):
@@ -112,7 +138,9 @@
     if operation is None:
         return web.Response(status=400)
     received_ms = node.clock.now_ms()
-    response = await _run_operation(node, request, authorized, operation)
+    response = await _run_operation(
+        node, request, authorized, operation, clients
+    )
     instruments.increment(node.metrics.calls, operation, str(response.status))
     instruments.record(
         node.metrics.call_ms, node.clock.now_ms() - received_ms, operation
@@ -133,10 +161,11 @@
     request: web.BaseRequest,
     authorized: call_authorization.AuthorizedCall,
     operation: str,
+    clients: client_limits.Clients,
 ) -> web.Response:
     wait_ms = _get_wait_ms(request)
     if operation == 'submit':
-        return await _submit(node, request, authorized, wait_ms)
+        return await _submit(node, request, authorized, wait_ms, clients)
     if operation == 'look':
         return await _get_job_state(node, authorized, wait_ms)
     if operation == 'cancel':
@@ -146,7 +175,11 @@
 
 def _get_wait_ms(request: web.BaseRequest) -> int:
     header = request.headers.get('Deadline-Ms', '')
-    return int(header) if header.isdecimal() else DEFAULT_WAIT_MS
+    if not header.isdecimal():
+        return DEFAULT_WAIT_MS
+    # Python refuses to convert numbers of thousands of digits.
+    is_long = len(header) > len(str(MAX_WAIT_MS))
+    return MAX_WAIT_MS if is_long else min(int(header), MAX_WAIT_MS)
 
 
 def _make_json_response(
@@ -183,9 +216,18 @@
     request: web.BaseRequest,
     authorized: call_authorization.AuthorizedCall,
     wait_ms: int,
+    clients: client_limits.Clients,
 ) -> web.Response:
-    raw = await request.read()
-    spec = decode_job_spec(raw, authorized)
+    spec = await _read_job_spec(node, request, authorized, clients)
+    if isinstance(spec, client_limits.InvalidBody):
+        return web.Response(status=spec.status)
+    if isinstance(spec, client_limits.UnreadBody):
+        # Not refused: an earlier copy of the call may have been accepted.
+        return _make_unknown_response(
+            outcomes.Unknown(
+                'the body of the call can not be read', UNREAD_RETRY_AFTER_MS
+            )
+        )
     if isinstance(spec, outcomes.Refused):
         logger.info(
             'job_refused',
@@ -207,6 +249,31 @@
             return _make_unknown_response(outcome)
 
 
+async def _read_job_spec(
+    node: nodes.Node,
+    request: web.BaseRequest,
+    authorized: call_authorization.AuthorizedCall,
+    clients: client_limits.Clients,
+) -> (
+    jobs.JobSpec
+    | outcomes.Refused
+    | client_limits.InvalidBody
+    | client_limits.UnreadBody
+):
+    max_bytes = (
+        node.settings.max_body_bytes if node.settings else MAX_BODY_BYTES
+    )
+    raw = await client_limits.read_body(clients, request, max_bytes)
+    if not isinstance(raw, bytes):
+        return raw
+    spec = decode_job_spec(raw, authorized)
+    if isinstance(spec, jobs.JobSpec) and not client_limits.hold(
+        clients, request, len(spec.steps) * STEP_BYTES
+    ):
+        return client_limits.UnreadBody()
+    return spec
+
+
 def _name_job(
     authorized: call_authorization.AuthorizedCall,
 ) -> jobs.JobReference:
--- a/src/nutmegknot/_internal/platform/instance_process.py
+++ b/src/nutmegknot/_internal/platform/instance_process.py
@@ -6,13 +6,12 @@
 import random
 import uuid
 
-from aiohttp import web
-
 from nutmegknot._internal.jobs import lifecycle
 from nutmegknot._internal.jobs import metrics_page
 from nutmegknot._internal.jobs import nodes
 from nutmegknot._internal.jobs import state_dump
 from nutmegknot._internal.jobs import store_routes
+from nutmegknot._internal.network import client_limits
 from nutmegknot._internal.network import grpc_server
 from nutmegknot._internal.network import http_server
 from nutmegknot._internal.platform import caller_api
@@ -105,9 +104,14 @@
     if isinstance(running_instance, grpc_server.AddressUnavailable):
         await http_client.close(client)
         return AddressUnavailable(running_instance.detail)
+    clients = client_limits.Clients(
+        client_limits.derive_limits(settings.memory_mb, settings.max_fds),
+        node.clock,
+        node.metrics.client_closings,
+    )
     try:
         caller_server = await caller_api.serve(
-            node, settings.front, settings.ready
+            node, settings.front, settings.ready, clients
         )
     except OSError as error:
         await http_client.close(client)
@@ -125,6 +129,7 @@
     metrics = await http_server.start_server(
         settings.metrics,
         {METRICS_PATH: metrics_page.make_metrics_page(node)},
+        clients,
     )
     if isinstance(metrics, http_server.AddressUnavailable):
         logger.warning('metrics_unserved', extra={'why': metrics.detail})
@@ -156,6 +161,8 @@
             'store': settings.store,
             'adviser': settings.adviser,
             'millicores': settings.millicores,
+            'memory_mb': settings.memory_mb,
+            'max_fds': settings.max_fds,
             'max_row_bytes': settings.max_row_bytes,
             'max_worker_lease_ms': settings.limits.max_worker_lease_ms,
         },
@@ -206,14 +213,14 @@
 async def _stop(
     node: nodes.Node,
     running_instance: lifecycle.RunningInstance,
-    caller_server: web.ServerRunner,
+    caller_server: http_server.HttpServer,
 ) -> None:
     """Hands over the jobs, serves callers a while longer, then closes all."""
     logger.info('instance_stopping', extra={'instance': node.id})
     node.is_stopping = True
     await lifecycle.hand_over(node)
     await clock_lib.sleep(STOP_DELAY_MS)
-    await caller_server.cleanup()
+    await http_server.stop(caller_server)
     running_instance.server.close()
     await tasks.cancel_all(node.tasks)
     logger.info('instance_stopped', extra={'instance': node.id})
--- a/src/nutmegknot/_internal/platform/process_settings.py
+++ b/src/nutmegknot/_internal/platform/process_settings.py
@@ -13,7 +13,15 @@
 # Must equal the metrics port in deploy/system.toml, which never changes.
 METRICS_PORT = 9464
 # Section and name of the settings that have a default.
-_DEFAULTED_SETTINGS = (('platform', 'rowBytes'), ('bounds', 'maxHoldMs'))
+_DEFAULTED_SETTINGS = (
+    ('platform', 'rowBytes'),
+    ('bounds', 'maxHoldMs'),
+    ('limits', 'memoryMb'),
+    ('limits', 'maxFds'),
+)
+# Those of the smallest known instance.
+DEFAULT_MEMORY_MB = 200
+DEFAULT_MAX_FDS = 4_100
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -31,6 +39,8 @@
       store: Address of the platform's metadata store.
       adviser: Address of the advice service; '' if there is none.
       millicores: Processor time of the instance in thousandths of a core.
+      memory_mb: Memory of the instance in MiB.
+      max_fds: Most file descriptors of the instance.
       max_row_bytes: Longest value of a row in the store.
       limits: Time limits and intervals.
       defaulted: Names of the settings that the file leaves out, so that their
@@ -47,6 +57,8 @@
     store: str
     adviser: str
     millicores: int
+    memory_mb: int
+    max_fds: int
     max_row_bytes: int
     limits: time_limits.TimeLimits
     defaulted: tuple[str, ...] = ()
@@ -72,7 +84,7 @@
 def _decode_settings(fields: dict[str, Any]) -> ProcessSettings:
     listen = fields['listen']
     first_port, _ = fields['portRange']
-    cpu_limits = fields['limits']
+    machine = fields['limits']
     platform = fields['platform']
     bounds = fields['bounds']
     default = time_limits.TimeLimits()
@@ -90,7 +102,9 @@
         metrics=f'{ip}:{METRICS_PORT}',
         store=platform['address'],
         adviser=fields.get('advice') or '',
-        millicores=int(cpu_limits['cpuShare'] * cpu_limits['cores'] * 1000),
+        millicores=int(machine['cpuShare'] * machine['cores'] * 1000),
+        memory_mb=_decode_limit(machine, 'memoryMb', DEFAULT_MEMORY_MB),
+        max_fds=_decode_limit(machine, 'maxFds', DEFAULT_MAX_FDS),
         max_row_bytes=_decode_limit(
             platform, 'rowBytes', tables.DEFAULT_MAX_VALUE_BYTES
         ),
--- a/src/nutmegknot/_internal/telemetry/metrics.py
+++ b/src/nutmegknot/_internal/telemetry/metrics.py
@@ -86,6 +86,11 @@
     _observe_gauge(metrics.meter, gauge)
 
 
+def add_counter(metrics: Metrics, counter: instruments.Counter) -> None:
+    """Adds a counter, whose totals are read with the other metrics."""
+    _observe_counter(metrics.meter, counter)
+
+
 def _observe_gauge(meter: api.Meter, gauge: instruments.Gauge) -> None:
     def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
         return [
--- /dev/null
+++ b/tests/unit/network/test_client_limits.py
@@ -0,0 +1,211 @@
+"""Limits on clients: accounting by itself, and servers on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+from unittest import mock
+import zlib
+
+from aiohttp import web
+import pytest
+
+from nutmegknot._internal.network import client_limits
+from nutmegknot._internal.network import http_server
+from nutmegknot._internal.utils import clock
+from nutmegknot_standins import local_cells
+
+MAX_BODY = 262_144
+Phase, Reason = client_limits.Phase, client_limits.Reason
+
+
+def make_clients(
+    max_connections: int = 2, max_held_bytes: int = 100_000
+) -> client_limits.Clients:
+    return client_limits.Clients(
+        client_limits.Limits(max_connections, max_held_bytes),
+        clock.make_manual_clock(clock.ManualTime()),
+        client_limits.make_counter(),
+    )
+
+
+def make_connection() -> client_limits.Connection:
+    return client_limits.Connection(transport=mock.Mock())
+
+
+def list_reasons(clients: client_limits.Clients) -> list[str]:
+    return [reason for (reason,) in clients.closings.totals]
+
+
+@pytest.mark.parametrize('machine', [(200, 4_100), (552, 8_192), (64, 300)])
+def test_limits_fit_the_machine(machine: tuple[int, int]) -> None:
+    """Guards against limits that a machine can't keep or that stop callers."""
+    limits = client_limits.derive_limits(*machine)
+    memory_bytes = machine[0] * 1_048_576
+    connections_bytes = limits.max_connections * client_limits.CONNECTION_BYTES
+    assert limits.max_held_bytes + connections_bytes < memory_bytes // 3
+    assert limits.max_connections + client_limits.RESERVED_FDS < machine[1]
+    lines_bytes = client_limits.MAX_BODY_LINES * client_limits.LINE_BYTES
+    assert limits.max_held_bytes > 2 * (MAX_BODY + lines_bytes)
+
+
+async def test_the_longest_idle_connection_is_closed_for_a_new_one() -> None:
+    """Guards against silent connections that lock out callers."""
+    clients = make_clients()
+    first, second, third, fourth = (make_connection() for _ in range(4))
+    assert client_limits.admit(clients, 1, first, 2)
+    assert client_limits.admit(clients, 2, second, 2)
+    client_limits.receive(clients, first, b'GET ')
+    assert client_limits.admit(clients, 3, third, 2)
+    client_limits.receive(clients, third, b'GET ')
+    assert not client_limits.admit(clients, 4, fourth, 2)
+    closed = [c.refused for c in (first, second, third, fourth)]
+    assert closed == [None, Reason.EVICTED, None, Reason.CONNECTIONS]
+    assert clients.sweep_timer is not None
+    clients.sweep_timer.cancel()
+
+
+@pytest.mark.parametrize('data', [b'x' * 16_384, b'\r\n' * 512])
+def test_a_head_without_end_is_closed(data: bytes) -> None:
+    """Guards against heads and empty lines that go on for ever."""
+    clients = make_clients(max_held_bytes=10_000_000)
+    connection = make_connection()
+    sent = 0
+    while client_limits.receive(clients, connection, data):
+        sent += len(data)
+    assert sent == client_limits.MAX_HEAD_BYTES
+    assert list_reasons(clients) == ['head_bytes']
+
+
+def test_requests_within_a_reception_need_no_budget() -> None:
+    """Guards against ordinary calls refused for the bodies of others."""
+    clients = make_clients(max_held_bytes=0)
+    connection = make_connection()
+    assert client_limits.receive(clients, connection, b'x' * 16_384)
+    assert connection.refused is None
+    client_limits.receive(clients, connection, b'x')
+    assert connection.refused is Reason.BUDGET
+    assert not client_limits.receive(clients, connection, b'x')
+    client_limits.charge(clients, connection, 1_000)
+    clients.connections[1] = connection
+    client_limits.remove(clients, 1)
+    assert clients.held_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ('phase', 'limit_ms', 'reason'),
+    [
+        (Phase.IDLE, client_limits.IDLE_MS, Reason.IDLE_TIME),
+        (Phase.HEAD, client_limits.HEAD_MS, Reason.HEAD_TIME),
+        (Phase.BODY, client_limits.BODY_MS, Reason.BODY_TIME),
+        (Phase.CALL, 3_600_000, None),
+    ],
+)
+def test_phases_end(
+    phase: client_limits.Phase,
+    limit_ms: int,
+    reason: client_limits.Reason | None,
+) -> None:
+    """Guards against connections that stop short and are kept for ever."""
+    clients = make_clients()
+    connection = make_connection()
+    client_limits.enter(clients, connection, phase)
+    clients.sweeps = limit_ms // client_limits.SWEEP_MS
+    assert client_limits.find_expired(clients, connection) is None
+    clients.sweeps += 1
+    assert client_limits.find_expired(clients, connection) is reason
+
+
+def test_closings_are_counted_and_log_lines_limited(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a log line for each refused request."""
+    clients = make_clients()
+    for _ in range(1_000):
+        client_limits.report(clients, Reason.BUDGET)
+    assert clients.closings.totals == {('budget',): 1_000}
+    assert len(caplog.records) == 1
+
+
+@contextlib.asynccontextmanager
+async def serve(clients: client_limits.Clients) -> AsyncIterator[int]:
+    """Serves a page that tells what was read of a body; yields its port."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == '/unread':
+            return web.Response(text='unread')
+        body = await client_limits.read_body(clients, request, MAX_BODY)
+        read = len(body) if isinstance(body, bytes) else body
+        return web.Response(text=f'{read} {clients.held_bytes}')
+
+    port = local_cells.find_ports(1)[0]
+    server = http_server.make_server(clients, handle, 1.0)
+    await http_server.listen(server, f'127.0.0.1:{port}', 2, 8)
+    yield port
+    await http_server.stop(server)
+
+
+async def exchange(port: int, parts: list[bytes]) -> list[str]:
+    """Sends requests over one connection; returns the bodies of responses."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    bodies = []
+    for part in parts:
+        writer.write(part)
+        head = await reader.readuntil(b'\r\n\r\n')
+        size = int(head.lower().split(b'content-length: ')[1].split()[0])
+        bodies.append((await reader.readexactly(size)).decode())
+    writer.close()
+    return bodies
+
+
+def make_request(body: bytes, *lines: str, path: str = '/read') -> bytes:
+    head = [f'POST {path} HTTP/1.1', 'Host: jobs', *lines, '', '']
+    return '\r\n'.join(head).encode() + body
+
+
+def make_sized(body: bytes, *lines: str, path: str = '/read') -> bytes:
+    size = f'Content-Length: {len(body)}'
+    return make_request(body, size, *lines, path=path)
+
+
+async def test_a_connection_is_reused_and_its_memory_returned() -> None:
+    """Guards against calls that leave bytes taken from the budget."""
+    clients = make_clients(max_held_bytes=1_000_000)
+    largest = make_sized(b'x' * MAX_BODY)
+    parts = [largest, make_sized(largest[:90_000], path='/unread'), largest]
+    async with serve(clients) as port:
+        first, unread, last = await exchange(port, parts)
+    assert unread == 'unread'
+    assert first.split()[0] == last.split()[0] == str(MAX_BODY)
+    assert clients.held_bytes == 0
+    assert list_reasons(clients) == []
+
+
+@pytest.mark.parametrize(
+    ('request_bytes', 'reason'),
+    [
+        (make_sized(b'x' * (MAX_BODY + 1)), 'body_bytes'),
+        (
+            make_sized(
+                zlib.compress(bytes(9_000_000)), 'Content-Encoding: deflate'
+            ),
+            'body_bytes',
+        ),
+        (
+            make_request(b'1\r\nx\r\n' * 9_000, 'Transfer-Encoding: chunked'),
+            'body_chunks',
+        ),
+        (make_sized(b'x' * 150_000), 'budget'),
+        (b'GET / HTTP/1.1\r\nHost: x\r\nfield\r\n\r\n', 'malformed'),
+    ],
+    ids=['long', 'compressed', 'very small chunks', 'budget', 'malformed'],
+)
+async def test_a_body_over_a_limit_is_refused(
+    request_bytes: bytes, reason: str
+) -> None:
+    """Guards against bodies that are larger in memory than their lengths."""
+    budget = 100_000 if reason == 'budget' else 2_000_000
+    clients = make_clients(max_held_bytes=budget)
+    async with serve(clients) as port:
+        await exchange(port, [request_bytes])
+    assert list_reasons(clients) == [reason]
+    assert clients.held_bytes == 0
