Pace of the calls that wait for an answer

Cause: test_hostile_clients.py repeated a refused call at once, over 1,200 times a second while all connections were taken. Change: 50 ms between the calls, as test_attach.py waits. Crowd, traffic and bounds are unchanged.

--- a/tests/functional/test_hostile_clients.py
+++ b/tests/functional/test_hostile_clients.py
@@ -90,6 +90,7 @@
         status, _ = await job_platform.call(
             platform, session, platform.instances[0], 'POST', id, BODY
         )
+        await asyncio.sleep(0.05)
 
 
 def _check_process(instance: job_platform.Instance) -> None:
