--- a/src/nutmegknot/_internal/platform/caller_api.py
+++ b/src/nutmegknot/_internal/platform/caller_api.py
@@ -220,7 +220,9 @@
 ) -> web.Response:
     spec = await _read_job_spec(node, request, authorized, clients)
     if isinstance(spec, client_limits.InvalidBody):
-        return web.Response(status=spec.status)
+        return _make_json_response(
+            {'reason': 'the body is too long or malformed'}, spec.status
+        )
     if isinstance(spec, client_limits.UnreadBody):
         # Not refused: an earlier copy of the call may have been accepted.
         return _make_unknown_response(
