--- a/benchmarks/overload_patterns.py
+++ b/benchmarks/overload_patterns.py
@@ -10,6 +10,7 @@
 import random
 
 from benchmarks import measurements
+from nutmegknot._internal.decisions import backlogs
 from nutmegknot._internal.decisions import customer_rates
 from nutmegknot._internal.decisions import pool_load
 from nutmegknot._internal.decisions import stage_ranking
@@ -184,7 +185,7 @@
 
 def assess_backlog(cluster: cluster_state.ClusterState, now_ms: int) -> None:
     """Marks the stages that are delayed, as the owner of the jobs does."""
-    backlog = pool_load.assess_backlog(
+    backlog = backlogs.assess_backlog(
         cluster, pool_load.LoadAverages(), now_ms, now_ms
     )
     cluster.deferred_stages = backlog.deferred
--- a/src/nutmegknot/_internal/decisions/admission_checks.py
+++ b/src/nutmegknot/_internal/decisions/admission_checks.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 
+from nutmegknot._internal.decisions import backlogs
 from nutmegknot._internal.decisions import deferrals
 from nutmegknot._internal.decisions import pool_load
 from nutmegknot._internal.decisions import run_times
@@ -46,7 +47,7 @@
 
 def find_excessive_delay(
     cluster: cluster_state.ClusterState,
-    backlog: pool_load.Backlog,
+    backlog: backlogs.Backlog,
     spec: jobs.JobSpec,
     queue: job_settings.JobQueue,
     *,
@@ -79,8 +80,8 @@
     delay = _find_delay(waiting.useful, new, waiting)
     limited = waiting.limited.get(spec.customer)
     if delay is None and limited is not None:
-        limited_class = pool_load.ClassBacklog(
-            pool_load.compute_limited_rate(cluster, spec.customer, load)
+        limited_class = backlogs.ClassBacklog(
+            backlogs.compute_limited_rate(cluster, spec.customer, load)
         )
         delay = _find_delay(limited, new, limited_class)
     return delay
@@ -123,9 +124,9 @@
 def _find_delay(
     waiting: list[deferrals.Candidate],
     new: deferrals.Candidate,
-    waiting_class: pool_load.ClassBacklog,
+    waiting_class: backlogs.ClassBacklog,
 ) -> ExcessiveDelay | None:
-    compute_start = pool_load.make_compute_start(waiting_class, WORK_FACTOR)
+    compute_start = backlogs.make_compute_start(waiting_class, WORK_FACTOR)
     waiting_ms = sum(item.work_ms for item in waiting)
     backlog_ms = compute_start(waiting_ms + new.work_ms)
     if backlog_ms <= new.latest_start_ms:
--- a/src/nutmegknot/_internal/decisions/run_times.py
+++ b/src/nutmegknot/_internal/decisions/run_times.py
@@ -10,7 +10,6 @@
 
 import math
 
-from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import run_time_histograms
 
 # Factor by which an observation weighs more than the one before it. The weight
@@ -30,8 +29,6 @@
 # Largest number of queues and steps that are observed; the one that was added
 # first is forgotten. One takes about 2 KB.
 _MAX_HISTOGRAMS = 2_000
-# Quantile that a single task is expected at.
-_MEDIAN = 0.5
 # Progress in percent from which on the time left follows from it alone. It is
 # rounded to whole percents, so that its error is below a tenth there.
 MIN_RELIABLE_PERCENT = 10
@@ -169,45 +166,6 @@
     return float(2.0 ** (octaves / run_time_histograms.BUCKETS_PER_OCTAVE))
 
 
-def estimate_stage_ms(
-    run_times: run_time_histograms.RunTimes,
-    queue: str,
-    step_number: int,
-    step: jobs.Step,
-) -> int:
-    """Returns the expected run time in ms of the longest task of a step.
-
-    The expected rank of the largest of n draws is the quantile n / (n + 1).
-    """
-    quantile = step.count / (step.count + 1) if step.count > 1 else _MEDIAN
-    return estimate_quantile_ms(
-        run_times, queue, step_number, step.estimate_ms, quantile
-    )
-
-
-def estimate_paths(
-    run_times: run_time_histograms.RunTimes,
-    queue: str,
-    steps: tuple[jobs.Step, ...],
-) -> tuple[int, ...]:
-    """Returns the time in ms from the start of each step to the job's end.
-
-    It is the longest chain of dependent steps that begins with the step, each
-    as long as its longest task. A step depends on earlier ones only.
-    """
-    after = [0] * len(steps)
-    paths = [0] * len(steps)
-    for number in range(len(steps) - 1, -1, -1):
-        step = steps[number]
-        paths[number] = after[number] + estimate_stage_ms(
-            run_times, queue, number, step
-        )
-        for before in step.depends_on:
-            if before < number:
-                after[before] = max(after[before], paths[number])
-    return tuple(paths)
-
-
 def estimate_left_ms(
     age_ms: int, progress_percent: int, expected_ms: int
 ) -> int:
--- a/src/nutmegknot/_internal/decisions/stage_ranking.py
+++ b/src/nutmegknot/_internal/decisions/stage_ranking.py
@@ -24,7 +24,7 @@
 ADVISED_WORKERS = 30
 # Quantile of the learned run times at which stages are ranked.
 MEDIAN = 0.5
-# Quantile at which a job counts as late, or its result as worth nothing.
+# Quantile at which a job counts as late or its result as worth nothing.
 # Estimates are off by up to 0.9, and a job that goes after others as it looks
 # late will be late.
 LONG_QUANTILE = 0.9
--- a/src/nutmegknot/_internal/jobs/advice_calls.py
+++ b/src/nutmegknot/_internal/jobs/advice_calls.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import dataclasses
 import logging
 
 from nutmegknot._internal.backing import advisers
@@ -86,7 +87,7 @@
 def _choose_request(ownership: ownerships.Ownership) -> str | None:
     """Returns the name of the stage whose request is sent next, or None.
 
-    It is the most urgent one as of now. Load pattern: urgent stages need new
+    It is the most urgent one. Load pattern: urgent stages need new
     advice again and again, for instance as their workers are replaced, and less
     urgent ones would never be asked about. So every other time, the oldest
     request goes first if it has waited for long.
@@ -100,16 +101,7 @@
             del queue.waiting[name]
             del queue.queued_ms[name]
     waiting = queue.waiting
-    ranks = {
-        name: stage_ranking.rank_stage(
-            ownership.cluster,
-            request.job,
-            request.stage,
-            ownership.clock.wall_ms(),
-        )
-        for name, request in waiting.items()
-    }
-    oldest = _find_oldest(ranks)
+    oldest = _find_oldest(queue)
     queue.was_oldest_chosen = (
         oldest is not None
         and not queue.was_oldest_chosen
@@ -118,24 +110,37 @@
     )
     if queue.was_oldest_chosen:
         return oldest
-    return min(ranks, key=lambda name: ranks[name], default=None)
+    return min(waiting, key=lambda name: waiting[name].rank, default=None)
 
 
-def _find_oldest(ranks: dict[str, advice_requests.Rank]) -> str | None:
+def _find_oldest(queue: advice_requests.AdviceQueue) -> str | None:
     """Returns the stage whose request has waited longest, or None.
 
     Stages whose result will be worth nothing are left out, as each call for
     them would delay others.
-
-    Args:
-      ranks: Ranks of the stages, by name; the oldest request comes first.
     """
-    for name, rank in ranks.items():
-        if rank.urgency_band < stage_ranking.TOO_LATE:
+    for name, request in queue.waiting.items():
+        if request.rank.urgency_band < stage_ranking.TOO_LATE:
             return name
     return None
 
 
+def update_ranks(ownership: ownerships.Ownership) -> None:
+    """Ranks the waiting requests anew.
+
+    Choosing a request does not do this: it happens hundreds of times a second,
+    and with a rank for each waiting request it took all of a processor under
+    overload.
+    """
+    waiting = ownership.advice_queue.waiting
+    wall_ms = ownership.clock.wall_ms()
+    for name, request in waiting.items():
+        rank = stage_ranking.rank_stage(
+            ownership.cluster, request.job, request.stage, wall_ms
+        )
+        waiting[name] = dataclasses.replace(request, rank=rank)
+
+
 async def _call_adviser(
     ownership: ownerships.Ownership,
     advise: advisers.Advise,
--- a/src/nutmegknot/_internal/jobs/overload.py
+++ b/src/nutmegknot/_internal/jobs/overload.py
@@ -7,8 +7,9 @@
 import logging
 
 from nutmegknot._internal.decisions import admission_checks
+from nutmegknot._internal.decisions import backlogs
 from nutmegknot._internal.decisions import customer_rates
-from nutmegknot._internal.decisions import pool_load
+from nutmegknot._internal.jobs import advice_calls
 from nutmegknot._internal.jobs import ownerships
 from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.models import jobs
@@ -36,7 +37,7 @@
         return
     ownership.backlog_due_ms = now_ms + ASSESSMENT_INTERVAL_MS
     cluster = ownership.cluster
-    backlog = pool_load.assess_backlog(
+    backlog = backlogs.assess_backlog(
         cluster, ownership.load_averages, now_ms, ownership.clock.wall_ms()
     )
     ownership.backlog = backlog
@@ -51,6 +52,7 @@
         )
     cluster.deferred_stages = backlog.deferred
     cluster.too_late_stages = backlog.too_late
+    advice_calls.update_ranks(ownership)
 
 
 def restore_rates(ownership: ownerships.Ownership) -> None:
--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -6,6 +6,7 @@
 
 from nutmegknot._internal.backing import advisers
 from nutmegknot._internal.backing import runners
+from nutmegknot._internal.decisions import backlogs
 from nutmegknot._internal.decisions import customer_rates
 from nutmegknot._internal.decisions import plans
 from nutmegknot._internal.decisions import pool_load
@@ -134,8 +135,8 @@
     rates: customer_rates.CustomerRates = dataclasses.field(
         default_factory=customer_rates.CustomerRates
     )
-    backlog: pool_load.Backlog = dataclasses.field(
-        default_factory=pool_load.Backlog
+    backlog: backlogs.Backlog = dataclasses.field(
+        default_factory=backlogs.Backlog
     )
     backlog_due_ms: int = 0
     load_averages: pool_load.LoadAverages = dataclasses.field(
--- a/tests/unit/decisions/test_overload_admission.py
+++ b/tests/unit/decisions/test_overload_admission.py
@@ -6,6 +6,7 @@
 import pytest
 
 from nutmegknot._internal.decisions import admission_checks
+from nutmegknot._internal.decisions import backlogs
 from nutmegknot._internal.decisions import customer_rates
 from nutmegknot._internal.decisions import pool_load
 from nutmegknot._internal.decisions import stage_ranking
@@ -95,8 +96,8 @@
     return stage
 
 
-def assess(cluster: cluster_state.ClusterState) -> pool_load.Backlog:
-    backlog = pool_load.assess_backlog(
+def assess(cluster: cluster_state.ClusterState) -> backlogs.Backlog:
+    backlog = backlogs.assess_backlog(
         cluster, pool_load.LoadAverages(), NOW_MS, NOW_MS
     )
     cluster.deferred_stages = backlog.deferred
--- a/tests/unit/decisions/test_run_times.py
+++ b/tests/unit/decisions/test_run_times.py
@@ -8,6 +8,8 @@
 import pytest
 
 from nutmegknot._internal.decisions import run_times
+from nutmegknot._internal.decisions import stage_ranking
+from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import run_time_histograms
 
 QUEUE = 'queue'
@@ -37,10 +39,13 @@
     run_times.record_run(known, QUEUE, 1, 100, 700)
     step = job_cells.make_step(count, estimate_ms=estimate_ms)
     key = (known, QUEUE, 0)
+    queue = job_cells.make_queue(QUEUE)
+    settings = job_cells.make_settings(queue)
+    cluster = cluster_state.ClusterState(1, 0, settings, stage_times=known)
     assert {
         run_times.estimate_quantile_ms(*key, estimate_ms, quantile),
         run_times.estimate_mean_ms(*key, estimate_ms),
-        run_times.estimate_stage_ms(*key, step),
+        *stage_ranking.estimate_steps(cluster, queue, (step, step))[:1],
     } == {estimate_ms}
 
 
@@ -103,8 +108,7 @@
         job_cells.make_step(estimate_ms=ms, depends_on=before)
         for ms, before in ((100, ()), (900, (0,)), (50, (0,)), (10, (1, 2)))
     )
-    known = run_time_histograms.RunTimes()
-    paths = run_times.estimate_paths(known, QUEUE, steps)
+    paths = stage_ranking.compute_paths(steps, [s.estimate_ms for s in steps])
     assert paths == (1_010, 910, 60, 10)
 
 
