New order only in overloaded pools

Change: stages are delayed, and objectives judged by the median, only in pools in which the waiting work of a class takes more than 500 ms to start. Elsewhere the 90 % quantile decides, and nothing goes after all classes.

--- a/benchmarks/overload_patterns.py
+++ b/benchmarks/overload_patterns.py
@@ -188,6 +188,7 @@
     backlog = backlogs.assess_backlog(
         cluster, pool_load.LoadAverages(), now_ms, now_ms
     )
+    cluster.overloaded_pools = backlog.overloaded_pools
     cluster.deferred_stages = backlog.deferred
     cluster.too_late_stages = backlog.too_late
 
--- a/src/nutmegknot/_internal/decisions/backlogs.py
+++ b/src/nutmegknot/_internal/decisions/backlogs.py
@@ -20,9 +20,9 @@
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.models import resources
 
-# Nothing is delayed while all waiting work of a class starts within this time,
-# in ms. It is less than the slack of the shortest jobs.
-MIN_BACKLOG_MS = 250
+# A pool is overloaded if the waiting work of a class takes longer than this to
+# start, in ms: about the slack of the shortest jobs.
+MIN_BACKLOG_MS = 500
 
 StageKey = tuple[str, int, int]
 
@@ -81,12 +81,14 @@
       deferred: Stages that are delayed although they could still meet their
         objective alone.
       too_late: Stages that can't end while their result is worth anything.
+      overloaded_pools: Pools in which the work of a class waits for long.
       classes: What waits, by pool and class of priority.
       loads: Load of each pool.
     """
 
     deferred: set[StageKey] = dataclasses.field(default_factory=set)
     too_late: set[StageKey] = dataclasses.field(default_factory=set)
+    overloaded_pools: set[str] = dataclasses.field(default_factory=set)
     classes: dict[tuple[str, int], ClassBacklog] = dataclasses.field(
         default_factory=dict
     )
@@ -139,6 +141,9 @@
             sum(load.fixed_ms[other] for other in less_urgent),
         )
         backlog.classes[pool, priority] = found_class
+        total_ms = sum(stage.useful.work_ms for stage in stages)
+        if make_compute_start(found_class)(total_ms) > MIN_BACKLOG_MS:
+            backlog.overloaded_pools.add(pool)
         ahead[pool] = ahead.get(pool, 0.0) + _assess_class(
             cluster, backlog, found_class, stages, load
         )
@@ -200,7 +205,7 @@
     useful_ms = times.worthless_from_ms - wall_ms - times.remaining_ms
     if not count or useful_ms < 0:
         return None
-    on_time_ms = times.latest_objective_end_ms - wall_ms - times.remaining_ms
+    on_time_ms = times.objective_end_ms - wall_ms - times.remaining_ms
     work_ms = count * pool_load.compute_share(load, stage.step) * times.task_ms
     key = (job.spec.id, stage.occurrence, stage.number)
     return WaitingStage(
@@ -253,6 +258,7 @@
     total_ms = sum(stage.useful.work_ms for stage in stages)
     if compute_start(total_ms) <= MIN_BACKLOG_MS:
         return frozenset(), frozenset(), total_ms
+    late = {stage.key for stage in stages if stage.is_late}
     selected = deferrals.choose_deferred(
         (stage.on_time for stage in stages if not stage.is_late), compute_start
     )
@@ -265,7 +271,7 @@
         lambda work_ms: compute_start(selected.kept_ms + work_ms),
     )
     kept_ms = selected.kept_ms + left.kept_ms
-    return selected.deferred, left.deferred, kept_ms
+    return selected.deferred | late, left.deferred, kept_ms
 
 
 def compute_limited_rate(
--- a/src/nutmegknot/_internal/decisions/stage_ranking.py
+++ b/src/nutmegknot/_internal/decisions/stage_ranking.py
@@ -5,8 +5,8 @@
 (the time that their queue allows them) go first, then such jobs in excess of
 their customer's rate, then jobs that are late or are delayed in favour of
 others, then jobs that will end after their result has lost its value; among
-equals, the job whose objective ends first. Jobs whose result has lost its value
-go after all classes.
+equals, the job whose objective ends first. While a pool is overloaded, jobs
+whose result has lost its value go after all classes.
 """
 
 from collections.abc import Sequence
@@ -24,9 +24,9 @@
 ADVISED_WORKERS = 30
 # Quantile of the learned run times at which stages are ranked.
 MEDIAN = 0.5
-# Quantile at which a job counts as late or its result as worth nothing.
-# Estimates are off by up to 0.9, and a job that goes after others as it looks
-# late will be late.
+# Quantile at which a job counts as late or its result as worth nothing while
+# its pool is not overloaded. Estimates are off by up to 0.9, and a job that
+# goes after others as it looks late will be late.
 LONG_QUANTILE = 0.9
 # Urgency bands within a priority class: the objective can be met; it can, and
 # the customer is above its rate; it can't; the job will end after EXPIRY_FACTOR
@@ -42,16 +42,14 @@
 
     Attributes:
       objective_end_ms: When the objective of its job ends, in ms since the Unix
-        epoch.
-      latest_objective_end_ms: When it ends at the latest in nearly all cases,
-        likewise.
+        epoch; the latest such time in nearly all cases unless its pool is
+        overloaded.
       worthless_from_ms: From when the result is worth nothing, likewise.
       task_ms: Mean run time of its tasks, in ms.
       remaining_ms: Estimated time from its start to the end of its job, in ms.
     """
 
     objective_end_ms: int
-    latest_objective_end_ms: int
     worthless_from_ms: int
     task_ms: int
     remaining_ms: int
@@ -78,13 +76,14 @@
             path_ms += excess_ms
             longest_path_ms = max(longest_path_ms, path_ms)
             remaining_ms += excess_ms
-    longest_objective_ms = apply_objective(
-        queue, longest_path_ms or job.critical_path_ms
+    is_overloaded = queue.pool in cluster.overloaded_pools
+    objective_ms = apply_objective(
+        queue,
+        (path_ms if is_overloaded else longest_path_ms) or job.critical_path_ms,
     )
     return StageTimes(
-        due_ms + apply_objective(queue, path_ms or job.critical_path_ms),
-        due_ms + longest_objective_ms,
-        due_ms + EXPIRY_FACTOR * longest_objective_ms,
+        due_ms + objective_ms,
+        due_ms + EXPIRY_FACTOR * objective_ms,
         run_times.estimate_mean_ms(
             cluster.run_times,
             job.spec.queue,
@@ -235,11 +234,14 @@
         return EXCESS if job.is_excess else ON_TIME
     key = (job.spec.id, stage.occurrence, stage.number)
     end_ms = wall_ms + times.remaining_ms
-    if wall_ms > times.worthless_from_ms:
+    if (
+        wall_ms > times.worthless_from_ms
+        and queue.pool in cluster.overloaded_pools
+    ):
         return EXPIRED
     if end_ms > times.worthless_from_ms or key in cluster.too_late_stages:
         return TOO_LATE
-    if end_ms > times.latest_objective_end_ms or key in cluster.deferred_stages:
+    if end_ms > times.objective_end_ms or key in cluster.deferred_stages:
         return LATE
     return EXCESS if job.is_excess else ON_TIME
 
--- a/src/nutmegknot/_internal/jobs/overload.py
+++ b/src/nutmegknot/_internal/jobs/overload.py
@@ -50,6 +50,7 @@
                 'waiting': len(cluster.waiting_stages),
             },
         )
+    cluster.overloaded_pools = backlog.overloaded_pools
     cluster.deferred_stages = backlog.deferred
     cluster.too_late_stages = backlog.too_late
     advice_calls.update_ranks(ownership)
--- a/src/nutmegknot/_internal/models/cluster_state.py
+++ b/src/nutmegknot/_internal/models/cluster_state.py
@@ -282,6 +282,8 @@
         decisions/run_times.py.
       missing_workers: Workers of which it is not known whether they crashed, by
         id.
+      overloaded_pools: Pools in which the work of a class waits for long; see
+        decisions/backlogs.py.
       deferred_stages: Waiting stages that are delayed beyond their objective in
         favour of others, by job id, number of the occurrence and of the step.
       too_late_stages: Waiting stages that will end after their result has lost
@@ -337,6 +339,7 @@
     missing_workers: dict[str, MissingWorker] = dataclasses.field(
         default_factory=dict
     )
+    overloaded_pools: set[str] = dataclasses.field(default_factory=set)
     deferred_stages: set[tuple[str, int, int]] = dataclasses.field(
         default_factory=set
     )
--- a/tests/unit/decisions/test_overload_admission.py
+++ b/tests/unit/decisions/test_overload_admission.py
@@ -100,6 +100,7 @@
     backlog = backlogs.assess_backlog(
         cluster, pool_load.LoadAverages(), NOW_MS, NOW_MS
     )
+    cluster.overloaded_pools = backlog.overloaded_pools
     cluster.deferred_stages = backlog.deferred
     cluster.too_late_stages = backlog.too_late
     return backlog
@@ -255,6 +256,7 @@
 
 def test_work_without_value_goes_after_all_classes() -> None:
     cluster = make_cluster()
+    cluster.overloaded_pools = {'pool'}
     expired = add_job(cluster, 'e', 1)
     batch = add_job(cluster, 'b', 1, 'batch')
     ranks = [
