Delays under overload and speeds of single workers are off by default

Change: work is delayed only with NUTMEGKNOT_DELAYS_UNDER_OVERLOAD=1. Otherwise stages are ranked by the callers' estimates, as before, with jobs above their customer's rate after the others. Placement uses the speed of a worker's kind. Result: unit tests of decisions, and of overload and uneven work, pass.

--- a/benchmarks/plain_task_placement.py
+++ b/benchmarks/plain_task_placement.py
@@ -258,7 +258,7 @@
             task_placement.INTERFERENCE_PENALTY * info.opportunistic_runs
             + counts.get(worker.id, 0)
         )
-    cost += task_placement.SLOWNESS_PENALTY * worker_speeds.get_run_time_ratio(
+    cost += task_placement.SLOWNESS_PENALTY * worker_speeds.get_kind_ratio(
         cluster, info
     )
     if step.data_rack and step.data_rack != worker.rack:
--- a/src/nutmegknot/_internal/decisions/stage_ranking.py
+++ b/src/nutmegknot/_internal/decisions/stage_ranking.py
@@ -24,9 +24,8 @@
 ADVISED_WORKERS = 30
 # Quantile of the learned run times at which stages are ranked.
 MEDIAN = 0.5
-# Quantile at which a job counts as late or its result as worth nothing while
-# its pool is not overloaded. Estimates are off by up to 0.9, and a job that
-# goes after others as it looks late will be late.
+# Quantile of the learned times of stages at which a new job is refused: an
+# estimate may be off by 0.9.
 LONG_QUANTILE = 0.9
 # Urgency bands within a priority class: the objective can be met; it can, and
 # the customer is above its rate; it can't; the job will end after EXPIRY_FACTOR
@@ -42,8 +41,8 @@
 
     Attributes:
       objective_end_ms: When the objective of its job ends, in ms since the Unix
-        epoch; the latest such time in nearly all cases unless its pool is
-        overloaded.
+        epoch. It follows from learned times while its pool is overloaded, else
+        from the caller's estimates.
       worthless_from_ms: From when the result is worth nothing, likewise.
       task_ms: Mean run time of its tasks, in ms.
       remaining_ms: Estimated time from its start to the end of its job, in ms.
@@ -64,7 +63,7 @@
     due_ms = max(
         compute_due_ms(job.spec, stage.occurrence), job.spec.accepted_ms
     )
-    path_ms, longest_path_ms = job.path_ms, job.longest_path_ms
+    path_ms = job.path_ms
     remaining_ms = stage.step.estimate_ms
     if stage.number < len(job.path_ms_by_step):
         remaining_ms = job.path_ms_by_step[stage.number]
@@ -74,13 +73,11 @@
         )
         if excess_ms > 0:
             path_ms += excess_ms
-            longest_path_ms = max(longest_path_ms, path_ms)
             remaining_ms += excess_ms
-    is_overloaded = queue.pool in cluster.overloaded_pools
-    objective_ms = apply_objective(
-        queue,
-        (path_ms if is_overloaded else longest_path_ms) or job.critical_path_ms,
-    )
+    if queue.pool not in cluster.overloaded_pools:
+        path_ms = job.critical_path_ms
+        remaining_ms = stage.step.estimate_ms
+    objective_ms = apply_objective(queue, path_ms or job.critical_path_ms)
     return StageTimes(
         due_ms + objective_ms,
         due_ms + EXPIRY_FACTOR * objective_ms,
@@ -157,8 +154,6 @@
     job.step_ms = list(estimate_steps(cluster, queue, steps))
     job.path_ms_by_step = compute_paths(steps, job.step_ms)
     job.path_ms = max(job.path_ms_by_step, default=0)
-    longest_ms = estimate_steps(cluster, queue, steps, LONG_QUANTILE)
-    job.longest_path_ms = max(compute_paths(steps, longest_ms), default=0)
 
 
 def record_stage_time(
@@ -182,7 +177,6 @@
         job.step_ms[stage.number] = max(job.step_ms[stage.number], longest_ms)
         job.path_ms_by_step = compute_paths(job.spec.steps, job.step_ms)
         job.path_ms = max(job.path_ms_by_step)
-        job.longest_path_ms = max(job.longest_path_ms, job.path_ms)
 
 
 def has_objective(queue: job_settings.JobQueue) -> bool:
--- a/src/nutmegknot/_internal/decisions/task_placement.py
+++ b/src/nutmegknot/_internal/decisions/task_placement.py
@@ -375,7 +375,7 @@
         cost += INTERFERENCE_PENALTY * info.opportunistic_runs + counts.get(
             worker.id, 0
         )
-    cost += SLOWNESS_PENALTY * worker_speeds.get_run_time_ratio(cluster, info)
+    cost += SLOWNESS_PENALTY * worker_speeds.get_kind_ratio(cluster, info)
     if step.data_rack and step.data_rack != worker.rack:
         cost += REMOTE_DATA_PENALTY
     return cost
--- a/src/nutmegknot/_internal/decisions/worker_speeds.py
+++ b/src/nutmegknot/_internal/decisions/worker_speeds.py
@@ -54,6 +54,18 @@
     return cluster.kind_ratios.get((info.worker.pool, info.worker.kind), 1.0)
 
 
+def get_kind_ratio(
+    cluster: cluster_state.ClusterState, info: cluster_state.WorkerInfo
+) -> float:
+    """Returns the run time on workers of a kind divided by the estimates.
+
+    Placement uses it: differences of single workers are small against their
+    noise, and would undo the packing of equal workers.
+    """
+    key = (info.worker.pool, info.worker.kind)
+    return cluster.run_time_ratios.get(key, 1.0)
+
+
 def record_stage(
     cluster: cluster_state.ClusterState, queue: str, stage: jobs.Stage
 ) -> None:
--- a/src/nutmegknot/_internal/jobs/overload.py
+++ b/src/nutmegknot/_internal/jobs/overload.py
@@ -41,6 +41,8 @@
         cluster, ownership.load_averages, now_ms, ownership.clock.wall_ms()
     )
     ownership.backlog = backlog
+    if not ownership.limits.delays_under_overload:
+        return
     if bool(backlog.deferred) != bool(cluster.deferred_stages):
         logger.info(
             'backlog_late' if backlog.deferred else 'backlog_on_time',
--- a/src/nutmegknot/_internal/jobs/time_limits.py
+++ b/src/nutmegknot/_internal/jobs/time_limits.py
@@ -47,6 +47,8 @@
       throttle_delay_ms: How long a tail latency may exceed its target without
         reaction. After that the opportunistic tasks on the same worker are
         throttled.
+      delays_under_overload: Whether work is delayed in favour of other work in
+        pools that are overloaded.
       rate_limits: How the number of jobs that a customer submits is
         measured against what it is entitled to.
     """
@@ -70,6 +72,7 @@
     retention_ms: int = 150_000
     due_time_margin_ms: int = 0
     throttle_delay_ms: int = 600
+    delays_under_overload: bool = False
     rate_limits: customer_rates.RateLimits = dataclasses.field(
         default_factory=customer_rates.RateLimits
     )
--- a/src/nutmegknot/_internal/models/jobs.py
+++ b/src/nutmegknot/_internal/models/jobs.py
@@ -421,7 +421,6 @@
         end of the job.
       path_ms: Expected time of its longest chain of steps; 0 if that is not
         estimated.
-      longest_path_ms: The most that this chain takes in nearly all cases.
       is_excess: Whether its customer had submitted more jobs than it is
         entitled to when this one was accepted.
     """
@@ -443,7 +442,6 @@
     step_ms: list[int] = dataclasses.field(default_factory=list)
     path_ms_by_step: tuple[int, ...] = ()
     path_ms: int = 0
-    longest_path_ms: int = 0
     is_excess: bool = False
 
 
--- a/src/nutmegknot/_internal/platform/process_settings.py
+++ b/src/nutmegknot/_internal/platform/process_settings.py
@@ -11,6 +11,8 @@
 from nutmegknot._internal.utils import json_fields
 
 SETTINGS_VARIABLE = 'NUTMEGKNOT_CONFIG'
+# Operators set it to 1 to have work delayed in overloaded pools.
+DELAYS_VARIABLE = 'NUTMEGKNOT_DELAYS_UNDER_OVERLOAD'
 # Must equal the metrics port in deploy/system.toml, which never changes.
 METRICS_PORT = 9464
 # Section and name of the settings that have a default.
@@ -113,6 +115,7 @@
             default,
             max_worker_lease_ms=max_worker_lease_ms,
             worker_lease_ms=min(default.worker_lease_ms, max_worker_lease_ms),
+            delays_under_overload=os.environ.get(DELAYS_VARIABLE) == '1',
             rate_limits=_decode_rate_limits(bounds),
         ),
         defaulted=tuple(
