--- a/src/nutmegknot/_internal/decisions/run_times.py
+++ b/src/nutmegknot/_internal/decisions/run_times.py
@@ -21,7 +21,7 @@
 _MAX_WEIGHT = 1e9
 # Number of observations that weigh as much as the caller's estimate.
 ESTIMATE_RUNS = 8
-# Quantiles are computed anew once this part of all observations is new, and at
+# Quantiles are computed again once this part of all observations is new, and at
 # the latest after _MAX_NEW_RUNS: ranking reads them far more often than runs
 # end.
 _NEW_RUNS_FRACTION = 0.05
--- a/src/nutmegknot/_internal/jobs/advice_calls.py
+++ b/src/nutmegknot/_internal/jobs/advice_calls.py
@@ -126,7 +126,7 @@
 
 
 def update_ranks(ownership: ownerships.Ownership) -> None:
-    """Ranks the waiting requests anew.
+    """Updates the ranks of the waiting requests.
 
     Choosing a request does not do this, since each idle adviser chooses among
     all requests whenever one is added, and a rank takes about 6 us.
--- a/src/nutmegknot/_internal/jobs/overload.py
+++ b/src/nutmegknot/_internal/jobs/overload.py
@@ -1,7 +1,7 @@
 """Delays and refuses work while the workers have too little capacity.
 
-What is delayed or refused is decided in decisions/pool_load.py; this module
-keeps the results of that, and logs and counts them.
+What is delayed is decided in decisions/backlogs.py, and what is refused in
+decisions/admission_checks.py; this module keeps, logs and counts the results.
 """
 
 import logging
