Store the cancel of an unknown job before it is acknowledged

Cause: the cancel of a job that the owner does not know was kept in the memory of that owner only, and acknowledged without a write. It ended with the ownership, however that ended. Two related paths: a cancel of a job that was withdrawn because the store took no writes, and the oldest of 10,000 cancels.

Without a change of owner the cancel holds (a test that was there before).

Change: the cancel is a row of the table, named by a digest of the customer and the id, and is acknowledged once it is written. A takeover loads the rows; each owner removes them 60 s after it learned of them.

Why it works: a write of the owner takes effect only while no other instance has written the owner row, so what was acknowledged is there before the next owner reads the rows.

--- a/src/nutmegknot/_internal/jobs/owner_election.py
+++ b/src/nutmegknot/_internal/jobs/owner_election.py
@@ -24,7 +24,6 @@
 from nutmegknot._internal.jobs import task_scheduling
 from nutmegknot._internal.jobs import worker_discovery
 from nutmegknot._internal.jobs import writers
-from nutmegknot._internal.models import cluster_state
 from nutmegknot._internal.models import jobs
 from nutmegknot._internal.telemetry import instruments
 from nutmegknot._internal.utils import clock
@@ -337,8 +336,8 @@
         ),
         'write',
     )
-    cluster = await _load_cluster(node, writer)
-    if cluster is None:
+    loaded = await _load_state(node, writer)
+    if loaded is None:
         await _abandon(writer, owner_tasks)
         return
     ownership = ownerships.Ownership(
@@ -348,11 +347,12 @@
         node.backends.runners,
         {},
         writer,
-        cluster,
+        loaded.cluster,
         owner_tasks,
         node.metrics,
         node.routes,
         node.lateness,
+        early_cancels=loaded.early_cancels,
     )
 
     writer.on_write_completed = lambda: _process_completed_write(ownership)
@@ -372,9 +372,9 @@
     ceiling_updates.apply_completed_write(ownership)
 
 
-async def _load_cluster(
+async def _load_state(
     node: nodes.Node, writer: writers.Writer
-) -> cluster_state.ClusterState | None:
+) -> takeover.LoadedState | None:
     """Loads the jobs, with retries.
 
     Returns:
@@ -392,7 +392,7 @@
         )
         if not isinstance(loaded, tables.Unavailable):
             writer.part_counts.update(loaded.part_counts)
-            return loaded.cluster
+            return loaded
         logger.warning('state_load_failed', extra={'why': loaded.detail})
         if writer.is_lost or node.clock.now_ms() > until_ms:
             return None
--- a/src/nutmegknot/_internal/jobs/owner_operations.py
+++ b/src/nutmegknot/_internal/jobs/owner_operations.py
@@ -93,6 +93,14 @@
         case writers.WriteOutcome.WITHDRAWN:
             ownership.cluster.jobs.pop(spec.id, None)
             overload.forget_rejected_job(ownership, job)
+            if jobs.is_final(job):
+                # It was cancelled meanwhile. The row with its final state would
+                # be taken for that of a later job with this id.
+                writers.queue_write(
+                    ownership.writer,
+                    rows.get_progress_key(spec.id),
+                    rows.encode_removal,
+                )
             return _log_refusal(
                 spec,
                 outcomes.Refused(
@@ -108,11 +116,11 @@
 def _find_refusal(
     ownership: ownerships.Ownership, spec: jobs.JobSpec
 ) -> outcomes.Refused | None:
+    digest = early_cancels.make_digest(
+        jobs.JobReference(spec.id, spec.customer, spec.queue)
+    )
     if early_cancels.is_cancelled(
-        ownership.unknown_cancels,
-        spec.customer,
-        spec.id,
-        ownership.clock.now_ms(),
+        ownership.early_cancels, digest, ownership.clock.now_ms()
     ):
         reason = outcomes.RefusalReason.CANCELLED
         return _log_refusal(
@@ -242,15 +250,8 @@
 ) -> CancelOutcome:
     """Cancels a job, answering once that is in the store."""
     job = ownership.cluster.jobs.get(reference.id)
-    if job is None:
-        early_cancels.record_cancel(
-            ownership.unknown_cancels,
-            reference.customer,
-            reference.id,
-            ownership.clock.now_ms(),
-        )
     if job is None or not _is_meant(ownership, job, reference):
-        return outcomes.NotFound(reference.id)
+        return await _cancel_unknown_job(ownership, reference)
     if not jobs.is_final(job):
         reconciliation.finish_job(
             ownership, job, jobs.JobState.CANCELLED, 'caller'
@@ -259,11 +260,39 @@
         written = await writers.wait_durable(ownership.writer)
         if written is not writers.WriteOutcome.DURABLE:
             return outcomes.Unknown('the ownership was lost while writing')
+        if ownership.cluster.jobs.get(reference.id) is not job:
+            # The job was not stored and is forgotten, with its cancel.
+            return await _cancel_unknown_job(ownership, reference)
         if not ownerships.is_written(ownership, job):
             return outcomes.Unknown('the store rejects the state of the job')
     return outcomes.Cancelled(job.has_started)
 
 
+async def _cancel_unknown_job(
+    ownership: ownerships.Ownership, reference: jobs.JobReference
+) -> CancelOutcome:
+    """Bars a job that is not known, answering once that is in the store.
+
+    The call with the job may reach this owner later, or the next one.
+    """
+    digest = early_cancels.make_digest(reference)
+    is_recorded = early_cancels.record_cancel(
+        ownership.early_cancels, digest, ownership.clock.now_ms()
+    )
+    if not is_recorded:
+        return outcomes.Unknown('too many cancels of unknown jobs')
+    epoch, wall_ms = ownership.cluster.epoch, ownership.clock.wall_ms()
+    writers.queue_write(
+        ownership.writer,
+        rows.get_early_cancel_key(digest),
+        lambda: rows.encode_early_cancel(epoch, wall_ms),
+    )
+    written = await writers.wait_durable(ownership.writer)
+    if written is not writers.WriteOutcome.DURABLE:
+        return outcomes.Unknown('the ownership was lost while writing')
+    return outcomes.NotFound(reference.id)
+
+
 def count_waiting_jobs(ownership: ownerships.Ownership, queue: str) -> int:
     """Returns how many accepted jobs of a queue have not begun."""
     return sum(
--- a/src/nutmegknot/_internal/jobs/ownerships.py
+++ b/src/nutmegknot/_internal/jobs/ownerships.py
@@ -11,7 +11,7 @@
 from nutmegknot._internal.decisions import plans
 from nutmegknot._internal.decisions import pool_load
 from nutmegknot._internal.jobs import command_queues
-from nutmegknot._internal.jobs import early_cancels
+from nutmegknot._internal.jobs import early_cancels as early_cancels_lib
 from nutmegknot._internal.jobs import job_metrics
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import store_routes
@@ -76,7 +76,7 @@
       timed_jobs: Ids of jobs with due times to come.
       pending_submissions: Outcomes of submissions that are being handled, by
         job id.
-      unknown_cancels: Cancels of jobs that are not known.
+      early_cancels: Cancels of jobs that are not known.
       advice_queue: Requests for advice that wait to be sent.
       rates: Jobs that each customer has submitted recently.
       backlog: What waited for capacity when that was last assessed.
@@ -126,8 +126,8 @@
     pending_submissions: dict[str, asyncio.Future[outcomes.SubmitOutcome]] = (
         dataclasses.field(default_factory=dict)
     )
-    unknown_cancels: early_cancels.EarlyCancels = dataclasses.field(
-        default_factory=early_cancels.EarlyCancels
+    early_cancels: early_cancels_lib.EarlyCancels = dataclasses.field(
+        default_factory=early_cancels_lib.EarlyCancels
     )
     advice_queue: advice_requests.AdviceQueue = dataclasses.field(
         default_factory=advice_requests.AdviceQueue
--- a/src/nutmegknot/_internal/jobs/rows.py
+++ b/src/nutmegknot/_internal/jobs/rows.py
@@ -15,6 +15,7 @@
 OWNER_KEY = 'jobs/owner'
 JOB_PREFIX = 'jobs/job/'
 PROGRESS_PREFIX = 'jobs/progress/'
+EARLY_CANCEL_PREFIX = 'jobs/cancel/'
 ROSTER_KEY = 'jobs/roster'
 CEILINGS_KEY = 'jobs/ceilings'
 # Largest number of tasks of a job whose crashes and trials are written.
@@ -44,6 +45,31 @@
     return f'{PROGRESS_PREFIX}{job_id}'
 
 
+def get_early_cancel_key(digest: str) -> str:
+    """Returns the key of the row with the cancel of an unknown job.
+
+    Args:
+      digest: Digest of the customer and the id of the job.
+    """
+    return f'{EARLY_CANCEL_PREFIX}{digest}'
+
+
+def encode_early_cancel(epoch: int, cancelled_ms: int) -> bytes:
+    """Returns the row with the cancel of an unknown job.
+
+    Args:
+      epoch: Number of the ownership in which it was acknowledged.
+      cancelled_ms: When that was, in ms since the Unix epoch.
+    """
+    row = jobs_pb2.EarlyCancelRow(epoch=epoch, cancelled_ms=cancelled_ms)
+    return row.SerializeToString()
+
+
+def encode_removal() -> bytes | None:
+    """Returns the value of a row that is to be removed."""
+    return None
+
+
 def is_valid_id(job_id: str) -> bool:
     """Tells whether a job's id can't be taken for a further row of another."""
     return '/' not in job_id
--- a/src/nutmegknot/_internal/jobs/takeover.py
+++ b/src/nutmegknot/_internal/jobs/takeover.py
@@ -8,6 +8,7 @@
 from nutmegknot._internal.backing import tables
 from nutmegknot._internal.decisions import crash_trials
 from nutmegknot._internal.decisions import stage_ranking
+from nutmegknot._internal.jobs import early_cancels as early_cancels_lib
 from nutmegknot._internal.jobs import rows
 from nutmegknot._internal.jobs import starts
 from nutmegknot._internal.models import cluster_state
@@ -108,10 +109,12 @@
       cluster: State of jobs and workers.
       part_counts: Number of rows that each long value in the table takes after
         its first one.
+      early_cancels: Cancels of jobs that were not known.
     """
 
     cluster: cluster_state.ClusterState
     part_counts: dict[str, int]
+    early_cancels: early_cancels_lib.EarlyCancels
 
 
 async def load_state(
@@ -146,6 +149,9 @@
         if isinstance(scanned, tables.Unavailable):
             return scanned
         found += scanned
+    cancels = await table.scan(rows.EARLY_CANCEL_PREFIX, LOAD_READ_TIMEOUT_MS)
+    if isinstance(cancels, tables.Unavailable):
+        return cancels
     cluster = cluster_state.ClusterState(epoch, now_ms, settings)
     joined = rows.join_rows(found)
     _read_roster(cluster, joined.values.pop(rows.ROSTER_KEY, None))
@@ -164,7 +170,11 @@
             continue
         _add_job(cluster, job, now_ms)
         await work_slices.record_work(work, measure_job(job))
-    return LoadedState(cluster, joined.part_counts)
+    return LoadedState(
+        cluster,
+        joined.part_counts,
+        early_cancels_lib.load_cancels(cancels, now_ms),
+    )
 
 
 def measure_job(job: jobs.Job) -> int:
