Add a new job in the same step as the check for its cancel

Callers would have seen a job run whose cancel was answered with 410.

Cause: submit looked for an early cancel and left the addition of the job to a task. A cancel that was handled before that task began found no job.

Change: the job is added at once; the task only waits for the write.

Evidence: test_a_cancel_right_after_a_submission_finds_the_job failed on (the cancel was NotFound and the job was accepted) and passes.

Why it works: nothing else runs on the event loop between check and addition.

--- a/src/nutmegknot/_internal/jobs/owner_operations.py
+++ b/src/nutmegknot/_internal/jobs/owner_operations.py
@@ -51,7 +51,9 @@
         refused = _find_refusal(ownership, spec)
         if refused is not None:
             return refused
-        pending = asyncio.ensure_future(_add_and_write_job(ownership, spec))
+        # Added at once, so that a cancel that comes next finds the job.
+        job = _add_job(ownership, spec)
+        pending = asyncio.ensure_future(_write_job(ownership, job))
         ownership.pending_submissions[spec.id] = pending
         pending.add_done_callback(
             lambda _: ownership.pending_submissions.pop(spec.id, None)
@@ -59,12 +61,11 @@
     return await asyncio.shield(pending)
 
 
-async def _add_and_write_job(
-    ownership: ownerships.Ownership, spec: jobs.JobSpec
+async def _write_job(
+    ownership: ownerships.Ownership, job: jobs.Job
 ) -> SubmitOutcome:
-    """Adds a job and waits until it is written."""
-    arrived_ms = ownership.clock.now_ms()
-    job = _add_job(ownership, spec)
+    """Waits until a new job is written, and forgets it if it can't be."""
+    spec = job.spec
     key = rows.get_job_key(spec.id)
     written = await writers.wait_durable(ownership.writer, (key,))
     match written:
@@ -73,7 +74,7 @@
             job.is_durable = True
             instruments.record(
                 ownership.metrics.accept_ms,
-                ownership.clock.now_ms() - arrived_ms,
+                ownership.clock.now_ms() - job.known_since_ms,
             )
             logger.info(
                 'job_accepted',
--- a/tests/unit/jobs/test_job_references.py
+++ b/tests/unit/jobs/test_job_references.py
@@ -164,6 +164,28 @@
     job_cells.run(script)
 
 
+def test_a_cancel_right_after_a_submission_finds_the_job() -> None:
+    """Guards against a job that is accepted after its cancel found no job.
+
+    The owner checked for cancels before it knew the job, and the cancel came
+    between the two.
+    """
+
+    async def script(loop: asyncio.AbstractEventLoop) -> None:
+        cell = job_cells.make_cell(loop, job_cells.make_worker('w1'))
+        node = await job_cells.start_owner(cell, 'one')
+        reference = jobs.JobReference('a', 'c', 'queue')
+        _, cancelled = await asyncio.gather(
+            owner_calls.submit(node, SPEC, WAIT_MS),
+            owner_calls.cancel(node, reference, WAIT_MS),
+        )
+        assert isinstance(cancelled, outcomes.Cancelled)
+        await asyncio.sleep(1)
+        assert not cell.starts
+
+    job_cells.run(script)
+
+
 def test_a_job_that_was_cancelled_and_withdrawn_stays_cancelled() -> None:
     """Guards against a cancel that is lost with a job that was not stored.
 
