Count the time for which a call waited in a paused process

Cause: the time of a call counted from when it was handled, and anew after its body had been read.

A submission whose time is over is answered with 504 and has no effect. A cancel keeps its time.

Why it works: a steady clock runs on while the process is frozen. 504 promises nothing, so a call that is taken for late by mistake is repeated.

--- a/src/nutmegknot/_internal/platform/caller_api.py
+++ b/src/nutmegknot/_internal/platform/caller_api.py
@@ -19,6 +19,7 @@
 from nutmegknot._internal.platform import platform_listings
 from nutmegknot._internal.telemetry import instruments
 from nutmegknot._internal.utils import clock
+from nutmegknot._internal.utils import event_loop_lag
 from nutmegknot._internal.utils import json_fields
 
 logger = logging.getLogger(__name__)
@@ -164,13 +165,17 @@
     clients: client_limits.Clients,
 ) -> web.Response:
     wait_ms = _get_wait_ms(request)
+    now_ms = node.clock.now_ms()
+    unread_ms = event_loop_lag.compute_unread_ms(node.lateness, now_ms)
+    until_ms = now_ms + wait_ms - unread_ms
     if operation == 'submit':
-        return await _submit(node, request, authorized, wait_ms, clients)
+        return await _submit(node, request, authorized, until_ms, clients)
     if operation == 'look':
-        return await _get_job_state(node, authorized, wait_ms)
+        return await _get_job_state(node, authorized, until_ms - now_ms)
     if operation == 'cancel':
+        # A cancel is still wanted when its caller waits no longer.
         return await _cancel(node, authorized, wait_ms)
-    return await _count_waiting_jobs(node, authorized, wait_ms)
+    return await _count_waiting_jobs(node, authorized, until_ms - now_ms)
 
 
 def _get_wait_ms(request: web.BaseRequest) -> int:
@@ -215,9 +220,14 @@
     node: nodes.Node,
     request: web.BaseRequest,
     authorized: call_authorization.AuthorizedCall,
-    wait_ms: int,
+    until_ms: int,
     clients: client_limits.Clients,
 ) -> web.Response:
+    """Submits a job unless its caller no longer waits.
+
+    A caller that got no answer may have repeated or cancelled the call at
+    another instance, so a call that is over must not take effect.
+    """
     spec = await _read_job_spec(node, request, authorized, clients)
     if isinstance(spec, client_limits.InvalidBody):
         return _make_json_response(
@@ -240,6 +250,12 @@
             },
         )
         return _make_refusal_response(spec)
+    wait_ms = until_ms - node.clock.now_ms()
+    if wait_ms <= 0:
+        logger.warning('call_expired', extra={'late_ms': -wait_ms})
+        return _make_unknown_response(
+            outcomes.Unknown('the call was read after its time was over')
+        )
     outcome = await owner_calls.submit(node, spec, wait_ms)
     match outcome:
         case outcomes.Accepted():
--- a/tests/functional/test_attach.py
+++ b/tests/functional/test_attach.py
@@ -225,3 +225,40 @@
         assert jobs.JobState.COMPLETED.value in text
 
     run_script(tmp_path, script)
+
+
+def test_a_call_that_was_read_too_late_has_no_effect(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a job that is accepted after its caller's time is over.
+
+    Its instance was frozen with the call in its socket. The caller may have
+    been refused, or have cancelled the job, at another instance since.
+    """
+
+    async def script(
+        platform: job_platform.Platform, session: aiohttp.ClientSession
+    ) -> None:
+        await submit(platform, session, 'a' * 16)
+        owner = job_platform.find_owner(platform)
+        assert owner is not None
+        frozen, third = [i for i in platform.instances if i is not owner]
+        job_platform.send_signal(frozen, signal.SIGSTOP)
+        status, _ = await job_platform.call(
+            platform, session, frozen, 'POST', 'b' * 16, BODY
+        )
+        assert status == 0
+        # The time of the call is over, by the clock of any process.
+        await asyncio.sleep(1)
+        job_platform.send_signal(frozen, signal.SIGCONT)
+        status = 0
+        while status != 410:
+            status, _ = await job_platform.call(
+                platform, session, frozen, 'GET', 'c' * 16
+            )
+        status, _ = await job_platform.call(
+            platform, session, third, 'GET', 'b' * 16
+        )
+        assert status == 410
+
+    run_script(tmp_path, script)
