End the task of a lost connection whose body was left unread

Operators saw: the process ran out of memory under clients that send most of a body, get their refusal and leave, again and again.

Cause: after a response that leaves a body unread, aiohttp's task waits for the rest for up to 2 s, also when the connection is lost. The connection no longer counts then, so nothing bounds these tasks.

Change: the connection keeps the unread body and ends it when it is lost.

Why it works: each task belongs to a connection or a call that is counted.

Result: test_a_lost_connection_leaves_no_task failed before.

--- a/src/nutmegknot/_internal/network/client_limits.py
+++ b/src/nutmegknot/_internal/network/client_limits.py
@@ -17,6 +17,7 @@
 from typing import Any
 from typing import cast
 
+from aiohttp import streams
 from aiohttp import web
 
 from nutmegknot._internal.telemetry import instruments
@@ -125,6 +126,8 @@
       later_cost: Part of the cost received since the request was complete.
       charged: Part of the cost taken from the budget.
       refused: Why what it sends is dropped; None if it is not.
+      unread: Body of which a part was not read before the response; aiohttp
+        waits for the rest of it.
     """
 
     transport: asyncio.Transport | None = None
@@ -137,6 +140,7 @@
     later_cost: int = 0
     charged: int = 0
     refused: Reason | None = None
+    unread: streams.StreamReader | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -295,6 +299,11 @@
         return
     connection.transport = None
     clients.idle.pop(connection, None)
+    if connection.unread is not None:
+        # Otherwise aiohttp's task would wait for the rest of the body for
+        # LINGERING_S, without counting as a connection any more.
+        connection.unread.feed_eof()
+        connection.unread = None
     if connection.phase is not Phase.CALL:
         del clients.connections[key]
         _release(clients, connection, 0)
@@ -494,6 +503,7 @@
         return
 
     def settle() -> None:
+        connection.unread = None
         if connection.transport is None:
             return
         if not connection.is_complete:
@@ -506,6 +516,7 @@
     if not request.content.is_eof():
         # aiohttp reads the rest after the response.
         enter(clients, connection, Phase.BODY)
+        connection.unread = request.content
     request.content.on_eof(settle)
 
 
--- a/tests/unit/network/test_client_limits.py
+++ b/tests/unit/network/test_client_limits.py
@@ -3,9 +3,14 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import gc
+import json
+import logging
+import tracemalloc
 from unittest import mock
 import zlib
 
+from aiohttp import http_exceptions
 from aiohttp import web
 import pytest
 
@@ -209,3 +214,24 @@
         await exchange(port, [request_bytes])
     assert list_reasons(clients) == [reason]
     assert clients.held_bytes == 0
+
+
+async def test_a_lost_connection_leaves_no_task() -> None:
+    """Guards against tasks that wait for the rest of a body nobody sends.
+
+    They don't count as connections, so nothing bounds how many there are.
+    """
+    clients = make_clients()
+    tasks_before = len(asyncio.all_tasks())
+    async with serve(clients) as port:
+        for _ in range(20):
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(make_sized(b'x' * 100, path='/unread')[:-1])
+            await reader.readuntil(b'unread')
+            writer.transport.abort()
+            while clients.connections:
+                await asyncio.sleep(0)
+        # The protocol's task ends two iterations after its body.
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert len(asyncio.all_tasks()) == tasks_before
