Let go of malformed requests when they are refused

Operators saw: heads with a long line, and heads or trailers of very short lines, sent again and again, took up to 112 MB where an idle instance has 53.

Cause: aiohttp's parser makes an error of each reception after the first error, and the traceback of each error is part of a reference cycle that holds the request until the collector runs over its oldest generation.

Change: what arrives after the first error is dropped. The tracebacks of errors that aiohttp keeps are cleared.

Why it works: without a traceback there is no cycle.

Result: the three cases of test_a_malformed_request_leaves_no_cycles failed before.

--- a/src/nutmegknot/_internal/network/client_limits.py
+++ b/src/nutmegknot/_internal/network/client_limits.py
@@ -429,8 +429,15 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         data = bytes(self.clients.buffer[:nbytes])
-        if receive(self.clients, self.connection, data):
-            self.inner.data_received(data)
+        if not receive(self.clients, self.connection, data):
+            return
+        self.inner.data_received(data)
+        error = _get_parse_error(self.inner)
+        if error is not None:
+            # aiohttp would parse what follows, and keep an error for each part.
+            # It logs the first one, which reports it.
+            self.connection.refused = Reason.MALFORMED
+            _clear_tracebacks(error)
 
     def eof_received(self) -> None:
         self.inner.eof_received()
@@ -459,6 +466,7 @@
     def report_malformed(record: logging.LogRecord) -> bool:
         error = record.exc_info[1] if record.exc_info else None
         report(clients, Reason.MALFORMED, type(error).__name__)
+        _clear_tracebacks(error)
         return False
 
     parser_logger = logging.Logger(f'{__name__}.parser')
@@ -466,6 +474,18 @@
     return parser_logger
 
 
+def _clear_tracebacks(error: BaseException | None) -> None:
+    """Releases what an exception that aiohttp keeps has passed through.
+
+    The frames of its traceback refer to the request, and the request to the
+    exception. Without this, what was received stays in memory until the next
+    collection of reference cycles, which comes after thousands of requests.
+    """
+    while error is not None:
+        error.__traceback__ = None
+        error = error.__cause__ or error.__context__
+
+
 def limit_calls(clients: Clients, handle: Handle) -> Handle:
     """Returns a handler that keeps account of the requests it handles."""
 
@@ -524,6 +544,13 @@
     return bool(protocol._messages)
 
 
+def _get_parse_error(protocol: Any) -> BaseException | None:  # noqa: ANN401 - private part of aiohttp's protocol
+    """Returns the error that the newest reception caused, or None."""
+    if not protocol._messages:
+        return None
+    return getattr(protocol._messages[-1][0], 'exc', None)
+
+
 def refuse(clients: Clients, connection: Connection, reason: Reason) -> None:
     """Lets the connection be closed after the response to its request."""
     if connection.refused is None:
@@ -568,10 +595,12 @@
                 refuse(clients, connection, Reason.BUDGET)
             if connection.refused is not None:
                 return UnreadBody()
-    except web.RequestPayloadError:
+    except web.RequestPayloadError as error:
+        _clear_tracebacks(error)
         refuse(clients, connection, Reason.MALFORMED)
         return InvalidBody(400)
-    except ConnectionError:
+    except ConnectionError as error:
+        _clear_tracebacks(error)
         return UnreadBody()
     enter(clients, connection, Phase.CALL)
     _record_complete(connection)
--- a/tests/unit/network/test_client_limits.py
+++ b/tests/unit/network/test_client_limits.py
@@ -235,3 +235,42 @@
         for _ in range(5):
             await asyncio.sleep(0)
         assert len(asyncio.all_tasks()) == tasks_before
+
+
+@pytest.mark.parametrize(
+    'request_bytes',
+    [
+        make_request(b'', f'Padding: {"x" * 60_000}'),
+        make_request(b'', *(['1:'] * 20_000)),
+        make_request(
+            b'1\r\nx\r\n0\r\n' + b'1:\r\n' * 20_000,
+            'Transfer-Encoding: chunked',
+        ),
+    ],
+    ids=['long line', 'short lines', 'trailers'],
+)
+async def test_a_malformed_request_leaves_no_cycles(
+    request_bytes: bytes,
+) -> None:
+    """Guards against requests that stay in memory after they were refused.
+
+    aiohttp kept an error for each part, and its traceback kept the request.
+    """
+    clients = make_clients(max_held_bytes=10_000_000)
+    async with serve(clients) as port:
+        gc.collect()
+        gc.disable()
+        try:
+            for _ in range(3):
+                await exchange(port, [request_bytes])
+            while clients.connections:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            kept = [
+                item
+                for item in gc.get_objects()
+                if isinstance(item, http_exceptions.HttpProcessingError)
+            ]
+        finally:
+            gc.enable()
+    assert kept == []
