Count the memory of decoded bodies

Operators would have seen: the budget for requests kept, and memory beyond it.

Cause: a body was counted by its bytes, and its steps after they were decoded.

Change: what the decoded fields take is estimated from the numbers of objects, lists and items, and is taken from the budget while the body is decoded. A call for which it does not suffice is answered with 504 and Retry-After, like one whose body can't be read.

--- a/src/nutmegknot/_internal/network/client_limits.py
+++ b/src/nutmegknot/_internal/network/client_limits.py
@@ -45,6 +45,10 @@
 CONNECTION_BYTES = 65_536
 # Bytes that aiohttp keeps of a body before it stops reading the connection.
 READ_BUFFER_BYTES = 32_768
+# Memory of a decoded JSON object or list without its items, and of an item.
+OBJECT_BYTES = 232
+LIST_BYTES = 64
+ITEM_BYTES = 40
 # File descriptors that are reserved for files.
 RESERVED_FDS = 200
 # A caller waits for about 3,000 ms and sends its request at once.
@@ -607,6 +611,23 @@
     return bytes(body)
 
 
+def estimate_decoded_bytes(raw: bytes) -> int:
+    """Returns about how much memory a JSON text takes when it is decoded."""
+    return (
+        len(raw)
+        + raw.count(b'{') * OBJECT_BYTES
+        + raw.count(b'[') * LIST_BYTES
+        + raw.count(b',') * ITEM_BYTES
+    )
+
+
+def give_back(clients: Clients, request: web.BaseRequest, size: int) -> None:
+    """Returns memory to the budget that hold has taken."""
+    connection = clients.connections.get(request.protocol)
+    if connection is not None:
+        charge(clients, connection, -size)
+
+
 def hold(clients: Clients, request: web.BaseRequest, size: int) -> bool:
     """Takes memory from the budget until a request was handled.
 
--- a/src/nutmegknot/_internal/platform/caller_api.py
+++ b/src/nutmegknot/_internal/platform/caller_api.py
@@ -284,7 +284,11 @@
     raw = await client_limits.read_body(clients, request, max_bytes)
     if not isinstance(raw, bytes):
         return raw
+    decoded_bytes = client_limits.estimate_decoded_bytes(raw)
+    if not client_limits.hold(clients, request, decoded_bytes):
+        return client_limits.UnreadBody()
     spec = decode_job_spec(raw, authorized)
+    client_limits.give_back(clients, request, decoded_bytes)
     if isinstance(spec, jobs.JobSpec) and not client_limits.hold(
         clients, request, len(spec.steps) * STEP_BYTES
     ):
--- a/tests/unit/network/test_client_limits.py
+++ b/tests/unit/network/test_client_limits.py
@@ -274,3 +274,40 @@
         finally:
             gc.enable()
     assert kept == []
+
+
+def test_a_line_for_each_refused_call_is_logged_only_at_first(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a log that a client fills with refused calls."""
+    caplog.set_level(logging.INFO)
+    clients = make_clients()
+    clients.refusal_lines_ms = clients.clock.now_ms()
+    for _ in range(1_000):
+        fields = {'job': 'a' * 10_000}
+        client_limits.log_refusal(clients, 'job_refused', fields)
+    lines = [r for r in caplog.records if r.message == 'job_refused']
+    assert len(lines) == client_limits.MAX_REFUSAL_LINES
+    assert len(caplog.records) == client_limits.MAX_REFUSAL_LINES + 1
+    logged = vars(lines[0])['job']
+    assert len(logged) == client_limits.MAX_LOGGED_CHARS
+    assert sum(clients.closings.totals.values()) == 990
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'[%s]' % b','.join([b'[]'] * 80_000),
+        b'[%s]' % b','.join([b'{"count":1,"estimateMs":100}'] * 5_575),
+        b'[%s]' % b','.join([b'1000'] * 50_000),
+    ],
+    ids=['lists', 'objects', 'numbers'],
+)
+def test_decoded_bytes_are_not_underestimated(raw: bytes) -> None:
+    """Guards against a small text that takes far more memory when decoded."""
+    tracemalloc.start()
+    decoded = json.loads(raw)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert decoded
+    assert client_limits.estimate_decoded_bytes(raw) >= size
