Limit the log lines of calls refused for their form

Operators saw: 32,357 refused bodies in 20 s wrote 5.7 MB of log.

Cause: a line for each such call, with texts of the caller of any length.

Change: ten lines a second name single calls, with texts of up to 200 characters; the others are counted, and logged like other closings with one line a second (why=refused).

--- a/src/nutmegknot/_internal/network/client_limits.py
+++ b/src/nutmegknot/_internal/network/client_limits.py
@@ -62,6 +62,11 @@
 SWEEP_MS = 500
 # One log line for each reason in this time.
 LOG_INTERVAL_MS = 1_000
+# Log lines in this time that name single refused calls. Callers that are in the
+# limits are refused for the form of a call only by mistake, one by one.
+MAX_REFUSAL_LINES = 10
+# Longest text of a caller in such a line.
+MAX_LOGGED_CHARS = 200
 
 
 class Phase(enum.Enum):
@@ -88,6 +93,8 @@
     BUDGET = 'budget'
     IDLE_TIME = 'idle_time'
     MALFORMED = 'malformed'
+    # Refused for the form of the call or for its key; not logged by itself.
+    REFUSED = 'refused'
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -163,6 +170,9 @@
       buffer: Where receptions of all connections are stored, one at a time.
       unlogged: Number of closings since the last log line, by reason.
       logged_ms: Time of the last log line, by reason.
+      refusal_lines: Log lines that name single refused calls, in the present
+        interval.
+      refusal_lines_ms: When this interval began.
     """
 
     limits: Limits
@@ -180,6 +190,8 @@
     )
     unlogged: dict[Reason, int] = dataclasses.field(default_factory=dict)
     logged_ms: dict[Reason, int] = dataclasses.field(default_factory=dict)
+    refusal_lines: int = 0
+    refusal_lines_ms: int = 0
 
 
 # Handles a request, like the handlers of aiohttp.
@@ -252,6 +264,28 @@
     )
 
 
+def log_refusal(clients: Clients, event: str, fields: dict[str, Any]) -> None:
+    """Logs that a call was refused, or counts it beyond the rate of lines.
+
+    Args:
+      clients: All clients.
+      event: Name of the log event.
+      fields: Fields of the log line.
+    """
+    now_ms = clients.clock.now_ms()
+    if now_ms - clients.refusal_lines_ms >= LOG_INTERVAL_MS:
+        clients.refusal_lines, clients.refusal_lines_ms = 0, now_ms
+    clients.refusal_lines += 1
+    if clients.refusal_lines <= MAX_REFUSAL_LINES:
+        logger.info(event, extra={k: _shorten(v) for k, v in fields.items()})
+    else:
+        report(clients, Reason.REFUSED, event)
+
+
+def _shorten(value: object) -> object:
+    return value[:MAX_LOGGED_CHARS] if isinstance(value, str) else value
+
+
 def close(clients: Clients, connection: Connection, reason: Reason) -> None:
     """Closes a connection at once."""
     if connection.refused is not reason:
--- a/src/nutmegknot/_internal/platform/caller_api.py
+++ b/src/nutmegknot/_internal/platform/caller_api.py
@@ -124,9 +124,10 @@
         node.settings, host, request.path, key
     )
     if isinstance(authorized, outcomes.Refused):
-        logger.info(
+        client_limits.log_refusal(
+            clients,
             'call_refused',
-            extra={
+            {
                 'method': request.method,
                 'path': request.path,
                 'why': authorized.reason.value,
@@ -241,9 +242,10 @@
             )
         )
     if isinstance(spec, outcomes.Refused):
-        logger.info(
+        client_limits.log_refusal(
+            clients,
             'job_refused',
-            extra={
+            {
                 'job': authorized.subpath,
                 'why': spec.reason.value,
                 'detail': spec.detail,
