Bound the gRPC messages that are being received

Operators would have seen: 48 connections with messages that stop short take 111 MB at the port for other instances, where an idle instance has 53.

Cause: each connection could have 4 MiB under way before anything was read, and messages were limited one by one, not together.

Change: flow-control windows of 65,535 bytes, and a budget for messages of more than 16,384 bytes while they are received.

--- a/src/nutmegknot/_internal/jobs/nodes.py
+++ b/src/nutmegknot/_internal/jobs/nodes.py
@@ -14,6 +14,7 @@
 from nutmegknot._internal.jobs import worker_discovery
 from nutmegknot._internal.models import job_settings
 from nutmegknot._internal.network import channels as channels_lib
+from nutmegknot._internal.network import services
 from nutmegknot._internal.schema import jobs_pb2
 from nutmegknot._internal.utils import clock as clock_lib
 from nutmegknot._internal.utils import event_loop_lag
@@ -102,6 +103,8 @@
         answer.
       next_greeting_ms: When the next greeting to an owner that does not answer
         may be sent.
+      max_message_bytes: Budget for the messages of other instances that are
+        being received.
       changed: Notified when the owner or the settings change.
     """
 
@@ -144,6 +147,7 @@
     owner_lag_ms: int = 0
     missed_greetings: int = 0
     next_greeting_ms: int = 0
+    max_message_bytes: int = services.MAX_HELD_BYTES
     changed: signals.Signal = dataclasses.field(default_factory=signals.Signal)
 
 
--- a/src/nutmegknot/_internal/jobs/peer_calls.py
+++ b/src/nutmegknot/_internal/jobs/peer_calls.py
@@ -86,7 +86,9 @@
         jobs_pb2.DESCRIPTOR.services_by_name['Jobs'],
         method_handlers,
         open_calls,
-        services.Limits(_MAX_MESSAGE_BYTES),
+        services.Limits(
+            _MAX_MESSAGE_BYTES, max_held_bytes=node.max_message_bytes
+        ),
     )
 
 
--- a/src/nutmegknot/_internal/network/grpc_server.py
+++ b/src/nutmegknot/_internal/network/grpc_server.py
@@ -11,6 +11,7 @@
 import ssl
 from typing import Any
 
+import grpclib.config
 import grpclib.server
 
 from nutmegknot._internal.network import channels
@@ -22,6 +23,9 @@
 # A client connects when it makes its first call. Includes the time for the
 # handshake of TLS on a busy machine.
 FIRST_CALL_MS = 10_000
+# Flow-control window of a connection and of each stream in bytes, the shortest
+# that HTTP/2 allows. It bounds what a connection sends before it is read.
+WINDOW_BYTES = 65_535
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -47,7 +51,11 @@
       tls: TLS context; None for connections without TLS.
       closings: Counts closed connections by reason; None to count them here.
     """
-    server = grpclib.server.Server(bound)
+    config = grpclib.config.Configuration(
+        http2_connection_window_size=WINDOW_BYTES,
+        http2_stream_window_size=WINDOW_BYTES,
+    )
+    server = grpclib.server.Server(bound, config=config)
     limits = client_limits.Limits(
         max_connections, 0, {client_limits.Phase.HEAD: FIRST_CALL_MS}
     )
--- a/src/nutmegknot/_internal/network/services.py
+++ b/src/nutmegknot/_internal/network/services.py
@@ -23,6 +23,12 @@
 # still arrives in time.
 REPLY_MARGIN_MS = 50
 
+# Budget for the messages that are being received, where no other is set.
+MAX_HELD_BYTES = 16_777_216
+# Longest message that is not taken from the budget, so that ordinary calls are
+# served while it is exhausted.
+FREE_MESSAGE_BYTES = 16_384
+
 # Gets the message of a call and the time left for it in ms; returns the message
 # of the reply or Rejected.
 MethodHandler = Callable[[Any, int], Awaitable[Any]]
@@ -49,10 +55,13 @@
       max_message_bytes: Maximum size of a call's message.
       max_calls_per_caller: Maximum number of concurrent calls of one caller.
         0 for no limit.
+      max_held_bytes: Budget for the messages of all calls that are being
+        received by a server.
     """
 
     max_message_bytes: int
     max_calls_per_caller: int = 0
+    max_held_bytes: int = MAX_HELD_BYTES
 
 
 def ignore_error(error: Exception) -> None:
@@ -67,6 +76,8 @@
       running: Number of calls to methods without streaming.
       call_ended: Notified when such a call ends.
       count_by_caller: Number of such calls by caller.
+      held_bytes: Length of the messages that are being received and are taken
+        from the budget.
       report_error: Called with an exception that a method handler raised.
         Such an exception means that an invariant is violated. Only a ValueError
         from a method without streaming is not passed on: it means that the
@@ -80,6 +91,7 @@
     count_by_caller: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    held_bytes: int = 0
     report_error: Callable[[Exception], None] = ignore_error
 
 
@@ -145,7 +157,7 @@
     async def serve_call(stream: grpclib.server.Stream[Any, Any]) -> None:
         calls.running += 1
         try:
-            call = await _receive_first(stream, limits.max_message_bytes)
+            call = await _receive_first(stream, calls, limits)
             reply = call
             if not isinstance(call, Rejected):
                 caller = _find_caller(stream, call)
@@ -175,7 +187,7 @@
     """
 
     async def serve_stream(stream: grpclib.server.Stream[Any, Any]) -> None:
-        call = await _receive_first(stream, limits.max_message_bytes)
+        call = await _receive_first(stream, calls, limits)
         while not isinstance(call, Rejected):
             try:
                 reply = await handle(call, DEFAULT_WAIT_MS)
@@ -189,27 +201,39 @@
 
 
 async def _receive_first(
-    stream: grpclib.server.Stream[Any, Any], max_bytes: int
+    stream: grpclib.server.Stream[Any, Any], calls: ActiveCalls, limits: Limits
 ) -> Any:  # noqa: ANN401 - the method's message, or Rejected
-    """Sets the limit on message size for a stream and reads its first message.
+    """Sets the limits on messages for a stream and reads its first message.
 
     grpclib has no limit on message size. So this wraps the method of the HTTP/2
     stream through which grpclib reads each message; the limit holds for later
     messages too.
 
     Raises:
-      GRPCError: If the message is longer than the limit.
+      GRPCError: If the message is longer than the limit, or too many long ones
+        are being received.
     """
     http2_stream: Any = stream._stream
     read = http2_stream.recv_data
 
     async def read_limited(size: int) -> bytes:
-        if size > max_bytes:
+        if size > limits.max_message_bytes:
+            raise grpclib.exceptions.GRPCError(
+                grpclib.const.Status.RESOURCE_EXHAUSTED,
+                f'the message has {size} bytes; the limit is '
+                f'{limits.max_message_bytes}',
+            )
+        held = size if size > FREE_MESSAGE_BYTES else 0
+        if held and calls.held_bytes + held > limits.max_held_bytes:
             raise grpclib.exceptions.GRPCError(
                 grpclib.const.Status.RESOURCE_EXHAUSTED,
-                f'the message has {size} bytes; the limit is {max_bytes}',
+                'too many long messages are being received',
             )
-        data: bytes = await read(size)
+        calls.held_bytes += held
+        try:
+            data: bytes = await read(size)
+        finally:
+            calls.held_bytes -= held
         return data
 
     http2_stream.recv_data = read_limited
--- a/src/nutmegknot/_internal/platform/instance_process.py
+++ b/src/nutmegknot/_internal/platform/instance_process.py
@@ -83,6 +83,9 @@
         ),
         tasks=tasks.TaskSet(),
         routes=routes,
+        max_message_bytes=client_limits.derive_limits(
+            settings.memory_mb, settings.max_fds
+        ).max_held_bytes,
     )
 
 
