Parse what a gRPC connection sends in pieces

Cause: a reception of up to 256 KiB was given to the HTTP/2 library as a whole, which copies it and keeps it in a reference cycle after an error.

Change: 16,384 bytes at a time, and nothing once the connection is closing.

--- a/src/nutmegknot/_internal/network/grpc_server.py
+++ b/src/nutmegknot/_internal/network/grpc_server.py
@@ -101,7 +101,15 @@
             handle_made(transport)
 
     def data_received(data: bytes) -> None:
-        handle_data(data)
+        # After an error, the HTTP/2 library keeps what it was given last until
+        # the next collection of reference cycles.
+        for at in range(0, len(data), client_limits.RECEIVE_BYTES):
+            if (
+                connection.transport is None
+                or connection.transport.is_closing()
+            ):
+                return
+            handle_data(data[at : at + client_limits.RECEIVE_BYTES])
         if (
             connection.phase is client_limits.Phase.HEAD
             and protocol.connection.streams_started
