One copy of the traffic and checks of hostile clients

The two files of tests had the same settings, heads, bodies and checks. They are in tests/lib/hostile_traffic.py now. Crowds, bounds, traffic and checks of both are unchanged.

--- a/tests/functional/test_hostile_crowds.py
+++ b/tests/functional/test_hostile_crowds.py
@@ -8,35 +8,23 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
-import os
 import pathlib
-import random
 
 import aiohttp
 import hpack
 from hyperframe import frame
+from lib import hostile_traffic
 from lib import job_platform
 import pytest
 
 from nutmegknot._internal.platform import process_settings
 
-CLIENTS = 48
 # The crowd leaves after this time, or earlier after so many connections.
 CROWD_S = 10
 MAX_CONNECTIONS_PER_CLIENT = 2_000
-BODY_BYTES = 262_144
-# An idle instance has 53 MB.
-MEMORY_MB = 64
-MAX_FDS = 300
 # Longest message of a call between instances.
 MESSAGE_BYTES = 1_048_576
-BODY = {'spec': 'a check', 'steps': [{'count': 1, 'estimateMs': 100}]}
 PIECE_BYTES = 16_384
-HEAD = (
-    f'POST {job_platform.QUEUE_PATH}%016x HTTP/1.1\r\n'
-    f'Host: {job_platform.CALLER_HOST}\r\n'
-    f'Authorization: Bearer {job_platform.KEY}\r\n'
-)
 # Returns what the client with a number sends on one connection.
 Traffic = Callable[[int], bytes]
 
@@ -46,24 +34,15 @@
 ) -> None:
     """Sends the traffic, and checks the process amid it and afterwards."""
 
-    async def play() -> None:
-        platform = await job_platform.start(
-            folder, 2, random.Random(11), body_bytes=BODY_BYTES
-        )
-        try:
-            job_platform.add_instances(platform, 1, MEMORY_MB, MAX_FDS)
-            port = find_port(platform.first_port)
-            async with aiohttp.ClientSession() as session:
-                await _wait_accepted(platform, session, 'a' * 16)
-                async with _send_repeatedly(platform, traffic, port):
-                    await asyncio.sleep(CROWD_S)
-                    _check_process(platform.instances[0])
-                await _wait_accepted(platform, session, 'c' * 16)
-                _check_process(platform.instances[0])
-        finally:
-            await job_platform.stop(platform)
+    async def send(
+        platform: job_platform.Platform, session: aiohttp.ClientSession
+    ) -> None:
+        port = find_port(platform.first_port)
+        async with _send_repeatedly(platform, traffic, port):
+            await asyncio.sleep(CROWD_S)
+            hostile_traffic.check_process(platform.instances[0])
 
-    asyncio.run(play())
+    hostile_traffic.run_instance(folder, send)
 
 
 @contextlib.asynccontextmanager
@@ -80,7 +59,10 @@
             with contextlib.suppress(ConnectionError):
                 await _send(ip, port, data)
 
-    clients = [asyncio.create_task(run_client(n)) for n in range(CLIENTS)]
+    clients = [
+        asyncio.create_task(run_client(n))
+        for n in range(hostile_traffic.CLIENTS)
+    ]
     try:
         yield
     finally:
@@ -110,101 +92,67 @@
 
 
 async def _write(writer: asyncio.StreamWriter, data: bytes) -> None:
-    for at in range(0, len(data), PIECE_BYTES):
-        writer.write(data[at : at + PIECE_BYTES])
+    for piece in hostile_traffic.split(data, PIECE_BYTES):
+        writer.write(piece)
         await writer.drain()
 
 
-async def _wait_accepted(
-    platform: job_platform.Platform, session: aiohttp.ClientSession, id: str
-) -> None:
-    status = 0
-    while status != 200:
-        process = platform.instances[0].process
-        assert process is not None
-        assert process.poll() is None
-        status, _ = await job_platform.call(
-            platform, session, platform.instances[0], 'POST', id, BODY
-        )
-        await asyncio.sleep(0.05)
-
-
-def _check_process(instance: job_platform.Instance) -> None:
-    assert instance.process is not None
-    assert instance.process.poll() is None
-    proc = pathlib.Path(f'/proc/{instance.process.pid}')
-    status = dict(
-        line.split(':', 1)
-        for line in (proc / 'status').read_text('utf-8').splitlines()
-    )
-    assert int(status['VmHWM'].split()[0]) < MEMORY_MB * 1024
-    assert len(os.listdir(proc / 'fd')) < MAX_FDS
-
-
-def _make_head(number: int, fields: str) -> bytes:
-    return (HEAD % number + fields + '\r\n').encode()
-
-
-def _make_padded_body() -> bytes:
-    """Returns a legal body of the greatest length."""
-    text = '{"steps":[{"count":1}],"spec":"a check","padding":"%s"}'
-    return (text % ('x' * (BODY_BYTES - len(text) + 2))).encode()
-
-
-def _encode_chunks(body: bytes, size: int) -> bytes:
-    pieces = [body[at : at + size] for at in range(0, len(body), size)]
-    return b''.join(b'%x\r\n%s\r\n' % (len(p), p) for p in pieces)
-
-
 def send_body_that_stops_short(number: int) -> bytes:
-    body = _make_padded_body()
-    return _make_head(number, f'Content-Length: {len(body)}\r\n') + body[:-1]
+    body = hostile_traffic.make_padded_body()
+    return (
+        hostile_traffic.make_head(number, f'Content-Length: {len(body)}\r\n')
+        + body[:-1]
+    )
 
 
 def send_chunks_that_stop_short(number: int) -> bytes:
-    head = _make_head(number, 'Transfer-Encoding: chunked\r\n')
-    return head + _encode_chunks(_make_padded_body()[:-1], 65_536)
+    head = hostile_traffic.make_head(number, 'Transfer-Encoding: chunked\r\n')
+    return head + hostile_traffic.encode_chunks(
+        hostile_traffic.make_padded_body()[:-1], 65_536
+    )
 
 
 def send_very_small_chunks(number: int) -> bytes:
-    head = _make_head(number, 'Transfer-Encoding: chunked\r\n')
-    return head + _encode_chunks(_make_padded_body()[:60_000], 1)
+    head = hostile_traffic.make_head(number, 'Transfer-Encoding: chunked\r\n')
+    return head + hostile_traffic.encode_chunks(
+        hostile_traffic.make_padded_body()[:60_000], 1
+    )
 
 
 def send_whole_body(number: int) -> bytes:
-    body = _make_padded_body()
-    return _make_head(number, f'Content-Length: {len(body)}\r\n') + body
+    body = hostile_traffic.make_padded_body()
+    return hostile_traffic.make_sized(number, body)
 
 
 def send_one_long_line(number: int) -> bytes:
-    return _make_head(number, f'Padding: {"x" * 300_000}\r\n')
+    return hostile_traffic.make_head(number, f'Padding: {"x" * 300_000}\r\n')
 
 
 def send_very_short_lines(number: int) -> bytes:
-    return _make_head(number, '1:\r\n' * 40_000)
+    return hostile_traffic.make_head(number, '1:\r\n' * 40_000)
 
 
 def send_very_short_trailers(number: int) -> bytes:
-    head = _make_head(number, 'Transfer-Encoding: chunked\r\n')
-    chunks = _encode_chunks(b'{}', 2)
+    head = hostile_traffic.make_head(number, 'Transfer-Encoding: chunked\r\n')
+    chunks = hostile_traffic.encode_chunks(b'{}', 2)
     return head + chunks + b'0\r\n' + b'1:\r\n' * 40_000 + b'\r\n'
 
 
 def send_many_steps(number: int) -> bytes:
     steps = ','.join(['{"count":1,"estimateMs":100}'] * 5_575)
     body = f'{{"spec":"a check","steps":[{steps}]}}'.encode()
-    return _make_head(number, f'Content-Length: {len(body)}\r\n') + body
+    return hostile_traffic.make_sized(number, body)
 
 
 def send_many_empty_lists(number: int) -> bytes:
     lists = ','.join(['[]'] * 80_000)
     body = f'{{"steps":[{{"count":1}}],"spec":"a","x":[{lists}]}}'.encode()
-    return _make_head(number, f'Content-Length: {len(body)}\r\n') + body
+    return hostile_traffic.make_sized(number, body)
 
 
 def send_long_payload(number: int) -> bytes:
     body = ('{"steps":[{"count":1}],"spec":"%s"}' % ('x' * 262_000)).encode()
-    return _make_head(number, f'Content-Length: {len(body)}\r\n') + body
+    return hostile_traffic.make_sized(number, body)
 
 
 def send_start_of_body(number: int) -> bytes:
@@ -212,11 +160,11 @@
 
 
 def send_long_lines(number: int) -> bytes:
-    return _make_head(number, f'Padding: {"x" * 8_000}\r\n' * 60)
+    return hostile_traffic.make_head(number, f'Padding: {"x" * 8_000}\r\n' * 60)
 
 
 def send_chunk_extension(number: int) -> bytes:
-    head = _make_head(number, 'Transfer-Encoding: chunked\r\n')
+    head = hostile_traffic.make_head(number, 'Transfer-Encoding: chunked\r\n')
     return head + b'2;' + b'x' * 300_000
 
 
@@ -225,7 +173,7 @@
 
 
 def send_pipelined_calls(number: int) -> bytes:
-    call = HEAD.replace('POST', 'GET') % number + '\r\n'
+    call = hostile_traffic.HEAD.replace('POST', 'GET') % number + '\r\n'
     return call.encode() * 1_000
 
 
