--- a/src/nutmegknot/_internal/jobs/early_cancels.py
+++ b/src/nutmegknot/_internal/jobs/early_cancels.py
@@ -19,8 +19,8 @@
 
 logger = logging.getLogger(__name__)
 
-# How long a cancel of an unknown job is kept, in ms. Each owner counts it anew,
-# since the clocks of two instances can't be compared.
+# How long a cancel of an unknown job is kept, in ms. A new owner counts from
+# its takeover, since the clocks of two instances can't be compared.
 REMEMBERED_MS = 60_000
 # So that calls with drawn ids can't use up the memory. Further cancels are not
 # acknowledged until older ones have expired.
