Serve ordinary callers beside long bodies and endless requests

Callers saw: no answer while others sent legal bodies of 5,575 steps (3.5 s with 48 of them, with 300 until they had left), or kept all connections open with requests without end (over 5 s and 50 attempts).

Cause: long bodies were decoded one right after another, each for up to 72 ms of the event loop. A connection whose request never ended was not closed for a new one before its time was over.

Change: bodies over 16,384 bytes are decoded one at a time, with as long a pause after each. Where all connections are taken, a request that is incomplete and longer, or takes longer, than an ordinary one gives way.

Two new tests of test_client_limits.py.

--- a/src/nutmegknot/_internal/network/client_limits.py
+++ b/src/nutmegknot/_internal/network/client_limits.py
@@ -15,6 +15,7 @@
 import enum
 import logging
 from typing import Any
+from typing import TypeVar
 from typing import cast
 
 from aiohttp import streams
@@ -164,12 +165,17 @@
       closings: Counts closed connections and refused requests by reason.
       connections: Connections by the protocol object that serves them.
       idle: Idle connections, the one that has been idle longest first.
+      unfinished: Connections whose request is incomplete although it is longer
+        than an ordinary call, or began before the last sweep but one. Those
+        that have been so longest come first.
       held_bytes: What is taken from the budget.
       sweeps: Number of sweeps since the start.
       sweep_timer: Timer of the next sweep; None while nothing is connected.
       buffer: Where receptions of all connections are stored, one at a time.
       unlogged: Number of closings since the last log line, by reason.
       logged_ms: Time of the last log line, by reason.
+      decoding: Held while a long body is decoded.
+      decoding_due_ms: When the next long body may be decoded.
       refusal_lines: Log lines that name single refused calls, in the present
         interval.
       refusal_lines_ms: When this interval began.
@@ -182,6 +188,7 @@
         default_factory=dict
     )
     idle: dict[Connection, None] = dataclasses.field(default_factory=dict)
+    unfinished: dict[Connection, None] = dataclasses.field(default_factory=dict)
     held_bytes: int = 0
     sweeps: int = 0
     sweep_timer: asyncio.TimerHandle | None = None
@@ -190,10 +197,13 @@
     )
     unlogged: dict[Reason, int] = dataclasses.field(default_factory=dict)
     logged_ms: dict[Reason, int] = dataclasses.field(default_factory=dict)
+    decoding: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    decoding_due_ms: int = 0
     refusal_lines: int = 0
     refusal_lines_ms: int = 0
 
 
+Decoded = TypeVar('Decoded')
 # Handles a request, like the handlers of aiohttp.
 Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -291,6 +301,7 @@
     if connection.refused is not reason:
         report(clients, reason)
     clients.idle.pop(connection, None)
+    clients.unfinished.pop(connection, None)
     connection.refused = reason
     if connection.transport is not None:
         connection.transport.abort()
@@ -304,15 +315,20 @@
 ) -> bool:
     """Adds a new connection unless too many are open.
 
-    The connection that has been idle longest is closed for it. If none is
-    idle, the new one is closed.
+    Another one is closed for it: one that is idle, or whose request is longer
+    or takes longer than that of an ordinary call and is incomplete. If there is
+    none, the new one is closed.
+
+    Load pattern: clients keep all connections open with requests that they
+    never complete. Ordinary callers are served without a wait until these time
+    out.
     """
     if len(clients.connections) >= max_connections:
-        longest_idle = next(iter(clients.idle), None)
-        if longest_idle is None:
+        evicted = _find_evictable(clients)
+        if evicted is None:
             close(clients, connection, Reason.CONNECTIONS)
             return False
-        close(clients, longest_idle, Reason.EVICTED)
+        close(clients, evicted, Reason.EVICTED)
     clients.connections[key] = connection
     enter(clients, connection, connection.phase)
     if clients.sweep_timer is None:
@@ -320,12 +336,26 @@
     return True
 
 
+def _find_evictable(clients: Clients) -> Connection | None:
+    """Returns the connection to close for a new one, or None.
+
+    A connection that was opened a moment ago counts as idle too, until its
+    request is read, so it comes last.
+    """
+    longest_idle = next(iter(clients.idle), None)
+    if longest_idle is not None and longest_idle.since_sweep < clients.sweeps:
+        return longest_idle
+    return next(iter(clients.unfinished), longest_idle)
+
+
 def enter(clients: Clients, connection: Connection, phase: Phase) -> None:
     """Records that a phase of a connection begins."""
     if phase is Phase.IDLE:
         clients.idle[connection] = None
     else:
         clients.idle.pop(connection, None)
+    if phase not in (Phase.HEAD, Phase.BODY):
+        clients.unfinished.pop(connection, None)
     connection.phase = phase
     connection.since_sweep = clients.sweeps
 
@@ -337,6 +367,7 @@
         return
     connection.transport = None
     clients.idle.pop(connection, None)
+    clients.unfinished.pop(connection, None)
     if connection.unread is not None:
         # Otherwise aiohttp's task would wait for the rest of the body for
         # LINGERING_S, without counting as a connection any more.
@@ -374,6 +405,9 @@
     connection.received += len(data)
     connection.lines += lines
     is_reading_body = connection.phase is Phase.BODY
+    is_long = connection.received > RECEIVE_BYTES
+    if is_long and connection.phase is not Phase.CALL:
+        clients.unfinished[connection] = None
     if not is_reading_body and connection.received > MAX_HEAD_BYTES:
         close(clients, connection, Reason.HEAD_BYTES)
         return False
@@ -406,6 +440,9 @@
     """Closes the connections whose time is over."""
     clients.sweeps += 1
     for connection in list(clients.connections.values()):
+        is_receiving = connection.phase in (Phase.HEAD, Phase.BODY)
+        if is_receiving and clients.sweeps - connection.since_sweep > 1:
+            clients.unfinished[connection] = None
         reason = find_expired(clients, connection)
         if reason is not None:
             close(clients, connection, reason)
@@ -645,6 +682,39 @@
     return bytes(body)
 
 
+async def decode_in_turn(
+    clients: Clients, raw: bytes, until_ms: int, decode: Callable[[], Decoded]
+) -> Decoded | UnreadBody:
+    """Decodes a body, a long one only when it is its turn.
+
+    Load pattern: many long bodies arrive at once, each of which takes the event
+    loop for some time. Between two of them it is free for as long as the first
+    one took, so that ordinary calls, leases and renewals go on.
+
+    Args:
+      clients: All clients.
+      raw: The body.
+      until_ms: When the caller's time is over.
+      decode: Decodes the body.
+
+    Returns:
+      What decode returns; UnreadBody if the caller's time was over before.
+    """
+    if len(raw) <= RECEIVE_BYTES:
+        return decode()
+    async with clients.decoding:
+        wait_ms = clients.decoding_due_ms - clients.clock.now_ms()
+        if wait_ms > 0:
+            await clock_lib.sleep(wait_ms)
+        began_ms = clients.clock.now_ms()
+        if began_ms >= until_ms:
+            return UnreadBody()
+        decoded = decode()
+        ended_ms = clients.clock.now_ms()
+        clients.decoding_due_ms = 2 * ended_ms - began_ms
+        return decoded
+
+
 def estimate_decoded_bytes(raw: bytes) -> int:
     """Returns about how much memory a JSON text takes when it is decoded."""
     return (
--- a/src/nutmegknot/_internal/platform/caller_api.py
+++ b/src/nutmegknot/_internal/platform/caller_api.py
@@ -229,7 +229,7 @@
     A caller that got no answer may have repeated or cancelled the call at
     another instance, so a call that is over must not take effect.
     """
-    spec = await _read_job_spec(node, request, authorized, clients)
+    spec = await _read_job_spec(node, request, authorized, until_ms, clients)
     if isinstance(spec, client_limits.InvalidBody):
         return _make_json_response(
             {'reason': 'the body is too long or malformed'}, spec.status
@@ -273,6 +273,7 @@
     node: nodes.Node,
     request: web.BaseRequest,
     authorized: call_authorization.AuthorizedCall,
+    until_ms: int,
     clients: client_limits.Clients,
 ) -> (
     jobs.JobSpec
@@ -286,11 +287,16 @@
     raw = await client_limits.read_body(clients, request, max_bytes)
     if not isinstance(raw, bytes):
         return raw
-    decoded_bytes = client_limits.estimate_decoded_bytes(raw)
-    if not client_limits.hold(clients, request, decoded_bytes):
-        return client_limits.UnreadBody()
-    spec = decode_job_spec(raw, authorized)
-    client_limits.give_back(clients, request, decoded_bytes)
+
+    def decode() -> jobs.JobSpec | outcomes.Refused | client_limits.UnreadBody:
+        decoded_bytes = client_limits.estimate_decoded_bytes(raw)
+        if not client_limits.hold(clients, request, decoded_bytes):
+            return client_limits.UnreadBody()
+        spec = decode_job_spec(raw, authorized)
+        client_limits.give_back(clients, request, decoded_bytes)
+        return spec
+
+    spec = await client_limits.decode_in_turn(clients, raw, until_ms, decode)
     if isinstance(spec, jobs.JobSpec) and not client_limits.hold(
         clients, request, len(spec.steps) * STEP_BYTES
     ):
--- a/tests/unit/network/test_client_limits.py
+++ b/tests/unit/network/test_client_limits.py
@@ -69,6 +69,61 @@
     clients.sweep_timer.cancel()
 
 
+@pytest.mark.parametrize('is_long', [True, False], ids=['long', 'slow'])
+async def test_an_incomplete_request_gives_way(is_long: bool) -> None:
+    """Guards against requests without end that lock out callers.
+
+    An ordinary request that is just arriving is not closed for another one.
+    """
+    clients = make_clients(max_held_bytes=1_000_000)
+    first, second, third, fourth = (make_connection() for _ in range(4))
+    for key, connection in ((1, first), (2, second)):
+        assert client_limits.admit(clients, key, connection, 2)
+        client_limits.receive(clients, connection, b'POST ')
+    assert not client_limits.admit(clients, 3, third, 2)
+    client_limits.enter(clients, second, Phase.CALL)
+    if is_long:
+        client_limits.receive(clients, first, b'x' * 16_384)
+    else:
+        client_limits.sweep(clients)
+        client_limits.sweep(clients)
+    assert client_limits.admit(clients, 4, fourth, 2)
+    closed = [c.refused for c in (first, second, third, fourth)]
+    assert closed == [Reason.EVICTED, None, Reason.CONNECTIONS, None]
+    assert not clients.unfinished
+    assert clients.sweep_timer is not None
+    clients.sweep_timer.cancel()
+
+
+async def test_long_bodies_leave_time_for_other_calls() -> None:
+    """Guards against long bodies that are decoded one right after another."""
+    manual = clock.ManualTime()
+    clients = client_limits.Clients(
+        client_limits.Limits(2, 0),
+        clock.make_manual_clock(manual),
+        client_limits.make_counter(),
+    )
+    began_ms = manual.at_ms
+
+    def decode() -> int:
+        manual.at_ms += 30
+        return manual.at_ms
+
+    async def decode_in_turn(length: int, until_ms: int) -> object:
+        return await client_limits.decode_in_turn(
+            clients, b'x' * length, until_ms, decode
+        )
+
+    long = client_limits.RECEIVE_BYTES + 1
+    assert await decode_in_turn(long, began_ms + 1) == began_ms + 30
+    assert clients.decoding_due_ms == began_ms + 60
+    # A short one does not wait, and one whose time is over is not decoded.
+    assert await decode_in_turn(long - 1, 0) == began_ms + 60
+    expired = await decode_in_turn(long, began_ms + 60)
+    assert expired == client_limits.UnreadBody()
+    assert manual.at_ms == began_ms + 60
+
+
 @pytest.mark.parametrize('data', [b'x' * 16_384, b'\r\n' * 512])
 def test_a_head_without_end_is_closed(data: bytes) -> None:
     """Guards against heads and empty lines that go on for ever."""
